--- /dev/null
+++ b/api/settings/default.go
@@ -0,0 +1,37 @@
+// Package settings holds the operators' settings tree: its types, defaults and ranges.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+)
+
+// Default returns the values that hold where no level of the tree sets anything.
+func Default() Values {
+	var v Values
+	fillDefaults(reflect.ValueOf(&v).Elem())
+	return v
+}
+
+// fillDefaults sets each field of v to its default tag. A tag that does not parse is a programming error.
+func fillDefaults(v reflect.Value) {
+	for i := range v.NumField() {
+		field, info := v.Field(i), v.Type().Field(i)
+		if field.Kind() == reflect.Struct {
+			fillDefaults(field)
+			continue
+		}
+		tag, ok := info.Tag.Lookup("default")
+		if !ok {
+			continue
+		}
+		if field.Kind() == reflect.String {
+			field.SetString(tag)
+			continue
+		}
+		if err := json.Unmarshal([]byte(tag), field.Addr().Interface()); err != nil {
+			panic(fmt.Sprintf("settings: default of %s: %v", info.Name, err))
+		}
+	}
+}
--- /dev/null
+++ b/ctl/cmd/radishctl/main.go
@@ -0,0 +1,4 @@
+// Command radishctl is the command line of the operators.
+package main
+
+func main() {}
