--- /dev/null
+++ b/node/platformtest/memory.go
@@ -0,0 +1,211 @@
+// Package platformtest is a small stand-in of the platform for tests and the demo.
+package platformtest
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/radishstand/radishstand/node/connection/platform"
+)
+
+// Fault is what happens to an operation.
+type Fault struct {
+	// Delay before the operation takes effect.
+	Delay time.Duration
+	// Down refuses the operation without effect.
+	Down bool
+	// LoseAnswer applies a write and then reports platform.ErrUnknown.
+	LoseAnswer bool
+	// LateEffect reports platform.ErrUnknown at once and applies the write after this time, if positive.
+	LateEffect time.Duration
+}
+
+// Operation tells a fault function what is about to be done.
+type Operation struct {
+	// Name is Transact, Get, Query, PutObject or GetObject.
+	Name string
+	// Writes of a Transact.
+	Writes []platform.Write
+}
+
+// Memory implements platform.Table and platform.Objects in memory. It is safe for concurrent use.
+type Memory struct {
+	mu      sync.Mutex
+	items   map[platform.Key]platform.Item
+	objects map[string][]byte
+	fault   func(Operation) Fault
+	reads   int64
+	writes  int64
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{items: map[platform.Key]platform.Item{}, objects: map[string][]byte{}}
+}
+
+// SetFault installs a function that decides on the fault of each operation; nil for none.
+func (m *Memory) SetFault(f func(Operation) Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault = f
+}
+
+// Counts returns how many items were read and written so far.
+func (m *Memory) Counts() (reads, writes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reads, m.writes
+}
+
+func (m *Memory) faultOf(op Operation) Fault {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fault == nil {
+		return Fault{}
+	}
+	return m.fault(op)
+}
+
+// before waits for the delay of the fault and reports whether the operation may go on.
+func (m *Memory) before(ctx context.Context, f Fault) error {
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+			return platform.ErrUnavailable
+		}
+	}
+	if f.Down || ctx.Err() != nil {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// Transact implements platform.Table.
+func (m *Memory) Transact(ctx context.Context, writes ...platform.Write) error {
+	f := m.faultOf(Operation{Name: "Transact", Writes: writes})
+	if err := m.before(ctx, f); err != nil {
+		return err
+	}
+	if f.LateEffect > 0 {
+		time.AfterFunc(f.LateEffect, func() { _ = m.apply(writes) })
+		return platform.ErrUnknown
+	}
+	err := m.apply(writes)
+	if f.LoseAnswer {
+		return platform.ErrUnknown
+	}
+	return err
+}
+
+func (m *Memory) apply(writes []platform.Write) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range writes {
+		if !m.holds(w) {
+			return platform.ErrCondition
+		}
+	}
+	for _, w := range writes {
+		m.writes++
+		switch w.Kind {
+		case platform.Put:
+			m.items[w.Item.Key] = copyItem(w.Item)
+		case platform.Delete:
+			delete(m.items, w.Item.Key)
+		}
+	}
+	return nil
+}
+
+func (m *Memory) holds(w platform.Write) bool {
+	item, ok := m.items[w.Item.Key]
+	if w.Condition.Absent {
+		return !ok
+	}
+	for name, want := range w.Condition.Equal {
+		if got, has := item.Numbers[name]; !ok || !has || got != want {
+			return false
+		}
+	}
+	return true
+}
+
+// Get implements platform.Table.
+func (m *Memory) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+	if err := m.before(ctx, m.faultOf(Operation{Name: "Get"})); err != nil {
+		return platform.Item{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	item, ok := m.items[key]
+	if !ok {
+		return platform.Item{}, platform.ErrNotFound
+	}
+	return copyItem(item), nil
+}
+
+// Query implements platform.Table.
+func (m *Memory) Query(ctx context.Context, partition, from string, limit int) ([]platform.Item, error) {
+	if err := m.before(ctx, m.faultOf(Operation{Name: "Query"})); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []platform.Item
+	for key, item := range m.items {
+		if key.Partition == partition && key.Sort >= from {
+			found = append(found, copyItem(item))
+		}
+	}
+	slices.SortFunc(found, func(a, b platform.Item) int {
+		if a.Key.Sort < b.Key.Sort {
+			return -1
+		}
+		return 1
+	})
+	found = found[:min(limit, len(found))]
+	m.reads += int64(max(1, len(found)))
+	return found, nil
+}
+
+// PutObject implements platform.Objects.
+func (m *Memory) PutObject(ctx context.Context, key string, body []byte) error {
+	f := m.faultOf(Operation{Name: "PutObject"})
+	if err := m.before(ctx, f); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.objects[key] = slices.Clone(body)
+	m.writes++
+	m.mu.Unlock()
+	if f.LoseAnswer {
+		return platform.ErrUnknown
+	}
+	return nil
+}
+
+// GetObject implements platform.Objects.
+func (m *Memory) GetObject(ctx context.Context, key string) ([]byte, error) {
+	if err := m.before(ctx, m.faultOf(Operation{Name: "GetObject"})); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	body, ok := m.objects[key]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return slices.Clone(body), nil
+}
+
+func copyItem(item platform.Item) platform.Item {
+	item.Numbers = maps.Clone(item.Numbers)
+	item.Data = slices.Clone(item.Data)
+	return item
+}
