--- /dev/null
+++ b/node/process/registry/registry.go
@@ -0,0 +1,213 @@
+// Package registry keeps the life of the backend server beside the node: announced, renewed, draining, gone.
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/radishstand/radishstand/api/announce"
+	"github.com/radishstand/radishstand/node/connection/backend"
+	"github.com/radishstand/radishstand/node/process/admission"
+)
+
+// Limits of an announcement.
+const (
+	maxSlots       = 10_000
+	maxConnections = 100_000
+	maxServiceName = 64
+)
+
+// ErrInvalid is wrapped by the errors of a refused announcement.
+var ErrInvalid = errors.New("announcement refused")
+
+// Config configures a Registry.
+type Config struct {
+	NodeID string
+	Now    func() time.Time
+	// NewAdmission makes the admission of a new server.
+	NewAdmission func(service string, slots int) *admission.Admission
+	// RenewWithin returns the time within which a server of the service repeats its announcement.
+	RenewWithin func(service string) time.Duration
+	// Changed is called, without locks held, after each change; the server is nil when there is none.
+	Changed func(*Server)
+}
+
+// Registry holds at most one backend server. It is safe for concurrent use.
+type Registry struct {
+	config Config
+
+	mu          sync.Mutex
+	server      *Server
+	incarnation uint64
+	stopping    bool
+}
+
+// New returns an empty registry.
+func New(config Config) *Registry { return &Registry{config: config} }
+
+// Current returns the server, or nil.
+func (r *Registry) Current() *Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.server
+}
+
+// Announce takes a first or repeated announcement. Its errors wrap ErrInvalid.
+func (r *Registry) Announce(a announce.Server) (announce.Reply, error) {
+	if err := validate(a); err != nil {
+		return announce.Reply{}, err
+	}
+	server, changed := r.announce(a)
+	if changed {
+		r.config.Changed(server)
+	}
+	return announce.Reply{
+		ServerID:      server.ID,
+		State:         server.State(),
+		RenewWithinMs: int(r.config.RenewWithin(a.Service).Milliseconds()),
+	}, nil
+}
+
+func (r *Registry) announce(a announce.Server) (server *Server, changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.config.Now()
+	changed = true
+	switch {
+	case r.server == nil || r.server.State() == StateGone || !sameServer(r.server.Announced, a):
+		r.replace(a, now)
+	case r.server.Announced != a:
+		// Slots may change in place; the readers of Announced see either value through the new copy.
+		r.update(a)
+	default:
+		changed = r.server.State() == StateSilent
+	}
+	r.server.renew(now)
+	if a.Draining || r.stopping {
+		r.drain()
+	}
+	return r.server, changed
+}
+
+// replace starts a new life; the calls in progress of the old server keep its admission and client.
+func (r *Registry) replace(a announce.Server, now time.Time) {
+	if r.server != nil {
+		r.server.fire(eventWithdraw)
+		r.server.Admission.Drain()
+	}
+	r.incarnation++
+	r.server = &Server{
+		ID:          fmt.Sprintf("%s/%s", r.config.NodeID, uuid.NewString()[:8]),
+		Announced:   a,
+		Since:       now,
+		Incarnation: r.incarnation,
+		Admission:   r.config.NewAdmission(a.Service, a.Slots),
+		Client:      backend.New(a.Address, a.Connections),
+		life:        newLife(),
+	}
+}
+
+// update copies the server with the new announcement; it keeps its id, life, admission and client.
+func (r *Registry) update(a announce.Server) {
+	old := r.server
+	old.Admission.Resize(a.Slots)
+	r.server = &Server{
+		ID: old.ID, Announced: a, Since: old.Since, Incarnation: old.Incarnation,
+		Admission: old.Admission, Client: old.Client, life: old.life,
+	}
+}
+
+func (r *Registry) drain() {
+	r.server.fire(eventDrain)
+	r.server.Admission.Drain()
+}
+
+// Drain lets the server finish its calls and refuses new ones. It reports whether there is a server.
+func (r *Registry) Drain() bool {
+	r.mu.Lock()
+	server := r.server
+	if server != nil {
+		r.drain()
+	}
+	r.mu.Unlock()
+	if server == nil {
+		return false
+	}
+	r.config.Changed(server)
+	return true
+}
+
+// Stop drains the server and every server that is announced later.
+func (r *Registry) Stop() {
+	r.mu.Lock()
+	r.stopping = true
+	r.mu.Unlock()
+	r.Drain()
+}
+
+// Withdraw ends the server's life; its calls in progress finish.
+func (r *Registry) Withdraw() { r.withdraw(r.Current()) }
+
+func (r *Registry) withdraw(server *Server) {
+	if server == nil {
+		return
+	}
+	r.mu.Lock()
+	current := r.server != nil && r.server.ID == server.ID
+	if current {
+		r.server.fire(eventWithdraw)
+		r.server.Admission.Drain()
+		r.server = nil
+	}
+	r.mu.Unlock()
+	if current {
+		r.config.Changed(nil)
+	}
+}
+
+// Silent returns the server when its announcement is overdue, for the caller to check it, else nil.
+func (r *Registry) Silent() *Server {
+	server := r.Current()
+	if server == nil || server.silentFor(r.config.Now()) < r.config.RenewWithin(server.Announced.Service) {
+		return nil
+	}
+	server.fire(eventMiss)
+	return server
+}
+
+// Checked takes the result of checking a silent server: alive keeps it, else it is withdrawn unless it has renewed.
+func (r *Registry) Checked(server *Server, alive bool) {
+	overdue := server.silentFor(r.config.Now()) >= r.config.RenewWithin(server.Announced.Service)
+	if !alive && overdue {
+		r.withdraw(server)
+	}
+}
+
+// sameServer reports whether both announcements come from the same server process, as far as can be told.
+func sameServer(a, b announce.Server) bool {
+	if a.Draining && !b.Draining {
+		return false
+	}
+	return a.Service == b.Service && a.Address == b.Address && a.Connections == b.Connections
+}
+
+func validate(a announce.Server) error {
+	if a.Service == "" || len(a.Service) > maxServiceName {
+		return fmt.Errorf("%w: service must have 1 to %d characters", ErrInvalid, maxServiceName)
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return fmt.Errorf("%w: address %q is not an IP address with a port", ErrInvalid, a.Address)
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		return fmt.Errorf("%w: slots is %d, allowed are 1 to %d", ErrInvalid, a.Slots, maxSlots)
+	}
+	if a.Connections < 1 || a.Connections > maxConnections {
+		return fmt.Errorf("%w: connections is %d, allowed are 1 to %d", ErrInvalid, a.Connections, maxConnections)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/request/entry/call.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/radishstand/radishstand/api/contract"
+	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/node/request/attempt"
+	"github.com/radishstand/radishstand/node/version/current"
+)
+
+const (
+	// maxDepth stops calls that go round in circles; the deepest chains expected are 28 calls.
+	maxDepth     = 64
+	maxTimeoutMs = 600_000
+	// minKeyLength keeps two callers from choosing the same idempotency key by accident and so getting each other's answer.
+	minKeyLength = 16
+	maxKeyLength = 255
+)
+
+// call is one caller's request from arrival to answer. It uses one settings version throughout.
+type call struct {
+	id         string
+	started    time.Time
+	deadline   time.Time
+	service    string
+	values     *settings.Values
+	version    int64
+	class      contract.Class
+	idempotent bool
+	depth      int
+	// parent is the attempt for which the backend server makes this call, if any.
+	parent string
+	key    string
+	method string
+	target string
+	host   string
+	header http.Header
+	body   []byte
+}
+
+// refusal is an answer that the node makes itself.
+type refusal struct {
+	status     int
+	outcome    contract.Outcome
+	reason     string
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (r *refusal) Error() string { return r.reason }
+
+func notRun(status int, format string, args ...any) *refusal {
+	return &refusal{status: status, outcome: contract.OutcomeNotRun, reason: fmt.Sprintf(format, args...)}
+}
+
+// newCall checks a request and reads its body. The error is nil or a refusal that says not-run.
+func (h *Handler) newCall(w http.ResponseWriter, r *http.Request, trusted bool) (*call, *refusal) {
+	c := &call{id: uuid.NewString(), started: h.Now(), method: r.Method, host: r.Host, target: r.URL.RequestURI()}
+	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
+		return c, notRun(http.StatusNotImplemented, "CONNECT and protocol upgrades are not supported")
+	}
+	snapshot := h.Settings.Current()
+	if snapshot == nil {
+		return c, notRun(http.StatusServiceUnavailable, "this node does not know the settings yet")
+	}
+	if refused := c.match(r, snapshot); refused != nil {
+		return c, refused
+	}
+	if refused := c.limit(r); refused != nil {
+		return c, refused
+	}
+	c.classify(r, trusted)
+	if refused := c.inherit(h, r, trusted); refused != nil {
+		return c, refused
+	}
+	if refused := c.readBody(w, r); refused != nil {
+		return c, refused
+	}
+	c.header = forwardHeader(r.Header)
+	return c, nil
+}
+
+func (c *call) match(r *http.Request, snapshot *current.Snapshot) *refusal {
+	service, ok := snapshot.Match(r.Host, r.URL.Path, r.Header.Get(contract.HeaderService))
+	if !ok {
+		return notRun(http.StatusNotFound, "no service matches this host, path and header")
+	}
+	values, ok := snapshot.Values(service)
+	if !ok {
+		return notRun(http.StatusNotFound, "service %q is not known", service)
+	}
+	c.service, c.values, c.version = service, values, snapshot.Version
+	return nil
+}
+
+// limit sets the deadline and checks the caller's headers.
+func (c *call) limit(r *http.Request) *refusal {
+	timeout := c.values.Call.TimeoutMs
+	if text := r.Header.Get(contract.HeaderTimeout); text != "" {
+		asked, err := strconv.Atoi(text)
+		if err != nil || asked < 1 || asked > maxTimeoutMs {
+			return notRun(http.StatusBadRequest, "%s must be a whole number from 1 to %d", contract.HeaderTimeout, maxTimeoutMs)
+		}
+		timeout = min(timeout, asked)
+	}
+	c.deadline = c.started.Add(time.Duration(timeout) * time.Millisecond)
+	keys := r.Header.Values(contract.HeaderIdempotencyKey)
+	if len(keys) > 1 {
+		return notRun(http.StatusBadRequest, "%s must be given once", contract.HeaderIdempotencyKey)
+	}
+	if len(keys) == 1 && (len(keys[0]) < minKeyLength || len(keys[0]) > maxKeyLength) {
+		return notRun(http.StatusBadRequest, "%s must have %d to %d characters", contract.HeaderIdempotencyKey, minKeyLength, maxKeyLength)
+	}
+	if len(keys) == 1 {
+		c.key = keys[0]
+	}
+	return nil
+}
+
+func (c *call) classify(r *http.Request, trusted bool) {
+	c.idempotent = slices.Contains(c.values.Call.IdempotentMethods, r.Method)
+	c.class = contract.Class(c.values.Call.Class)
+	for _, rule := range c.values.Call.Rules {
+		if (rule.Method == "" || rule.Method == r.Method) && strings.HasPrefix(r.URL.Path, rule.PathPrefix) {
+			c.class = rule.Class
+			break
+		}
+	}
+	// Only a backend server may raise the class of its calls; anybody could claim to be an internal check.
+	if asked := contract.Class(r.Header.Get(contract.HeaderClass)); trusted && asked.Valid() {
+		c.class = asked
+	}
+}
+
+// inherit takes call id, deadline and depth from the attempt for which a backend server makes this call.
+func (c *call) inherit(h *Handler, r *http.Request, trusted bool) *refusal {
+	context := r.Header.Get(contract.HeaderContext)
+	if !trusted || context == "" {
+		return nil
+	}
+	c.parent = context
+	parent, ok := h.Parents.Lookup(context)
+	if !ok {
+		// The attempt is over. Its calls still run, since they may be wanted, but get no retries.
+		return nil
+	}
+	c.id = parent.CallID
+	c.depth = parent.Depth + 1
+	if parent.Deadline.Before(c.deadline) {
+		c.deadline = parent.Deadline
+	}
+	if c.depth > maxDepth {
+		return notRun(http.StatusLoopDetected, "more than %d calls deep", maxDepth)
+	}
+	return nil
+}
+
+func (c *call) readBody(w http.ResponseWriter, r *http.Request) *refusal {
+	limit := int64(c.values.Call.MaxBodyBytes)
+	if r.ContentLength > limit {
+		return notRun(http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", limit)
+	}
+	if r.ContentLength == 0 {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return notRun(http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", limit)
+	case err != nil:
+		return notRun(http.StatusBadRequest, "the body could not be read completely")
+	}
+	c.body = body
+	return nil
+}
+
+// ledgerKey identifies keyed work across the fleet.
+func (c *call) ledgerKey() []byte {
+	sum := sha256.Sum256([]byte(c.service + "\x00" + c.key))
+	return sum[:]
+}
+
+// bodyHash covers everything that makes two requests with one key the same work.
+func (c *call) bodyHash() []byte {
+	hash := sha256.New()
+	fmt.Fprintf(hash, "%s\x00%s\x00%d\x00", c.method, c.target, len(c.body))
+	hash.Write(c.body)
+	return hash.Sum(nil)
+}
+
+// request makes the attempt at a server.
+func (c *call) request(serverID string, remaining time.Duration, allowance int) *attempt.Request {
+	return &attempt.Request{
+		AttemptID: uuid.NewString(), CallID: c.id, Service: c.service, ServerID: serverID,
+		Method: c.method, Target: c.target, Host: c.host, Header: c.header, Body: c.body,
+		Timeout: remaining, Idempotent: c.idempotent, Class: c.class,
+		RetryAllowance: allowance, Depth: c.depth, SettingsVersion: c.version,
+	}
+}
+
+// hopHeaders are meant for one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// innerPrefix marks the headers that nodes set; nobody else may.
+const innerPrefix = "Radish-"
+
+// forwardHeader copies the headers that pass from one side of the node to the other.
+func forwardHeader(from http.Header) http.Header {
+	to := make(http.Header, len(from))
+	for name, values := range from {
+		if !strings.HasPrefix(name, innerPrefix) {
+			to[name] = values
+		}
+	}
+	for _, list := range from["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		to.Del(name)
+	}
+	to.Del("Content-Length")
+	to.Del("Expect")
+	return to
+}
