--- a/api/settings/values.go
+++ b/api/settings/values.go
@@ -19,8 +19,8 @@
 // Match says which calls belong to the service. A call whose first Host label or Radish-Service header is the name of
 // the service always matches.
 type Match struct {
-	Hosts        []string `json:"hosts" doc:"Host names, without port."`
-	PathPrefixes []string `json:"pathPrefixes" doc:"Path prefixes; the longest one wins."`
+	Hosts        []string `json:"hosts" pattern:"^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$" doc:"Host names in lower case, without port."`
+	PathPrefixes []string `json:"pathPrefixes" pattern:"^/" doc:"Path prefixes that end at a path segment; the longest one wins."`
 }
 
 // Call limits one call.
@@ -28,7 +28,7 @@
 	TimeoutMs         int         `json:"timeoutMs" default:"2000" min:"1" max:"600000" unit:"ms" doc:"Longest time for a call; a caller may ask for less."`
 	MaxBodyBytes      int         `json:"maxBodyBytes" default:"1048576" min:"0" max:"16777216" unit:"bytes" doc:"Largest request body."`
 	HoldBytes         int         `json:"holdBytes" default:"262144" min:"0" max:"16777216" unit:"bytes" doc:"Answers up to this size are held until they are complete."`
-	IdempotentMethods []string    `json:"idempotentMethods" default:"[\"GET\",\"HEAD\",\"OPTIONS\"]" doc:"Methods that may be repeated."`
+	IdempotentMethods []string    `json:"idempotentMethods" default:"[\"GET\",\"HEAD\",\"OPTIONS\"]" pattern:"^[A-Z]+$" doc:"Methods that may be repeated."`
 	Class             string      `json:"class" default:"normal" enum:"check,critical,normal,deferrable" doc:"Priority class of calls that no rule names."`
 	Rules             []ClassRule `json:"rules" doc:"Priority class by method and path; the first rule that fits decides."`
 	NotRunStatus      int         `json:"notRunStatus" default:"0" min:"0" max:"599" doc:"Status by which a backend server proves, together with notRunHeader, that it refused a call before running it; 0 for none."`
@@ -37,9 +37,9 @@
 
 // ClassRule gives the calls with a method and path prefix a priority class.
 type ClassRule struct {
-	Method     string         `json:"method" doc:"Method, or empty for all."`
-	PathPrefix string         `json:"pathPrefix" doc:"Path prefix, or empty for all."`
-	Class      contract.Class `json:"class" enum:"check,critical,normal,deferrable" doc:"Priority class."`
+	Method     string         `json:"method" pattern:"^[A-Z]*$" doc:"Method, or empty for all."`
+	PathPrefix string         `json:"pathPrefix" pattern:"^(/.*)?$" doc:"Path prefix, or empty for all."`
+	Class      contract.Class `json:"class" enum:"check,critical,normal,deferrable" required:"true" doc:"Priority class."`
 }
 
 // Admission configures the queue in front of a backend server.
@@ -80,8 +80,8 @@
 type Measure struct {
 	PerSecond      float64 `json:"perSecond" default:"1" min:"0" max:"100" unit:"1/s" doc:"Requests that measure a backend server."`
 	BytesPerSecond int     `json:"bytesPerSecond" default:"1024" min:"0" max:"1048576" unit:"bytes/s" doc:"Bytes of requests and answers that measure a backend server."`
-	HealthPath     string  `json:"healthPath" default:"/health" doc:"Path of the server's health endpoint; empty for none."`
-	LoadPath       string  `json:"loadPath" default:"" doc:"Path of the server's load endpoint; empty for none."`
+	HealthPath     string  `json:"healthPath" default:"/health" pattern:"^(/.*)?$" doc:"Path of the server's health endpoint; empty for none."`
+	LoadPath       string  `json:"loadPath" default:"" pattern:"^(/.*)?$" doc:"Path of the server's load endpoint; empty for none."`
 }
 
 // Drain configures leaving and stopping.
