request: join entry, peer hop and server's node

Cause: a request must cross the whole path before the policies are tuned. Change: entry handler with attempts, hedges and keyed work; serve handler with admission and whole answers.

--- a/node/backendtest/server.go
+++ b/node/backendtest/server.go
@@ -205,7 +205,9 @@
 }
 
 // Withdraw tells the node that the server is gone.
-func (s *Server) Withdraw(nodeAddress string) error { return s.send(http.MethodDelete, nodeAddress, nil) }
+func (s *Server) Withdraw(nodeAddress string) error {
+	return s.send(http.MethodDelete, nodeAddress, nil)
+}
 
 // KeepAnnounced announces the server and renews the announcement until Close.
 func (s *Server) KeepAnnounced(nodeAddress string, every time.Duration) error {
--- a/node/connection/peer/pool.go
+++ b/node/connection/peer/pool.go
@@ -138,4 +138,3 @@
 	peerpb.RegisterPeerServer(server, service)
 	return server
 }
-
--- a/node/request/attempt/attempt.go
+++ b/node/request/attempt/attempt.go
@@ -28,6 +28,8 @@
 	Timeout    time.Duration
 	Idempotent bool
 	Class      contract.Class
+	// Stay keeps the attempt from being referred to a sibling, since it was referred before.
+	Stay bool
 	// RetryAllowance is how many extra attempts the calls below this attempt may make.
 	RetryAllowance  int
 	Depth           int
--- /dev/null
+++ b/node/request/entry/attempts.go
@@ -0,0 +1,300 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/radishstand/radishstand/node/process/balance"
+	"github.com/radishstand/radishstand/node/request/attempt"
+	"github.com/radishstand/radishstand/node/request/retry"
+)
+
+// run is the attempts of one call. It belongs to the goroutine of the call; only try runs beside it.
+type run struct {
+	handler *Handler
+	call    *call
+	retries *retry.Call
+	// reserved is what was taken from the pool of the parent attempt.
+	reserved int
+	excluded []string
+	referred bool
+	results  chan result
+	pending  []*attemptInProgress
+	records  []AttemptRecord
+	// shed is an answer by which a server shed load; it is given to the caller when no better one comes.
+	shed *attempt.Answer
+}
+
+type attemptInProgress struct {
+	server  balance.Server
+	passed  int
+	hedge   bool
+	started time.Time
+	cancel  context.CancelFunc
+}
+
+type result struct {
+	attempt *attemptInProgress
+	answer  *attempt.Answer
+	err     error
+	took    time.Duration
+	end     string
+}
+
+// attempts makes attempts until there is an answer or a final error, which is *attempt.NotRun or *attempt.Broken.
+func (h *Handler) attempts(ctx context.Context, c *call) (*attempt.Answer, *run, error) {
+	r := h.newRun(c)
+	answer, err := r.loop(ctx)
+	r.finish()
+	return answer, r, err
+}
+
+func (h *Handler) newRun(c *call) *run {
+	r := &run{handler: h, call: c}
+	allowance := -1
+	if c.depth > 0 || c.parent != "" {
+		r.reserved = h.Pools.Reserve(c.parent, c.values.Retry.MaxPerCall)
+		allowance = r.reserved
+	}
+	r.retries = h.Retrier.Begin(c.service, c.idempotent, c.deadline, allowance)
+	r.results = make(chan result, c.values.Retry.MaxPerCall+1)
+	return r
+}
+
+func (r *run) loop(ctx context.Context) (*attempt.Answer, error) {
+	if err := r.launch(ctx, false); err != nil {
+		return nil, err
+	}
+	hedge, stop := r.hedgeTimer()
+	defer stop()
+	// unknown is the first failure that leaves the outcome open; it outlives later proofs of not-run.
+	var unknown error
+	for {
+		select {
+		case res := <-r.results:
+			if answer := r.take(res); answer != nil {
+				return answer, nil
+			}
+			if _, broken := errors.AsType[*attempt.Broken](res.err); broken && unknown == nil {
+				unknown = res.err
+			}
+			if err := r.again(ctx, res.err); err == nil || len(r.pending) > 0 {
+				continue
+			}
+			return r.giveUp(res.err, unknown)
+		case <-hedge:
+			hedge = nil
+			if r.handler.Retrier.Hedge(r.retries) == "" {
+				// Without another server the hedge is dropped; the attempt in progress goes on.
+				_ = r.launch(ctx, true)
+			}
+		}
+	}
+}
+
+// giveUp ends the call without a complete answer of a server, except one that shed load.
+func (r *run) giveUp(last, unknown error) (*attempt.Answer, error) {
+	if r.shed != nil {
+		answer := r.shed
+		r.shed = nil
+		return answer, nil
+	}
+	if unknown != nil {
+		return nil, unknown
+	}
+	return nil, last
+}
+
+// launch starts an attempt at the best server that was not tried yet.
+func (r *run) launch(ctx context.Context, hedge bool) error {
+	h := r.handler
+	server, err := h.Balancer.Pick(r.call.service, r.excluded)
+	if err != nil {
+		return &attempt.NotRun{Reason: attempt.ReasonNoServer}
+	}
+	now := h.Now()
+	remaining := r.call.deadline.Sub(now)
+	if remaining <= 0 {
+		return &attempt.NotRun{Reason: attempt.ReasonDeadline}
+	}
+	r.excluded = append(r.excluded, server.ID)
+	a := &attemptInProgress{server: server, passed: r.retries.Pass(), hedge: hedge, started: now}
+	request := r.call.request(server.ID, remaining, a.passed)
+	request.Stay = r.referred
+	ctx, a.cancel = context.WithCancel(ctx)
+	r.pending = append(r.pending, a)
+	h.Balancer.Started(server)
+	go r.try(ctx, a, request)
+	return nil
+}
+
+// try carries out one attempt and reports its end.
+func (r *run) try(ctx context.Context, a *attemptInProgress, request *attempt.Request) {
+	h := r.handler
+	life := attempt.NewLife()
+	_ = life.Fire(attempt.EventSend)
+	answer, err := r.do(ctx, a, request)
+	took := h.Now().Sub(a.started)
+	kind := resultKind(answer, err)
+	_ = life.Fire(eventOf(kind))
+	h.Balancer.Finished(a.server, balance.Result{Kind: kind, Latency: took})
+	h.Balancer.Observe(a.server.NodeID, loadsOf(answer, err))
+	r.results <- result{attempt: a, answer: answer, err: err, took: took, end: life.End()}
+}
+
+func (r *run) do(ctx context.Context, a *attemptInProgress, request *attempt.Request) (*attempt.Answer, error) {
+	if a.server.NodeID == r.handler.NodeID {
+		return r.handler.Local.Do(ctx, request)
+	}
+	return r.handler.Remote.Do(ctx, a.server, request)
+}
+
+// take books the end of an attempt and returns its answer if it is the call's answer.
+func (r *run) take(res result) *attempt.Answer {
+	r.settle(res)
+	if res.answer == nil {
+		return nil
+	}
+	if r.shouldRetryShed(res.answer) {
+		res.answer.Close()
+		r.shed = res.answer
+		return nil
+	}
+	r.handler.Retrier.Observe(r.call.service, res.took)
+	return res.answer
+}
+
+// shouldRetryShed reports whether a server shed load with an answer that another server may better.
+func (r *run) shouldRetryShed(a *attempt.Answer) bool {
+	return r.call.idempotent && a.Status == http.StatusServiceUnavailable && a.Rest == nil
+}
+
+func (r *run) settle(res result) {
+	for i, a := range r.pending {
+		if a == res.attempt {
+			r.pending = append(r.pending[:i], r.pending[i+1:]...)
+			break
+		}
+	}
+	used, reported := retriesUsed(res)
+	if reported {
+		r.retries.Returned(res.attempt.passed, used)
+	} else {
+		r.retries.Lost(res.attempt.passed)
+	}
+	r.records = append(r.records, AttemptRecord{
+		Server: res.attempt.server.ID, After: res.attempt.started.Sub(r.call.started), Took: res.took, End: res.end,
+		Hedge: res.attempt.hedge,
+	})
+}
+
+// again starts another attempt after a failed one, if the budgets allow it.
+func (r *run) again(ctx context.Context, err error) error {
+	failure := retry.Unknown
+	if notRun, ok := errors.AsType[*attempt.NotRun](err); ok {
+		failure = retry.NotRun
+		if notRun.Reason == attempt.ReasonSiblingFree {
+			failure, r.referred = retry.Referred, true
+		}
+	}
+	if r.shed != nil && err == nil {
+		failure = retry.NotRun
+		err = &attempt.NotRun{Reason: attempt.ReasonServerRefused}
+	}
+	if reason := r.handler.Retrier.Retry(r.retries, failure); reason != "" {
+		return err
+	}
+	return r.launch(ctx, false)
+}
+
+// hedgeTimer returns a channel that fires when the call is to be hedged; nil for never.
+func (r *run) hedgeTimer() (<-chan time.Time, func()) {
+	delay, ok := r.handler.Retrier.HedgeDelay(r.call.service)
+	if !ok || !r.call.idempotent {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(delay)
+	return timer.C, func() { timer.Stop() }
+}
+
+// finish cancels the attempts that lost against another one and settles with the parent attempt.
+func (r *run) finish() {
+	for _, a := range r.pending {
+		a.cancel()
+		r.retries.Lost(a.passed)
+	}
+	if lost := len(r.pending); lost > 0 {
+		go closeLost(r.results, lost)
+	}
+	if r.call.parent != "" {
+		r.handler.Pools.Settle(r.call.parent, r.reserved, r.retries.Used)
+	}
+}
+
+// closeLost closes the answers that nobody waits for any more.
+func closeLost(results <-chan result, n int) {
+	for range n {
+		if res := <-results; res.answer != nil {
+			res.answer.Close()
+		}
+	}
+}
+
+func retriesUsed(res result) (used int, reported bool) {
+	if res.answer != nil {
+		return res.answer.RetriesUsed, true
+	}
+	if notRun, ok := errors.AsType[*attempt.NotRun](res.err); ok {
+		return notRun.RetriesUsed, true
+	}
+	return 0, false
+}
+
+func resultKind(a *attempt.Answer, err error) balance.Kind {
+	if err == nil {
+		if a.Status >= http.StatusInternalServerError {
+			return balance.Error
+		}
+		return balance.OK
+	}
+	if notRun, ok := errors.AsType[*attempt.NotRun](err); ok {
+		if notRun.Reason == attempt.ReasonUnreachable {
+			return balance.Error
+		}
+		return balance.Refused
+	}
+	if broken, ok := errors.AsType[*attempt.Broken](err); ok {
+		switch broken.Kind {
+		case attempt.KindCancelled:
+			return balance.Cancelled
+		case attempt.KindDeadline:
+			return balance.Timeout
+		}
+	}
+	return balance.Error
+}
+
+func eventOf(kind balance.Kind) string {
+	switch kind {
+	case balance.OK:
+		return attempt.EventAnswer
+	case balance.Refused:
+		return attempt.EventRefuse
+	}
+	return attempt.EventBreak
+}
+
+func loadsOf(a *attempt.Answer, err error) []balance.Load {
+	if a != nil {
+		return a.Loads
+	}
+	if notRun, ok := errors.AsType[*attempt.NotRun](err); ok {
+		return notRun.Loads
+	}
+	if broken, ok := errors.AsType[*attempt.Broken](err); ok {
+		return broken.Loads
+	}
+	return nil
+}
--- /dev/null
+++ b/node/request/serve/serve.go
@@ -0,0 +1,273 @@
+// Package serve carries out attempts at the node beside the backend server: admission, sending, and an answer that is
+// either whole or known to be broken.
+package serve
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/radishstand/radishstand/api/contract"
+	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/node/process/admission"
+	"github.com/radishstand/radishstand/node/process/balance"
+	"github.com/radishstand/radishstand/node/process/registry"
+	"github.com/radishstand/radishstand/node/request/attempt"
+	"github.com/radishstand/radishstand/node/request/retry"
+	"github.com/radishstand/radishstand/node/version/current"
+)
+
+// siblingReports is the number of sibling load reports that ride on an answer.
+const siblingReports = 3
+
+// Handler carries out attempts at the local backend server. It is safe for concurrent use.
+type Handler struct {
+	Registry *registry.Registry
+	Settings *current.Holder
+	Balancer *balance.Balancer
+	Parents  *attempt.Table
+	Pools    *retry.Pools
+	Now      func() time.Time
+}
+
+// Do carries out an attempt. Its errors are *attempt.NotRun or *attempt.Broken.
+func (h *Handler) Do(ctx context.Context, r *attempt.Request) (*attempt.Answer, error) {
+	server := h.Registry.Current()
+	if server == nil || server.ID != r.ServerID {
+		return nil, &attempt.NotRun{Reason: attempt.ReasonNoServer}
+	}
+	values := h.values(r.Service)
+	if values == nil {
+		return nil, &attempt.NotRun{Reason: attempt.ReasonNoServer}
+	}
+	deadline := h.Now().Add(r.Timeout)
+	ticket, err := h.admit(ctx, server, r, deadline)
+	if err != nil {
+		return nil, h.refused(err, server)
+	}
+	ctx, cancel := sendContext(ctx, r, deadline)
+	e := &exchange{handler: h, server: server, request: r, values: values, ticket: ticket, cancel: cancel}
+	return e.run(ctx, deadline)
+}
+
+// admit waits for a slot. A call whose caller goes away meanwhile leaves the queue, whatever its kind.
+func (h *Handler) admit(
+	ctx context.Context, server *registry.Server, r *attempt.Request, deadline time.Time,
+) (*admission.Ticket, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return server.Admission.Admit(ctx, admission.Call{Class: r.Class, Deadline: deadline, Stay: r.Stay})
+}
+
+// values returns the settings of the service. A node that does not know the settings refuses the call.
+func (h *Handler) values(service string) *settings.Values {
+	snapshot := h.Settings.Current()
+	if snapshot == nil {
+		return nil
+	}
+	values, _ := snapshot.Values(service)
+	return values
+}
+
+// sendContext bounds the attempt by its deadline. Non-idempotent work goes on when the entry node or the caller is gone,
+// so that it runs to an end that can be known.
+func sendContext(ctx context.Context, r *attempt.Request, deadline time.Time) (context.Context, context.CancelFunc) {
+	if !r.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+var reasonOf = map[admission.Reason]attempt.Reason{
+	admission.ReasonQueueFull:   attempt.ReasonQueueFull,
+	admission.ReasonPushedOut:   attempt.ReasonQueueFull,
+	admission.ReasonWaited:      attempt.ReasonQueueFull,
+	admission.ReasonDeadline:    attempt.ReasonDeadline,
+	admission.ReasonSiblingFree: attempt.ReasonSiblingFree,
+	admission.ReasonDraining:    attempt.ReasonDraining,
+	admission.ReasonStopping:    attempt.ReasonStopping,
+	admission.ReasonCancelled:   attempt.ReasonDeadline,
+}
+
+func (h *Handler) refused(err error, server *registry.Server) *attempt.NotRun {
+	notRun := &attempt.NotRun{Reason: attempt.ReasonQueueFull, Loads: h.Loads(server)}
+	var refused *admission.Refused
+	if errors.As(err, &refused) {
+		notRun.Reason, notRun.RetryAfter, notRun.Hint = reasonOf[refused.Reason], refused.RetryAfter, refused.Sibling
+	}
+	return notRun
+}
+
+// Loads returns the report of the server and the freshest ones known of its siblings.
+func (h *Handler) Loads(server *registry.Server) []balance.Load {
+	l := server.Admission.Load(h.Now())
+	own := balance.Load{
+		ServerID: server.ID, Incarnation: server.Incarnation, Sequence: l.Sequence, InProgress: l.InProgress,
+		Queued: l.Queued, Limit: l.Limit, ServiceTime: l.ServiceTime, Draining: l.Draining,
+	}
+	siblings := h.Balancer.Freshest(server.Announced.Service, siblingReports)
+	return append([]balance.Load{own}, slices.DeleteFunc(siblings, func(l balance.Load) bool { return l.ServerID == own.ServerID })...)
+}
+
+// exchange is one admitted attempt.
+type exchange struct {
+	handler *Handler
+	server  *registry.Server
+	request *attempt.Request
+	values  *settings.Values
+	ticket  *admission.Ticket
+	cancel  context.CancelFunc
+}
+
+func (e *exchange) run(ctx context.Context, deadline time.Time) (*attempt.Answer, error) {
+	h, r := e.handler, e.request
+	h.Pools.Open(r.AttemptID, r.RetryAllowance)
+	h.Parents.Open(r.AttemptID, attempt.Parent{CallID: r.CallID, Class: r.Class, Deadline: deadline, Depth: r.Depth})
+	r.Header = innerHeader(r, deadline.Sub(h.Now()))
+	answer, err := e.server.Client.Send(ctx, r)
+	if err != nil {
+		return nil, e.fail(err)
+	}
+	if proof(answer, &e.values.Call) {
+		answer.Close()
+		return nil, e.fail(&attempt.NotRun{Reason: attempt.ReasonServerRefused})
+	}
+	if err := hold(answer, r.Method, e.values.Call.HoldBytes); err != nil {
+		answer.Close()
+		return nil, e.fail(&attempt.Broken{Kind: truncatedOr(ctx), Cause: err})
+	}
+	if answer.Rest == nil {
+		answer.RetriesUsed = e.end(resultOf(answer))
+	} else {
+		answer.RetriesUsed = h.Pools.Used(r.AttemptID)
+		answer.Rest = &held{ReadCloser: answer.Rest, exchange: e}
+	}
+	answer.Loads = h.Loads(e.server)
+	return answer, nil
+}
+
+// end gives back what the attempt holds and returns the extra attempts made below it.
+func (e *exchange) end(result admission.Result) int {
+	e.ticket.Done(result)
+	e.handler.Parents.Close(e.request.AttemptID)
+	e.cancel()
+	return e.handler.Pools.Close(e.request.AttemptID)
+}
+
+// fail ends the attempt and fills in what every failure reports.
+func (e *exchange) fail(err error) error {
+	var notRun *attempt.NotRun
+	if errors.As(err, &notRun) {
+		notRun.RetriesUsed = e.end(admission.Error)
+		notRun.Loads = e.handler.Loads(e.server)
+		return notRun
+	}
+	var broken *attempt.Broken
+	if !errors.As(err, &broken) {
+		broken = &attempt.Broken{Kind: attempt.KindBroken, Cause: err}
+	}
+	result := admission.Error
+	if broken.Kind == attempt.KindDeadline || broken.Kind == attempt.KindCancelled {
+		result = admission.Cancelled
+	}
+	broken.RetriesUsed = e.end(result)
+	broken.Loads = e.handler.Loads(e.server)
+	return broken
+}
+
+func resultOf(a *attempt.Answer) admission.Result {
+	if a.Status >= http.StatusInternalServerError {
+		return admission.Error
+	}
+	return admission.OK
+}
+
+func truncatedOr(ctx context.Context) attempt.Kind {
+	if ctx.Err() != nil {
+		return attempt.FromContext(ctx)
+	}
+	return attempt.KindTruncated
+}
+
+// innerHeader adds what the backend server passes on with the calls that it makes for the attempt.
+func innerHeader(r *attempt.Request, remaining time.Duration) http.Header {
+	header := make(http.Header, len(r.Header)+4)
+	for name, values := range r.Header {
+		header[name] = values
+	}
+	header.Set(contract.HeaderContext, r.AttemptID)
+	header.Set(contract.HeaderCallID, r.CallID)
+	header.Set(contract.HeaderDepth, strconv.Itoa(r.Depth))
+	header.Set(contract.HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	return header
+}
+
+// proof reports whether the server refused the call in the form that the settings declare as proof that it did not run.
+func proof(a *attempt.Answer, c *settings.Call) bool {
+	if c.NotRunStatus == 0 || a.Status != c.NotRunStatus || c.NotRunHeader == "" {
+		return false
+	}
+	return a.Header.Get(c.NotRunHeader) == string(contract.OutcomeNotRun)
+}
+
+// hold reads the answer into Body. An answer longer than limit keeps the remainder in Rest.
+func hold(a *attempt.Answer, method string, limit int) error {
+	if method == http.MethodHead {
+		a.Close()
+		a.Rest = nil
+		return nil
+	}
+	var buffer bytes.Buffer
+	if n := min(a.ContentLength, int64(limit)); n > 0 {
+		buffer.Grow(int(n) + bytes.MinRead)
+	}
+	n, err := io.Copy(&buffer, io.LimitReader(a.Rest, int64(limit)+1))
+	if err != nil {
+		return err
+	}
+	a.Body = buffer.Bytes()
+	if n > int64(limit) {
+		return nil
+	}
+	a.Close()
+	a.Rest = nil
+	// net/http reports a body shorter than its length as io.ErrUnexpectedEOF; this guards the promise itself.
+	if a.ContentLength >= 0 && n != a.ContentLength {
+		return io.ErrUnexpectedEOF
+	}
+	a.ContentLength = n
+	return nil
+}
+
+// held is the remainder of a streamed answer; the attempt ends when it is closed.
+type held struct {
+	io.ReadCloser
+	exchange *exchange
+	result   admission.Result
+	closed   bool
+}
+
+// Read implements io.Reader.
+func (r *held) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		r.result = admission.Error
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (r *held) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
+	err := r.ReadCloser.Close()
+	r.exchange.end(r.result)
+	return err
+}
