--- /dev/null
+++ b/node/process/node/config.go
@@ -0,0 +1,142 @@
+// Package node assembles a node from its configuration and runs it.
+package node
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/radishstand/radishstand/node/connection/platform/awsclient"
+)
+
+// Config is what a process is told at its start. Everything else comes from the settings tree.
+type Config struct {
+	// Place of the host, as named in the settings tree.
+	Place string
+	// ListenCallers is where callers' requests arrive, IP:port.
+	ListenCallers string
+	// ListenPeers is where other nodes connect, IP:port.
+	ListenPeers string
+	// ListenServer is where the backend server beside the node announces itself and makes calls, IP:port. Whoever reaches
+	// it is trusted as that server, so it is usually a loopback address.
+	ListenServer string
+	// ListenOperators is where operators connect, IP:port.
+	ListenOperators string
+	// Advertise is the address that other nodes use for ListenPeers, IP:port; ListenPeers itself when empty.
+	Advertise string
+	// Peers are peer addresses that are tried when the table service cannot be reached.
+	Peers []string
+	// Platform configures the clients of the table service and object store.
+	Platform awsclient.Config
+	// TLS between nodes.
+	TLS TLSConfig
+	// OperatorToken is the bearer token of operators.
+	OperatorToken string
+	// OperatorOpen lets operators in without a token.
+	OperatorOpen bool
+	// MaxInProgress bounds the calls in progress, default 4096.
+	MaxInProgress int
+	// MaxConnections bounds the open connections of callers, default 4096.
+	MaxConnections int
+	// StopGrace is how long peers are given to hear that the node is stopping, default 1 s.
+	StopGrace time.Duration
+}
+
+// Problem is one fault of a configuration.
+type Problem struct {
+	// Path of the setting, as written in the configuration file.
+	Path string
+	// Message says what was found and what is allowed.
+	Message string
+}
+
+// String implements fmt.Stringer.
+func (p Problem) String() string { return p.Path + ": " + p.Message }
+
+// InvalidError lists all problems of a configuration.
+type InvalidError struct{ Problems []Problem }
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+const maxPlaceLength = 64
+
+// Limits of MaxInProgress and MaxConnections.
+const (
+	maxLimit     = 1_000_000
+	defaultLimit = 4096
+)
+
+const defaultStopGrace = time.Second
+
+// Provision fills in defaults and validates. The error is an *InvalidError that lists every problem.
+func (c *Config) Provision() error {
+	if c.Advertise == "" {
+		c.Advertise = c.ListenPeers
+	}
+	if c.MaxInProgress == 0 {
+		c.MaxInProgress = defaultLimit
+	}
+	if c.MaxConnections == 0 {
+		c.MaxConnections = defaultLimit
+	}
+	if c.StopGrace == 0 {
+		c.StopGrace = defaultStopGrace
+	}
+	if problems := c.problems(); len(problems) > 0 {
+		return &InvalidError{problems}
+	}
+	return nil
+}
+
+func (c *Config) problems() []Problem {
+	var p problems
+	if c.Place == "" || len(c.Place) > maxPlaceLength || strings.ContainsAny(c.Place, " ./") {
+		p.add("place", "is %q; allowed are 1 to %d characters without space, dot and slash", c.Place, maxPlaceLength)
+	}
+	p.address("listen.callers", c.ListenCallers, false)
+	p.address("listen.peers", c.ListenPeers, false)
+	p.address("listen.server", c.ListenServer, false)
+	p.address("listen.operators", c.ListenOperators, false)
+	p.address("advertise", c.Advertise, true)
+	for _, peer := range c.Peers {
+		p.address("peers", peer, true)
+	}
+	p.limit("maxInProgress", c.MaxInProgress)
+	p.limit("maxConnections", c.MaxConnections)
+	if c.OperatorToken == "" && !c.OperatorOpen {
+		p.add("operators.token", "is empty; give a token, or set operators.open to true to let everyone in")
+	}
+	p = append(p, c.TLS.problems()...)
+	return p
+}
+
+// problems collects faults.
+type problems []Problem
+
+func (p *problems) add(path, format string, args ...any) {
+	*p = append(*p, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+func (p *problems) address(path, value string, specific bool) {
+	address, err := netip.ParseAddrPort(value)
+	switch {
+	case err != nil:
+		p.add(path, "is %q; allowed is an IP number with a port, such as 10.1.2.3:7400", value)
+	case specific && (address.Addr().IsUnspecified() || address.Port() == 0):
+		p.add(path, "is %q; other nodes need a specific address and port", value)
+	}
+}
+
+func (p *problems) limit(path string, value int) {
+	if value < 1 || value > maxLimit {
+		p.add(path, "is %d; allowed are 1 to %d", value, maxLimit)
+	}
+}
