--- a/node/connection/platform/platform.go
+++ b/node/connection/platform/platform.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 )
 
 // Errors of Table and Objects. Every other error of the layers below is turned into one of these.
@@ -15,11 +16,15 @@
 	ErrUnknown = errors.New("platform: outcome of the write is unknown")
 	// ErrUnavailable means that the operation had no effect, or was a read that failed.
 	ErrUnavailable = errors.New("platform: unavailable")
+	// ErrConflict is an ErrUnavailable: another transaction held one of the items and nothing was written.
+	ErrConflict = fmt.Errorf("%w: conflicting transaction", ErrUnavailable)
 	// ErrNotFound means that the item or object does not exist.
 	ErrNotFound = errors.New("platform: not found")
+	// ErrInvalid means that the store can never accept the request as it is; nothing was written.
+	ErrInvalid = errors.New("platform: invalid request")
 )
 
-// Key names an item of the table.
+// Key names an item of the table. Partition is not empty, and both parts are valid UTF-8.
 type Key struct {
 	Partition string
 	Sort      string
@@ -59,16 +64,25 @@
 	Check
 )
 
-// MaxTransactionWrites is the largest number of writes in a transaction.
-const MaxTransactionWrites = 100
+// Limits of the table service.
+const (
+	// MaxTransactionWrites is the largest number of writes in a transaction.
+	MaxTransactionWrites = 100
+	// MaxItemBytes bounds the data of an item. The service allows 400 KB including names and numbers.
+	MaxItemBytes = 384 << 10
+	// MaxTransactionBytes bounds the data of all items of a transaction. The service allows 4 MB in all.
+	MaxTransactionBytes = 3 << 20
+)
 
 // Table is the platform's transactional table service. It is safe for concurrent use. Reads are consistent.
 type Table interface {
-	// Transact applies all writes or none. It returns ErrCondition, ErrUnknown or ErrUnavailable.
+	// Transact applies all writes or none; a key may occur once. It returns ErrCondition, ErrUnknown, ErrUnavailable
+	// or ErrInvalid.
 	Transact(ctx context.Context, writes ...Write) error
 	// Get returns ErrNotFound for a missing item.
 	Get(ctx context.Context, key Key) (Item, error)
-	// Query returns the items of a partition whose sort key is at least from, in ascending order, at most limit.
+	// Query returns the items of a partition whose sort key is at least from, in ascending order, at most
+	// limit, which is at least 1.
 	Query(ctx context.Context, partition, from string, limit int) ([]Item, error)
 }
 
--- a/node/platformtest/memory.go
+++ b/node/platformtest/memory.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	Delay time.Duration
 	// Down refuses the operation without effect.
 	Down bool
+	// LoseRequest reports platform.ErrUnknown for a write and never applies it.
+	LoseRequest bool
 	// LoseAnswer applies a write and then reports platform.ErrUnknown.
 	LoseAnswer bool
 	// LateEffect reports platform.ErrUnknown at once and applies the write after this time, if positive.
@@ -37,13 +40,17 @@
 	items   map[platform.Key]platform.Item
 	objects map[string][]byte
 	fault   func(Operation) Fault
+	tokens  map[string]time.Time
 	reads   int64
 	writes  int64
 }
 
+// tokenLife is how long the service remembers the request token of an applied transaction.
+const tokenLife = 10 * time.Minute
+
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{items: map[platform.Key]platform.Item{}, objects: map[string][]byte{}}
+	return &Memory{items: map[platform.Key]platform.Item{}, objects: map[string][]byte{}, tokens: map[string]time.Time{}}
 }
 
 // SetFault installs a function that decides on the fault of each operation; nil for none.
@@ -86,29 +93,47 @@
 
 // Transact implements platform.Table.
 func (m *Memory) Transact(ctx context.Context, writes ...platform.Write) error {
+	if err := platform.ValidateWrites(writes); err != nil {
+		return err
+	}
 	f := m.faultOf(Operation{Name: "Transact", Writes: writes})
+	return m.write(ctx, f, func() error { return m.apply("", writes) })
+}
+
+// write runs apply as the fault says.
+func (m *Memory) write(ctx context.Context, f Fault, apply func() error) error {
 	if err := m.before(ctx, f); err != nil {
 		return err
 	}
+	if f.LoseRequest {
+		return platform.ErrUnknown
+	}
 	if f.LateEffect > 0 {
-		time.AfterFunc(f.LateEffect, func() { _ = m.apply(writes) })
+		time.AfterFunc(f.LateEffect, func() { _ = apply() })
 		return platform.ErrUnknown
 	}
-	err := m.apply(writes)
+	err := apply()
 	if f.LoseAnswer {
 		return platform.ErrUnknown
 	}
 	return err
 }
 
-func (m *Memory) apply(writes []platform.Write) error {
+// apply applies a transaction at once. One with the token of an applied transaction has no further effect.
+func (m *Memory) apply(token string, writes []platform.Write) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.seen(token) {
+		return nil
+	}
 	for _, w := range writes {
 		if !m.holds(w) {
 			return platform.ErrCondition
 		}
 	}
+	if token != "" {
+		m.tokens[token] = time.Now()
+	}
 	for _, w := range writes {
 		m.writes++
 		switch w.Kind {
@@ -121,6 +146,16 @@
 	return nil
 }
 
+// seen reports whether a transaction with the token was applied, and forgets old tokens.
+func (m *Memory) seen(token string) bool {
+	if token == "" {
+		return false
+	}
+	maps.DeleteFunc(m.tokens, func(_ string, at time.Time) bool { return time.Since(at) > tokenLife })
+	_, ok := m.tokens[token]
+	return ok
+}
+
 func (m *Memory) holds(w platform.Write) bool {
 	item, ok := m.items[w.Item.Key]
 	if w.Condition.Absent {
@@ -136,9 +171,16 @@
 
 // Get implements platform.Table.
 func (m *Memory) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+	if err := platform.ValidateKey(key); err != nil {
+		return platform.Item{}, err
+	}
 	if err := m.before(ctx, m.faultOf(Operation{Name: "Get"})); err != nil {
 		return platform.Item{}, err
 	}
+	return m.get(key)
+}
+
+func (m *Memory) get(key platform.Key) (platform.Item, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reads++
@@ -151,49 +193,63 @@
 
 // Query implements platform.Table.
 func (m *Memory) Query(ctx context.Context, partition, from string, limit int) ([]platform.Item, error) {
+	if err := platform.ValidateQuery(partition, from, limit); err != nil {
+		return nil, err
+	}
 	if err := m.before(ctx, m.faultOf(Operation{Name: "Query"})); err != nil {
 		return nil, err
 	}
+	return m.query(partition, from, limit), nil
+}
+
+func (m *Memory) query(partition, from string, limit int) []platform.Item {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var found []platform.Item
 	for key, item := range m.items {
 		if key.Partition == partition && key.Sort >= from {
-			found = append(found, copyItem(item))
+			found = append(found, item)
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Item) int {
-		if a.Key.Sort < b.Key.Sort {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(found, func(a, b platform.Item) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
 	found = found[:min(limit, len(found))]
+	for i := range found {
+		found[i] = copyItem(found[i])
+	}
 	m.reads += int64(max(1, len(found)))
-	return found, nil
+	return found
 }
 
 // PutObject implements platform.Objects.
 func (m *Memory) PutObject(ctx context.Context, key string, body []byte) error {
-	f := m.faultOf(Operation{Name: "PutObject"})
-	if err := m.before(ctx, f); err != nil {
+	if err := platform.ValidateObjectKey(key); err != nil {
 		return err
 	}
+	body = slices.Clone(body)
+	return m.write(ctx, m.faultOf(Operation{Name: "PutObject"}), func() error { return m.putObject(key, body) })
+}
+
+// putObject keeps the body, which the caller must not change afterwards.
+func (m *Memory) putObject(key string, body []byte) error {
 	m.mu.Lock()
-	m.objects[key] = slices.Clone(body)
+	defer m.mu.Unlock()
+	m.objects[key] = body
 	m.writes++
-	m.mu.Unlock()
-	if f.LoseAnswer {
-		return platform.ErrUnknown
-	}
 	return nil
 }
 
 // GetObject implements platform.Objects.
 func (m *Memory) GetObject(ctx context.Context, key string) ([]byte, error) {
+	if err := platform.ValidateObjectKey(key); err != nil {
+		return nil, err
+	}
 	if err := m.before(ctx, m.faultOf(Operation{Name: "GetObject"})); err != nil {
 		return nil, err
 	}
+	return m.getObject(key)
+}
+
+func (m *Memory) getObject(key string) ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reads++
--- /dev/null
+++ b/node/platformtest/server.go
@@ -0,0 +1,122 @@
+package platformtest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Server speaks the part of the DynamoDB and S3 protocols that the node uses, over a Memory. It serves any table and
+// bucket name from that one store and checks no signatures. The faults of the Memory take the form that they have on
+// a network: a lost answer closes the connection, and a write that is delayed past the patience of its client still
+// takes effect. For refused connections call Stop.
+type Server struct {
+	memory *Memory
+
+	mu   sync.Mutex
+	http *http.Server
+	addr string
+}
+
+// NewServer returns a server over the store. It is an http.Handler; Start also opens a listener.
+func NewServer(memory *Memory) *Server { return &Server{memory: memory} }
+
+// Memory returns the store behind the server.
+func (s *Server) Memory() *Memory { return s.memory }
+
+// Start listens on a TCP address such as 127.0.0.1:0 and serves until Stop.
+func (s *Server) Start(addr string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		return errors.New("platformtest: server is already started")
+	}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("platformtest: %w", err)
+	}
+	s.addr = listener.Addr().String()
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout}
+	go func(h *http.Server) { _ = h.Serve(listener) }(s.http)
+	return nil
+}
+
+// headerTimeout bounds how long an idle or broken client may take to send its headers.
+const headerTimeout = 10 * time.Second
+
+// Stop closes the listener and all connections, so that later connections are refused. Start with Addr brings the server
+// back with the state of its store.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		_ = s.http.Close()
+		s.http = nil
+	}
+}
+
+// Addr returns the address of the last Start, with its port.
+func (s *Server) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
+// URL returns the endpoint to configure for both services.
+func (s *Server) URL() string { return "http://" + s.Addr() }
+
+// maxRequestBytes bounds a request body.
+const maxRequestBytes = 16 << 20
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+	if target := r.Header.Get("X-Amz-Target"); target != "" {
+		s.serveTable(w, r, strings.TrimPrefix(target, targetPrefix))
+		return
+	}
+	s.serveObjects(w, r)
+}
+
+// answer writes the outcome of an operation in the form of its protocol.
+type answer func(w http.ResponseWriter, body any, err error)
+
+// run carries out an operation as the fault of the store says.
+func (s *Server) run(w http.ResponseWriter, r *http.Request, op Operation, reply answer, do func() (any, error)) {
+	fault := s.memory.faultOf(op)
+	isWrite := op.Name == "Transact" || op.Name == "PutObject"
+	if fault.Delay > 0 {
+		ctx := r.Context()
+		if isWrite {
+			// A write that has arrived takes effect whether or not its client still waits.
+			ctx = context.WithoutCancel(ctx)
+		}
+		select {
+		case <-time.After(fault.Delay):
+		case <-ctx.Done():
+			return
+		}
+	}
+	switch {
+	case fault.Down:
+		reply(w, nil, errDown)
+	case isWrite && fault.LoseRequest:
+		panic(http.ErrAbortHandler)
+	case isWrite && fault.LateEffect > 0:
+		time.AfterFunc(fault.LateEffect, func() { _, _ = do() })
+		panic(http.ErrAbortHandler)
+	case isWrite && fault.LoseAnswer:
+		_, _ = do()
+		panic(http.ErrAbortHandler)
+	default:
+		body, err := do()
+		reply(w, body, err)
+	}
+}
+
+var errDown = errors.New("store is down")
