--- a/api/settings/default.go
+++ b/api/settings/default.go
@@ -1,4 +1,4 @@
-// Package settings holds the operators' settings tree: its types, defaults and ranges.
+// Package settings holds the operators' settings tree: its types, defaults and ranges, resolution, edits and merge.
 package settings
 
 import (
@@ -7,6 +7,8 @@
 	"reflect"
 )
 
+//go:generate go run ./generate ../../docs/settings.schema.json ../../docs/settings.md
+
 // Default returns the values that hold where no level of the tree sets anything.
 func Default() Values {
 	var v Values
