entry: keyed work on the ledger's interface

Cause: a call tree shares one call id, and the ledger grants a claim again to the same id, so two nested calls with one key could both have run. Change: claims carry an id of their own; entry uses the ledger package.

--- /dev/null
+++ b/node/process/node/core.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/node/connection/peer"
+	"github.com/radishstand/radishstand/node/process/admission"
+	"github.com/radishstand/radishstand/node/process/balance"
+	"github.com/radishstand/radishstand/node/process/measure"
+	"github.com/radishstand/radishstand/node/process/registry"
+	"github.com/radishstand/radishstand/node/request/attempt"
+	"github.com/radishstand/radishstand/node/request/entry"
+	"github.com/radishstand/radishstand/node/request/retry"
+	"github.com/radishstand/radishstand/node/request/serve"
+	"github.com/radishstand/radishstand/node/version/current"
+)
+
+// freeReports is how many load reports of siblings are looked at for a free one.
+const freeReports = 4
+
+// core is the request path: what calls pass through, without the fleet.
+type core struct {
+	settings *current.Holder
+	balancer *balance.Balancer
+	retrier  *retry.Retrier
+	registry *registry.Registry
+	serve    *serve.Handler
+	entry    *entry.Handler
+	pool     *peer.Pool
+}
+
+// coreConfig is what the core needs from the process.
+type coreConfig struct {
+	nodeID   string
+	place    string
+	pool     *peer.Pool
+	ledger   entry.Ledger
+	observer entry.Observer
+	log      *log.Logger
+	limit    int64
+	// distance is the round trip to a place.
+	distance func(place string) time.Duration
+	// changed hears of changes of the local server; nil when there is none.
+	changed func(*registry.Server)
+}
+
+func newCore(c coreConfig) *core {
+	k := &core{
+		settings: current.New(c.place),
+		balancer: balance.New(balance.Config{Place: c.place, Distance: c.distance}),
+		retrier:  retry.New(retry.Config{}),
+		pool:     c.pool,
+	}
+	k.registry = registry.New(registry.Config{
+		NodeID: c.nodeID, Now: time.Now, NewAdmission: k.newAdmission, NewMeter: k.newMeter,
+		RenewWithin: k.renewWithin, Changed: c.changed,
+	})
+	parents, pools := attempt.NewTable(), retry.NewPools()
+	k.serve = &serve.Handler{
+		Registry: k.registry, Settings: k.settings, Balancer: k.balancer, Parents: parents, Pools: pools, Now: time.Now,
+	}
+	k.entry = entry.New(entry.Config{
+		NodeID: c.nodeID, Settings: k.settings, Balancer: k.balancer, Retrier: k.retrier, Parents: parents, Pools: pools,
+		Local: k.serve, Remote: &peer.Caller{Pool: c.pool}, Ledger: c.ledger, Observer: c.observer,
+		Now: time.Now, Log: c.log, MaxInProgress: c.limit,
+	})
+	return k
+}
+
+func (k *core) newAdmission(service string, slots int) *admission.Admission {
+	return admission.New(admission.Config{
+		Slots:   slots,
+		Values:  func() settings.Admission { return k.values(service).Admission },
+		Sibling: func() (string, bool) { return k.freeSibling(service) },
+	})
+}
+
+func (k *core) newMeter(service, address string) *measure.Meter {
+	return measure.New(address, k.values(service).Measure, time.Now)
+}
+
+// values returns the settings of a service, or the defaults while no version is known.
+func (k *core) values(service string) *settings.Values {
+	if snapshot := k.settings.Current(); snapshot != nil {
+		if values, ok := snapshot.Values(service); ok {
+			return values
+		}
+	}
+	return &defaultValues
+}
+
+var defaultValues = settings.Default()
+
+func (k *core) renewWithin(service string) time.Duration {
+	return time.Duration(k.values(service).Drain.RenewWithinMs) * time.Millisecond
+}
+
+// freeSibling names a server with free slots other than the local one.
+func (k *core) freeSibling(service string) (string, bool) {
+	own := k.registry.Current()
+	for _, l := range k.balancer.Freshest(service, freeReports) {
+		if (own == nil || l.ServerID != own.ID) && !l.Draining && l.Queued == 0 && l.InProgress < l.Limit {
+			return l.ServerID, true
+		}
+	}
+	return "", false
+}
+
+// applySettings hands the values of the version in force to the parts that keep their own copy.
+func (k *core) applySettings() {
+	snapshot := k.settings.Current()
+	if snapshot == nil {
+		return
+	}
+	for _, service := range snapshot.Services() {
+		if values, ok := snapshot.Values(service); ok {
+			k.balancer.Configure(service, values)
+			k.retrier.Configure(service, values)
+		}
+	}
+	if server := k.registry.Current(); server != nil {
+		server.Meter.Configure(k.values(server.Announced.Service).Measure)
+	}
+}
--- /dev/null
+++ b/node/process/node/listen.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
+	"google.golang.org/grpc"
+
+	"github.com/justinas/alice"
+
+	"github.com/radishstand/radishstand/api/announce"
+	"github.com/radishstand/radishstand/node/connection/peer"
+)
+
+// Limits of the HTTP listeners.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// listeners are the sockets of a node.
+type listeners struct {
+	callers   net.Listener
+	peers     net.Listener
+	server    net.Listener
+	operators net.Listener
+}
+
+// listen opens all sockets or none.
+func listen(c *Config) (*listeners, error) {
+	l := &listeners{}
+	for _, open := range []struct {
+		to      *net.Listener
+		address string
+	}{
+		{&l.callers, c.ListenCallers},
+		{&l.peers, c.ListenPeers},
+		{&l.server, c.ListenServer},
+		{&l.operators, c.ListenOperators},
+	} {
+		listener, err := net.Listen("tcp", open.address)
+		if err != nil {
+			l.close()
+			return nil, err
+		}
+		*open.to = listener
+	}
+	l.callers = netutil.LimitListener(l.callers, c.MaxConnections)
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.server, l.operators} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// servers serve the sockets.
+type servers struct {
+	callers   *http.Server
+	server    *http.Server
+	operators *http.Server
+	peers     *grpc.Server
+}
+
+func (n *Node) newServers(operators http.Handler, service *peer.Service) *servers {
+	mux := http.NewServeMux()
+	mux.Handle(announce.Path, n.core.registry)
+	mux.Handle("/", n.core.entry.Internal())
+	serverCredentials, _ := peerCredentials(n.config.TLS)
+	return &servers{
+		callers:   httpServer(alice.New(n.recovered).Then(n.core.entry.External())),
+		server:    httpServer(alice.New(n.recovered).Then(mux)),
+		operators: httpServer(alice.New(n.recovered, n.authorized).Then(operators)),
+		peers:     peer.NewServer(serverCredentials, service),
+	}
+}
+
+func httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+	}
+}
+
+// recovered logs a panic of a handler and aborts the caller's connection.
+func (n *Node) recovered(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			reason := recover()
+			if reason == nil {
+				return
+			}
+			if err, ok := reason.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				n.log.Error("handler panicked", "component", "http", "path", r.URL.Path, "reason", reason)
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// serve runs all servers until they are shut down.
+func (s *servers) serve(l *listeners, failed func(error)) {
+	for _, pair := range []struct {
+		server   *http.Server
+		listener net.Listener
+	}{{s.callers, l.callers}, {s.server, l.server}, {s.operators, l.operators}} {
+		go func() {
+			if err := pair.server.Serve(pair.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed(err)
+			}
+		}()
+	}
+	go func() {
+		if err := s.peers.Serve(l.peers); err != nil {
+			failed(err)
+		}
+	}()
+}
+
+// stop ends all servers after their calls in progress, or when ctx ends. Callers go first; the backend server may need
+// its listener for calls of its own until its last call is done.
+func (s *servers) stop(ctx context.Context) {
+	_ = s.callers.Shutdown(ctx)
+	done := make(chan struct{})
+	go func() {
+		s.peers.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		s.peers.Stop()
+	}
+	_ = s.server.Shutdown(ctx)
+	_ = s.operators.Shutdown(ctx)
+}
--- a/node/process/registry/registry.go
+++ b/node/process/registry/registry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -13,6 +14,7 @@
 	"github.com/radishstand/radishstand/api/announce"
 	"github.com/radishstand/radishstand/node/connection/backend"
 	"github.com/radishstand/radishstand/node/process/admission"
+	"github.com/radishstand/radishstand/node/process/measure"
 )
 
 // Limits of an announcement.
@@ -31,6 +33,8 @@
 	Now    func() time.Time
 	// NewAdmission makes the admission of a new server.
 	NewAdmission func(service string, slots int) *admission.Admission
+	// NewMeter makes the meter of a new server.
+	NewMeter func(service, address string) *measure.Meter
 	// RenewWithin returns the time within which a server of the service repeats its announcement.
 	RenewWithin func(service string) time.Duration
 	// Changed is called, without locks held, after each change; the server is nil when there is none.
@@ -41,9 +45,15 @@
 type Registry struct {
 	config Config
 
-	mu          sync.Mutex
-	server      *Server
-	incarnation uint64
+	// current is read without the lock: admission asks for siblings under its own lock, and the registry calls admission
+	// under mu.
+	current atomic.Pointer[Server]
+
+	mu sync.Mutex
+	// meter is kept over the lives of a server at one address, so that a server that comes and goes gets no new budget.
+	meter        *measure.Meter
+	meterAddress string
+	incarnation  uint64
 	stopping    bool
 }
 
@@ -52,9 +62,7 @@
 
 // Current returns the server, or nil.
 func (r *Registry) Current() *Server {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.server
+	return r.current.Load()
 }
 
 // Announce takes a first or repeated announcement. Its errors wrap ErrInvalid.
@@ -77,69 +85,84 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.config.Now()
-	changed = true
+	old := r.current.Load()
+	server, changed = old, true
 	switch {
-	case r.server == nil || r.server.State() == StateGone || !sameServer(r.server.Announced, a):
-		r.replace(a, now)
-	case r.server.Announced != a:
-		// Slots may change in place; the readers of Announced see either value through the new copy.
-		r.update(a)
+	case old == nil || old.State() == StateGone || !sameServer(old.Announced, a):
+		server = r.replace(old, a, now)
+	case old.Announced != a:
+		server = r.update(old, a)
 	default:
-		changed = r.server.State() == StateSilent
+		changed = old.State() == StateSilent
 	}
-	r.server.renew(now)
+	server.renew(now)
 	if a.Draining || r.stopping {
-		r.drain()
+		drain(server)
 	}
-	return r.server, changed
+	return server, changed
 }
 
 // replace starts a new life; the calls in progress of the old server keep its admission and client.
-func (r *Registry) replace(a announce.Server, now time.Time) {
-	if r.server != nil {
-		r.server.fire(eventWithdraw)
-		r.server.Admission.Drain()
+func (r *Registry) replace(old *Server, a announce.Server, now time.Time) *Server {
+	if old != nil {
+		end(old)
 	}
 	r.incarnation++
-	r.server = &Server{
+	server := &Server{
 		ID:          fmt.Sprintf("%s/%s", r.config.NodeID, uuid.NewString()[:8]),
 		Announced:   a,
 		Since:       now,
 		Incarnation: r.incarnation,
 		Admission:   r.config.NewAdmission(a.Service, a.Slots),
 		Client:      backend.New(a.Address, a.Connections),
+		Meter:       r.meterOf(a),
 		life:        newLife(),
 	}
+	r.current.Store(server)
+	return server
+}
+
+func (r *Registry) meterOf(a announce.Server) *measure.Meter {
+	if r.meter == nil || r.meterAddress != a.Address {
+		r.meter, r.meterAddress = r.config.NewMeter(a.Service, a.Address), a.Address
+	}
+	return r.meter
 }
 
-// update copies the server with the new announcement; it keeps its id, life, admission and client.
-func (r *Registry) update(a announce.Server) {
-	old := r.server
+// update copies the server with the new announcement, since readers hold the old one without a lock. Everything else is
+// shared by the copies.
+func (r *Registry) update(old *Server, a announce.Server) *Server {
 	old.Admission.Resize(a.Slots)
-	r.server = &Server{
+	server := &Server{
 		ID: old.ID, Announced: a, Since: old.Since, Incarnation: old.Incarnation,
-		Admission: old.Admission, Client: old.Client, life: old.life,
+		Admission: old.Admission, Client: old.Client, Meter: old.Meter, life: old.life,
 	}
+	r.current.Store(server)
+	return server
+}
+
+func drain(s *Server) {
+	s.fire(eventDrain)
+	s.Admission.Drain()
 }
 
-func (r *Registry) drain() {
-	r.server.fire(eventDrain)
-	r.server.Admission.Drain()
+func end(s *Server) {
+	s.fire(eventWithdraw)
+	s.Admission.Drain()
+	s.Client.Close()
 }
 
-// Drain lets the server finish its calls and refuses new ones. It reports whether there is a server.
-func (r *Registry) Drain() bool {
+// Drain lets the server finish its calls and refuses new ones.
+func (r *Registry) Drain() {
 	r.mu.Lock()
-	server := r.server
+	server := r.current.Load()
 	if server != nil {
-		r.drain()
+		drain(server)
 	}
 	r.mu.Unlock()
-	if server == nil {
-		return false
+	if server != nil {
+		r.config.Changed(server)
 	}
-	r.config.Changed(server)
-	return true
 }
 
 // Stop drains the server and every server that is announced later.
@@ -158,14 +181,14 @@
 		return
 	}
 	r.mu.Lock()
-	current := r.server != nil && r.server.ID == server.ID
-	if current {
-		r.server.fire(eventWithdraw)
-		r.server.Admission.Drain()
-		r.server = nil
+	current := r.current.Load()
+	same := current != nil && current.ID == server.ID
+	if same {
+		end(current)
+		r.current.Store(nil)
 	}
 	r.mu.Unlock()
-	if current {
+	if same {
 		r.config.Changed(nil)
 	}
 }
--- a/node/process/registry/server.go
+++ b/node/process/registry/server.go
@@ -10,6 +10,7 @@
 	"github.com/radishstand/radishstand/api/announce"
 	"github.com/radishstand/radishstand/node/connection/backend"
 	"github.com/radishstand/radishstand/node/process/admission"
+	"github.com/radishstand/radishstand/node/process/measure"
 )
 
 // States of a backend server.
@@ -44,6 +45,7 @@
 	Incarnation uint64
 	Admission   *admission.Admission
 	Client      *backend.Client
+	Meter       *measure.Meter
 
 	life *fsm.FSM
 
--- a/node/request/entry/call.go
+++ b/node/request/entry/call.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"crypto/sha256"
 	"errors"
 	"fmt"
 	"io"
@@ -30,7 +29,10 @@
 
 // call is one caller's request from arrival to answer. It uses one settings version throughout.
 type call struct {
-	id         string
+	// id is shared by all calls of a call tree.
+	id string
+	// claimID is unique to this call. The ledger grants a claim again to the same id, so calls of a tree must not share it.
+	claimID    string
 	started    time.Time
 	deadline   time.Time
 	service    string
@@ -66,7 +68,7 @@
 
 // newCall checks a request and reads its body. The error is nil or a refusal that says not-run.
 func (h *Handler) newCall(w http.ResponseWriter, r *http.Request, trusted bool) (*call, *refusal) {
-	c := &call{id: uuid.NewString(), started: h.Now(), method: r.Method, host: r.Host, target: r.URL.RequestURI()}
+	c := &call{id: uuid.NewString(), claimID: uuid.NewString(), started: h.Now(), method: r.Method, host: r.Host, target: r.URL.RequestURI()}
 	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
 		return c, notRun(http.StatusNotImplemented, "CONNECT and protocol upgrades are not supported")
 	}
@@ -186,20 +188,6 @@
 	return nil
 }
 
-// ledgerKey identifies keyed work across the fleet.
-func (c *call) ledgerKey() []byte {
-	sum := sha256.Sum256([]byte(c.service + "\x00" + c.key))
-	return sum[:]
-}
-
-// bodyHash covers everything that makes two requests with one key the same work.
-func (c *call) bodyHash() []byte {
-	hash := sha256.New()
-	fmt.Fprintf(hash, "%s\x00%s\x00%d\x00", c.method, c.target, len(c.body))
-	hash.Write(c.body)
-	return hash.Sum(nil)
-}
-
 // request makes the attempt at a server.
 func (c *call) request(serverID string, remaining time.Duration, allowance int) *attempt.Request {
 	return &attempt.Request{
--- a/node/request/entry/handler.go
+++ b/node/request/entry/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/radishstand/radishstand/api/contract"
 	"github.com/radishstand/radishstand/node/process/balance"
+	"github.com/radishstand/radishstand/node/process/ledger"
 	"github.com/radishstand/radishstand/node/request/attempt"
 	"github.com/radishstand/radishstand/node/request/retry"
 	"github.com/radishstand/radishstand/node/version/current"
@@ -66,7 +67,7 @@
 	Local    Local
 	Remote   attempt.Doer
 	// Ledger may be nil; keyed work is refused then.
-	Ledger   Ledger
+	Ledger   ledger.Ledger
 	Observer Observer
 	Now      func() time.Time
 	Log      *log.Logger
--- a/node/request/entry/keyed.go
+++ b/node/request/entry/keyed.go
@@ -4,89 +4,77 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/radishstand/radishstand/api/contract"
+	"github.com/radishstand/radishstand/api/peerpb"
+	"github.com/radishstand/radishstand/node/process/ledger"
 	"github.com/radishstand/radishstand/node/request/attempt"
 )
 
-// ClaimState is what the ledger says of a key.
-type ClaimState int
-
-// States of a claim.
-const (
-	// ClaimGranted allows this call, and no other, to make attempts.
-	ClaimGranted ClaimState = iota + 1
-	// ClaimReplay means that the work ran and its answer is recorded.
-	ClaimReplay
-	// ClaimInProgress means that another call with the key is being worked on.
-	ClaimInProgress
-	// ClaimUnknown means that the work may have run.
-	ClaimUnknown
-	// ClaimMismatch means that the key belongs to another request.
-	ClaimMismatch
-)
-
-// ErrLedger is wrapped by the errors of Ledger.Claim. No attempt may be sent after it.
-var ErrLedger = errors.New("entry: the ledger is not available")
-
-// Ledger records keyed work, so that it runs at most once.
-type Ledger interface {
-	// Claim returns the state of the key and, with ClaimReplay, the recorded answer. Its body is nil when it was too large
-	// to record.
-	Claim(ctx context.Context, key, bodyHash []byte, callID string, timeout time.Duration) (ClaimState, *attempt.Answer, error)
-	// Complete records the answer in the background.
-	Complete(key []byte, callID string, a *attempt.Answer, retention time.Duration)
-	// Release gives the claim up in the background. Only for a call of which no attempt ran.
-	Release(key []byte, callID string)
-}
-
 // serveKeyed serves non-idempotent work with an idempotency key.
 func (h *Handler) serveKeyed(ctx context.Context, w http.ResponseWriter, c *call) {
-	if refused := h.claim(ctx, w, c); refused != nil {
-		if refused != answered {
-			h.refuse(w, c, nil, refused)
-		}
+	result, refused := h.claim(ctx, c)
+	if refused != nil {
+		h.refuse(w, c, nil, refused)
+		return
+	}
+	if result.State == ledger.Replay {
+		h.replay(w, c, result.Answer)
 		return
 	}
 	answer, run, err := h.attempts(ctx, c)
 	if err != nil {
 		if _, ok := errors.AsType[*attempt.NotRun](err); ok {
-			h.Ledger.Release(c.ledgerKey(), c.id)
+			_ = h.Ledger.Release(ended, c.ledgerKey(), c.claimID)
 		}
 		h.refuse(w, c, run, refusalOf(err))
 		return
 	}
-	retention := time.Duration(c.values.Ledger.RetentionS) * time.Second
-	h.Ledger.Complete(c.ledgerKey(), c.id, recorded(answer, c.values.Ledger.MaxAnswerBytes), retention)
+	// The answer is not held back until it is recorded. A repeat that comes first hears that the call is in progress.
+	_ = h.Ledger.Complete(ended, c.ledgerKey(), c.claimID, recorded(answer))
 	h.answer(w, c, run, answer)
 }
 
-// answered is returned by claim when it gave the recorded answer to the caller.
-var answered = &refusal{}
+// ended is a context that has ended. With it, the ledger records in the background.
+var ended = func() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}()
+
+func (c *call) ledgerKey() ledger.Key { return ledger.KeyOf(c.service, c.key) }
 
-// claim returns nil when this call may make attempts.
-func (h *Handler) claim(ctx context.Context, w http.ResponseWriter, c *call) *refusal {
+// claim returns a result in state Granted or Replay, or a refusal.
+func (h *Handler) claim(ctx context.Context, c *call) (ledger.ClaimResult, *refusal) {
 	if h.Ledger == nil {
-		return ledgerRefusal()
+		return ledger.ClaimResult{}, ledgerRefusal()
 	}
-	state, answer, err := h.Ledger.Claim(ctx, c.ledgerKey(), c.bodyHash(), c.id, c.deadline.Sub(h.Now()))
+	result, err := h.Ledger.Claim(ctx, ledger.Claim{
+		Key: c.ledgerKey(), Body: ledger.HashOf([]byte(c.method), []byte(c.target), c.body),
+		CallID: c.claimID, Timeout: c.deadline.Sub(h.Now()),
+	})
 	if err != nil {
-		return ledgerRefusal()
+		return result, ledgerRefusal()
 	}
+	return result, refusalOfClaim(result.State)
+}
+
+func refusalOfClaim(state ledger.ClaimState) *refusal {
 	switch state {
-	case ClaimGranted:
+	case ledger.Granted, ledger.Replay:
 		return nil
-	case ClaimReplay:
-		h.replay(w, c, answer)
-		return answered
-	case ClaimInProgress:
+	case ledger.InProgress:
 		return &refusal{
 			status: http.StatusConflict, outcome: contract.OutcomeUnknown, retryAfter: defaultRetryAfter,
 			reason: "a request with this idempotency key is in progress",
 		}
-	case ClaimMismatch:
+	case ledger.Mismatch:
 		return notRun(http.StatusUnprocessableEntity, "this idempotency key was used for another request")
+	case ledger.ReplayWithoutAnswer:
+		return &refusal{
+			status: http.StatusConflict, outcome: contract.OutcomeRun,
+			reason: "an earlier request with this idempotency key ran; its answer was too large to be recorded",
+		}
 	}
 	return &refusal{
 		status: http.StatusConflict, outcome: contract.OutcomeUnknown,
@@ -100,26 +88,28 @@
 	return r
 }
 
-// replay gives the recorded answer. An answer without a recorded body is told as a fact of its own.
-func (h *Handler) replay(w http.ResponseWriter, c *call, a *attempt.Answer) {
+// replay gives the recorded answer again.
+func (h *Handler) replay(w http.ResponseWriter, c *call, recorded *peerpb.RecordedAnswer) {
 	w.Header().Set(contract.HeaderReplayed, "true")
-	if a.Body == nil && a.ContentLength > 0 {
-		h.refuse(w, c, nil, &refusal{
-			status: http.StatusConflict, outcome: contract.OutcomeRun,
-			reason: "the work ran; its answer was too large to be recorded",
-		})
-		return
+	header := make(http.Header, len(recorded.GetHead().GetHeaders()))
+	for _, line := range recorded.GetHead().GetHeaders() {
+		header[line.Name] = line.Values
 	}
-	h.answer(w, c, nil, a)
+	h.answer(w, c, nil, &attempt.Answer{
+		Status: int(recorded.GetHead().GetStatus()), Header: header,
+		ContentLength: recorded.GetHead().GetContentLength(), Body: recorded.Body,
+	})
 }
 
-// recorded returns what the ledger keeps of an answer.
-func recorded(a *attempt.Answer, limit int) *attempt.Answer {
-	kept := &attempt.Answer{Status: a.Status, Header: forwardHeader(a.Header), ContentLength: a.ContentLength}
-	if a.Rest == nil && len(a.Body) <= limit {
-		kept.Body = append([]byte{}, a.Body...)
-		return kept
+// recorded returns what the ledger keeps of an answer: its head, and its body unless that is streamed. The holder drops
+// a body that is larger than the settings allow.
+func recorded(a *attempt.Answer) *peerpb.RecordedAnswer {
+	r := &peerpb.RecordedAnswer{
+		Head: &peerpb.AnswerHead{Status: int32(a.Status), ContentLength: a.ContentLength},
+		Body: a.Body,
 	}
-	kept.ContentLength = max(kept.ContentLength, 1)
-	return kept
+	for name, values := range forwardHeader(a.Header) {
+		r.Head.Headers = append(r.Head.Headers, &peerpb.Header{Name: name, Values: values})
+	}
+	return r
 }
