--- /dev/null
+++ b/node/process/ledger/backlog.go
@@ -0,0 +1,160 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/radishstand/radishstand/api/peerpb"
+)
+
+const (
+	// completeLimit and releaseLimit are how long an outcome or release is tried; after that the claim reads as unknown.
+	completeLimit = 10 * time.Minute
+	releaseLimit  = 10 * time.Minute
+	// givenUpLimit is shorter, since the holder itself releases claims that it never reported as granted. The release of
+	// the client covers a holder that was lost with the claim.
+	givenUpLimit    = time.Minute
+	sendTimeout     = 3 * time.Second
+	maxBacklogRetry = 2 * time.Second
+)
+
+// task is an outcome or release on its way to the holder.
+type task struct {
+	key   Key
+	call  string
+	size  int
+	limit time.Duration
+	// minor tasks use at most half of the backlog.
+	minor bool
+	send  func(ctx context.Context, hint string) (*peerpb.LedgerReply, error)
+	// err is set before done is closed.
+	err  error
+	done chan struct{}
+}
+
+// backlog holds the tasks that are not acknowledged, within bounds.
+type backlog struct {
+	maxTasks, maxBytes int
+
+	mu     sync.Mutex
+	tasks  map[taskKey]int
+	count  int
+	bytes  int
+	closed bool
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+type taskKey struct {
+	key  Key
+	call string
+}
+
+func newBacklog(maxTasks, maxBytes int) *backlog {
+	b := &backlog{maxTasks: maxTasks, maxBytes: maxBytes, tasks: map[taskKey]int{}}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	return b
+}
+
+// has reports whether a task of this key and call is on its way.
+func (b *backlog) has(key Key, call string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tasks[taskKey{key, call}] > 0
+}
+
+func (b *backlog) add(t *task) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := b.maxTasks
+	if t.minor {
+		limit /= 2
+	}
+	if b.closed || b.count >= limit || b.bytes+t.size > b.maxBytes {
+		return false
+	}
+	b.tasks[taskKey{t.key, t.call}]++
+	b.count++
+	b.bytes += t.size
+	b.group.Add(1)
+	return true
+}
+
+func (b *backlog) remove(t *task) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := taskKey{t.key, t.call}
+	if b.tasks[k]--; b.tasks[k] == 0 {
+		delete(b.tasks, k)
+	}
+	b.count--
+	b.bytes -= t.size
+	b.group.Done()
+}
+
+// start runs the task in the background.
+func (c *Client) start(t *task) error {
+	t.done = make(chan struct{})
+	if !c.backlog.add(t) {
+		return ErrBacklog
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(c.backlog.ctx, t.limit)
+		defer cancel()
+		t.err = c.deliver(ctx, t)
+		c.backlog.remove(t)
+		close(t.done)
+	}()
+	return nil
+}
+
+// deliver sends the task until the holder acknowledges or rejects it, or ctx is done.
+func (c *Client) deliver(ctx context.Context, t *task) error {
+	hint := ""
+	for backoff := minRetry; ctx.Err() == nil; backoff = min(2*backoff, maxBacklogRetry) {
+		sending, cancel := context.WithTimeout(ctx, sendTimeout)
+		reply, err := t.send(sending, hint)
+		cancel()
+		state := reply.GetState()
+		switch {
+		case err == nil && state == peerpb.ClaimState_CLAIM_STATE_GRANTED:
+			return nil
+		case err == nil && (state == peerpb.ClaimState_CLAIM_STATE_UNKNOWN || state == peerpb.ClaimState_CLAIM_STATE_MISMATCH):
+			c.count("rejected")
+			return ErrRejected
+		}
+		hint = nextHint(hint, reply.GetHolderNodeId())
+		sleep(ctx, backoff)
+	}
+	c.count("undelivered")
+	return ErrPending
+}
+
+// await starts the task and waits for its end or for ctx.
+func (c *Client) await(ctx context.Context, t *task) error {
+	if err := c.start(t); err != nil {
+		c.count("backlog-full")
+		return err
+	}
+	select {
+	case <-t.done:
+		return t.err
+	case <-ctx.Done():
+		return ErrPending
+	}
+}
+
+// Close lets the background work go on until it is done or ctx is, and then stops it. Later outcomes and releases are
+// refused with ErrBacklog.
+func (c *Client) Close(ctx context.Context) {
+	b := c.backlog
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	stop := context.AfterFunc(ctx, b.cancel)
+	b.group.Wait()
+	stop()
+	b.cancel()
+}
--- /dev/null
+++ b/node/process/ledger/fleet_test.go
@@ -0,0 +1,161 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/radishstand/radishstand/api/peerpb"
+	"github.com/radishstand/radishstand/node/platformtest"
+)
+
+var errBroken = errors.New("connection broken")
+
+// fleet is a set of nodes on one store, whose views of the holder and whose connections a test controls.
+type fleet struct {
+	store   *platformtest.Memory
+	mu      sync.Mutex
+	servers map[string]*Server
+	clients map[string]*Client
+	// views maps a node to the member that it believes to hold all ranges.
+	views map[string]string
+	// cut lists nodes that cannot be called; lose lists nodes whose answers are lost.
+	cut, lose map[string]bool
+}
+
+func newFleet(t testing.TB, limits Limits, nodes ...string) *fleet {
+	f := &fleet{
+		store: platformtest.NewMemory(), servers: map[string]*Server{}, clients: map[string]*Client{},
+		views: map[string]string{}, cut: map[string]bool{}, lose: map[string]bool{},
+	}
+	for _, n := range nodes {
+		f.views[n] = nodes[0]
+		f.start(n, limits)
+	}
+	t.Cleanup(f.close)
+	return f
+}
+
+// start puts a new process in place of the node, which loses its memory.
+func (f *fleet) start(node string, limits Limits) {
+	f.startWithClock(node, limits, time.Now)
+}
+
+func (f *fleet) startWithClock(node string, limits Limits, now func() time.Time) {
+	f.mu.Lock()
+	old := f.servers[node]
+	f.mu.Unlock()
+	if old != nil {
+		old.Close()
+	}
+	locate := func(int) (string, bool, bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.views[node], f.views[node] == node, f.views[node] != ""
+	}
+	server := NewServer(Config{Table: f.store, Locate: locate, Now: now, Limits: limits})
+	client := NewClient(ClientConfig{Local: server, Peers: f, Locate: locate})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servers[node], f.clients[node] = server, client
+}
+
+func (f *fleet) close() {
+	done, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, c := range f.clients {
+		c.Close(done)
+	}
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
+
+// setHolder changes the views of the nodes, or of all nodes if none is given.
+func (f *fleet) setHolder(holder string, nodes ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for n := range f.views {
+		if len(nodes) == 0 {
+			f.views[n] = holder
+		}
+	}
+	for _, n := range nodes {
+		f.views[n] = holder
+	}
+}
+
+func (f *fleet) set(m map[string]bool, node string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m[node] = on
+}
+
+func (f *fleet) client(node string) *Client {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clients[node]
+}
+
+func callPeer[Req, Rep any](ctx context.Context, f *fleet, to string, r Req, h func(*Server, context.Context, Req) (Rep, error)) (Rep, error) {
+	var none Rep
+	f.mu.Lock()
+	s, cut, lose := f.servers[to], f.cut[to], f.lose[to]
+	f.mu.Unlock()
+	if cut || ctx.Err() != nil {
+		return none, errBroken
+	}
+	time.Sleep(time.Millisecond)
+	reply, err := h(s, ctx, r)
+	if lose {
+		return none, errBroken
+	}
+	return reply, err
+}
+
+// Claim implements Peers.
+func (f *fleet) Claim(ctx context.Context, to string, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return callPeer(ctx, f, to, r, (*Server).HandleClaim)
+}
+
+// Complete implements Peers.
+func (f *fleet) Complete(ctx context.Context, to string, r *peerpb.CompleteRequest) (*peerpb.LedgerReply, error) {
+	return callPeer(ctx, f, to, r, (*Server).HandleComplete)
+}
+
+// Release implements Peers.
+func (f *fleet) Release(ctx context.Context, to string, r *peerpb.ReleaseRequest) (*peerpb.LedgerReply, error) {
+	return callPeer(ctx, f, to, r, (*Server).HandleRelease)
+}
+
+var (
+	testBody = HashOf([]byte("POST"), []byte("/deposit"), []byte("100"))
+	bg       = context.Background()
+)
+
+// claim returns the state as text, or "refused".
+func (f *fleet) claim(node, key, call string) string {
+	return f.claimBody(node, key, call, testBody)
+}
+
+func (f *fleet) claimBody(node, key, call string, body Hash) string {
+	r, err := f.client(node).Claim(bg, Claim{Key: KeyOf("pay", key), Body: body, CallID: call, Timeout: 10 * time.Second})
+	if err != nil {
+		return "refused"
+	}
+	return r.State.String()
+}
+
+func (f *fleet) complete(node, key, call, answer string) error {
+	return f.client(node).Complete(bg, KeyOf("pay", key), call, answerOf(answer))
+}
+
+func (f *fleet) release(node, key, call string) error {
+	return f.client(node).Release(bg, KeyOf("pay", key), call)
+}
+
+func answerOf(body string) *peerpb.RecordedAnswer {
+	return &peerpb.RecordedAnswer{Head: &peerpb.AnswerHead{Status: 201}, Body: []byte(body)}
+}
