--- a/node/process/node/core.go
+++ b/node/process/node/core.go
@@ -9,6 +9,7 @@
 	"github.com/radishstand/radishstand/node/connection/peer"
 	"github.com/radishstand/radishstand/node/process/admission"
 	"github.com/radishstand/radishstand/node/process/balance"
+	"github.com/radishstand/radishstand/node/process/ledger"
 	"github.com/radishstand/radishstand/node/process/measure"
 	"github.com/radishstand/radishstand/node/process/registry"
 	"github.com/radishstand/radishstand/node/request/attempt"
@@ -37,7 +38,7 @@
 	nodeID   string
 	place    string
 	pool     *peer.Pool
-	ledger   entry.Ledger
+	ledger   ledger.Ledger
 	observer entry.Observer
 	log      *log.Logger
 	limit    int64
--- /dev/null
+++ b/node/process/node/fleet.go
@@ -0,0 +1,303 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/radishstand/radishstand/api/peerpb"
+	"github.com/radishstand/radishstand/node/connection/peer"
+	"github.com/radishstand/radishstand/node/connection/platform"
+	"github.com/radishstand/radishstand/node/process/balance"
+	"github.com/radishstand/radishstand/node/process/ledger"
+	"github.com/radishstand/radishstand/node/process/membership"
+	"github.com/radishstand/radishstand/node/process/registry"
+	"github.com/radishstand/radishstand/node/request/serve"
+	"github.com/radishstand/radishstand/node/version/commit"
+	"github.com/radishstand/radishstand/node/version/handout"
+)
+
+// refreshEvery bounds how often a burst of membership changes is handed to the chooser and the ledger.
+const refreshEvery = 20 * time.Millisecond
+
+// fleet is what the node shares with others: membership, settings versions and the idempotency ledger.
+type fleet struct {
+	node    *Node
+	guard   *platform.Guard
+	members *membership.Membership
+	holder  *ledger.Server
+	ledger  *ledger.Client
+	store   *commit.Store
+	editor  *commit.Editor
+	handout *handout.Handout
+
+	// holders caches the holder of each ledger range for one generation of the membership.
+	holders atomic.Pointer[holders]
+	changed chan struct{}
+	mu      sync.Mutex
+	dirty   map[string]bool
+}
+
+// holders are the members that hold the ledger's ranges.
+type holders struct {
+	generation uint64
+	member     [ledger.RangeCount]string
+}
+
+func newFleet(n *Node, store Store) *fleet {
+	f := &fleet{node: n, changed: make(chan struct{}, 1), dirty: map[string]bool{}}
+	f.guard = platform.NewGuard(store.Table, store.Objects, platform.Options{
+		Limits: platform.DefaultLimits(), Nodes: f.liveNodes,
+	})
+	f.members = membership.New(membership.Config{
+		Address: n.config.Advertise, Place: n.config.Place, Peers: n.config.Peers, Table: f.guard, Log: n.log,
+		PeerVersion: func(address string, version int64) { f.handout.Heard(address, version) },
+	}, transport{n.pool}, membership.SystemClock{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	f.holder = ledger.NewServer(ledger.Config{
+		Table: f.guard, Locate: f.locate,
+		Retention:      func() time.Duration { return time.Duration(n.core.values("").Ledger.RetentionS) * time.Second },
+		MaxAnswerBytes: func() int { return n.core.values("").Ledger.MaxAnswerBytes },
+		Log:            func(message string, keyvals ...any) { n.log.Info(message, append(keyvals, "component", "ledger")...) },
+	})
+	f.ledger = ledger.NewClient(ledger.ClientConfig{Local: f.holder, Peers: ledgerPeers{n.pool}, Locate: f.locate})
+	f.store = commit.NewStore(f.guard, f.guard)
+	f.editor = commit.NewEditor(f.store, time.Now)
+	return f
+}
+
+// assemble joins the fleet with the request path.
+func (f *fleet) assemble(k *core) {
+	f.handout = handout.New(handout.Config{
+		Holder: k.settings, Store: f.store, Peers: f.handoutPeers(), Reader: f.isReader, Log: f.node.log,
+	})
+	f.members.Subscribe(f.memberChanged)
+}
+
+// service joins the handlers of the messages between nodes.
+func (f *fleet) service(local *serve.Handler) *peer.Service {
+	return &peer.Service{Local: local, Membership: f.members, Settings: f.handout, Ledger: f.holder}
+}
+
+func (f *fleet) start(ctx context.Context, loops *sync.WaitGroup) {
+	loops.Go(func() { f.runMembership(ctx) })
+	loops.Go(func() { f.handout.Run(ctx) })
+	loops.Go(func() { f.refresh(ctx) })
+}
+
+// runMembership ends the process when another one has taken over its address: two processes with one identity would
+// answer for each other.
+func (f *fleet) runMembership(ctx context.Context) {
+	if err := f.members.Run(ctx); errors.Is(err, membership.ErrSuperseded) {
+		f.node.failed <- err
+	}
+}
+
+// leave tells the fleet that the node is gone and waits for what the ledger still has to record.
+func (f *fleet) leave(ctx context.Context) {
+	f.ledger.Close(ctx)
+	f.editor.Close()
+	f.holder.Close()
+	if err := f.members.Leave(ctx); err != nil {
+		f.node.log.Warn("leaving is not recorded in the table", "component", "membership", "error", err)
+	}
+}
+
+func (f *fleet) liveNodes() int {
+	live := 0
+	for m := range f.members.Members() {
+		if m.State.Live() {
+			live++
+		}
+	}
+	return max(1, live)
+}
+
+// isReader reports whether this node polls the head of the settings for its place.
+func (f *fleet) isReader() bool {
+	here := func(place string) bool { return place == f.node.config.Place }
+	for _, m := range f.members.RendezvousN("settings-head", handout.ReadersPerPlace, here) {
+		if m.Address == f.node.id {
+			return true
+		}
+	}
+	return false
+}
+
+// locate implements ledger.Locate.
+func (f *fleet) locate(index int) (member string, self, ok bool) {
+	generation := f.members.Generation()
+	cached := f.holders.Load()
+	if cached == nil || cached.generation != generation {
+		cached = f.findHolders(generation)
+		f.holders.Store(cached)
+	}
+	member = cached.member[index]
+	return member, member == f.node.id, member != ""
+}
+
+func (f *fleet) findHolders(generation uint64) *holders {
+	h := &holders{generation: generation}
+	for i := range h.member {
+		if m, ok := f.members.Rendezvous(fmt.Sprintf("ledger-%d", i), nil); ok {
+			h.member[i] = m.Address
+		}
+	}
+	return h
+}
+
+// serverChanged publishes the local server.
+func (f *fleet) serverChanged(s *registry.Server) {
+	if s == nil {
+		f.members.SetSelf(membership.Server{}, false)
+		return
+	}
+	draining := s.State() == registry.StateDraining
+	f.members.SetSelf(membership.Server{ID: s.ID, Service: s.Announced.Service, Slots: s.Announced.Slots}, draining)
+}
+
+// memberChanged marks what a change of the membership touches. It must not block.
+func (f *fleet) memberChanged(change membership.Change) {
+	f.mu.Lock()
+	if change.Place != "" {
+		f.dirty[allServices] = true
+	}
+	for _, m := range []*membership.Member{change.Before, change.After} {
+		if m != nil && m.Service != "" {
+			f.dirty[m.Service] = true
+		}
+	}
+	f.mu.Unlock()
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+// allServices marks every service as changed; it is not a valid service name.
+const allServices = "*"
+
+// refresh hands changes of the membership to the chooser, the ledger and the connection pool.
+func (f *fleet) refresh(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.changed:
+		}
+		f.applyMembers()
+		f.holder.Refresh()
+		f.node.pool.Forget(f.isMember)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(refreshEvery):
+		}
+	}
+}
+
+func (f *fleet) applyMembers() {
+	f.mu.Lock()
+	dirty := f.dirty
+	f.dirty = map[string]bool{}
+	f.mu.Unlock()
+	if dirty[allServices] {
+		for m := range f.members.Members() {
+			dirty[m.Service] = true
+		}
+	}
+	for service := range dirty {
+		if service != "" && service != allServices {
+			f.node.core.balancer.SetServers(service, f.servers(service))
+		}
+	}
+}
+
+// servers returns the servers of a service that may be chosen. Those of unreachable places are left out unless there are
+// no others, since the verdict on a place may be wrong.
+func (f *fleet) servers(service string) []balance.Server {
+	var reachable, all []balance.Server
+	for _, m := range f.members.ByService(service) {
+		server := balance.Server{
+			ID: m.ServerID, Service: m.Service, Place: m.Place, NodeID: m.Address, Address: m.Address,
+			Slots: int(m.Slots), Incarnation: m.Incarnation, Draining: m.Draining,
+		}
+		all = append(all, server)
+		if f.members.Alive(m.Place) {
+			reachable = append(reachable, server)
+		}
+	}
+	if len(reachable) > 0 {
+		return reachable
+	}
+	return all
+}
+
+// isMember keeps the connections to members that may still be alive and to the configured peers.
+func (f *fleet) isMember(address string) bool {
+	for _, p := range f.node.config.Peers {
+		if p == address {
+			return true
+		}
+	}
+	for m := range f.members.Members() {
+		if m.Address == address {
+			return m.State.Live()
+		}
+	}
+	return false
+}
+
+// transport sends the messages of the membership.
+type transport struct{ pool *peer.Pool }
+
+// Ping implements membership.Transport.
+func (t transport) Ping(ctx context.Context, address string, r *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	client, err := t.pool.Client(address)
+	if err != nil {
+		return nil, err
+	}
+	return client.Ping(ctx, r)
+}
+
+// Sync implements membership.Transport.
+func (t transport) Sync(ctx context.Context, address string, r *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	client, err := t.pool.Client(address)
+	if err != nil {
+		return nil, err
+	}
+	return client.Sync(ctx, r)
+}
+
+// ledgerPeers sends the messages of the ledger.
+type ledgerPeers struct{ pool *peer.Pool }
+
+// Claim implements ledger.Peers.
+func (p ledgerPeers) Claim(ctx context.Context, member string, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	client, err := p.pool.Client(member)
+	if err != nil {
+		return nil, err
+	}
+	return client.Claim(ctx, r)
+}
+
+// Complete implements ledger.Peers.
+func (p ledgerPeers) Complete(ctx context.Context, member string, r *peerpb.CompleteRequest) (*peerpb.LedgerReply, error) {
+	client, err := p.pool.Client(member)
+	if err != nil {
+		return nil, err
+	}
+	return client.Complete(ctx, r)
+}
+
+// Release implements ledger.Peers.
+func (p ledgerPeers) Release(ctx context.Context, member string, r *peerpb.ReleaseRequest) (*peerpb.LedgerReply, error) {
+	client, err := p.pool.Client(member)
+	if err != nil {
+		return nil, err
+	}
+	return client.Release(ctx, r)
+}
--- a/node/process/node/node.go
+++ b/node/process/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -16,6 +15,7 @@
 
 	"github.com/radishstand/radishstand/node/connection/peer"
 	"github.com/radishstand/radishstand/node/connection/platform"
+	"github.com/radishstand/radishstand/node/process/measure"
 	"github.com/radishstand/radishstand/node/process/registry"
 )
 
@@ -53,6 +53,7 @@
 // Node is one running node.
 type Node struct {
 	config Config
+	// id is the peer address: a replaced host takes it over and outranks its predecessor by its incarnation.
 	id     string
 	log    *log.Logger
 	life   *fsm.FSM
@@ -75,7 +76,7 @@
 		return nil, eris.Wrap(err, "listen")
 	}
 	n := &Node{
-		config: config, id: nodeID(&config), log: logger, life: newLife(), listeners: l,
+		config: config, id: config.Advertise, log: logger, life: newLife(), listeners: l,
 		failed: make(chan error, 4), recent: newRecentCalls(),
 	}
 	_, client := peerCredentials(config.TLS)
@@ -83,15 +84,11 @@
 	return n, nil
 }
 
-// nodeID names a node by its place and peer address, so that a replaced host takes over the name and outranks its
-// predecessor by its incarnation.
-func nodeID(c *Config) string { return fmt.Sprintf("%s@%s", c.Place, c.Advertise) }
-
 func (n *Node) assemble(store Store, client credentials.TransportCredentials) {
 	n.pool = peer.NewPool(client)
 	n.fleet = newFleet(n, store)
 	n.core = newCore(coreConfig{
-		nodeID: n.id, place: n.config.Place, pool: n.pool, ledger: n.fleet.ledgerAdapter(), observer: n.recent,
+		nodeID: n.id, place: n.config.Place, pool: n.pool, ledger: n.fleet.ledger, observer: n.recent,
 		log: n.log, limit: int64(n.config.MaxInProgress), changed: n.serverChanged,
 	})
 	n.fleet.assemble(n.core)
@@ -179,7 +176,7 @@
 		return
 	}
 	_, err := server.Meter.Ask(ctx, n.core.values(server.Announced.Service).Measure.HealthPath)
-	if eris.Is(err, errMeasureBudget) {
+	if eris.Is(err, measure.ErrBudget) {
 		return
 	}
 	n.core.registry.Checked(server, err == nil)
--- a/node/request/entry/keyed.go
+++ b/node/request/entry/keyed.go
@@ -101,9 +101,12 @@
 	})
 }
 
-// recorded returns what the ledger keeps of an answer: its head, and its body unless that is streamed. The holder drops
-// a body that is larger than the settings allow.
+// recorded returns what the ledger keeps of an answer; nil for a streamed one, of which only the beginning is at hand.
+// The holder drops an answer that is larger than the settings allow.
 func recorded(a *attempt.Answer) *peerpb.RecordedAnswer {
+	if a.Rest != nil {
+		return nil
+	}
 	r := &peerpb.RecordedAnswer{
 		Head: &peerpb.AnswerHead{Status: int32(a.Status), ContentLength: a.ContentLength},
 		Body: a.Body,
