--- /dev/null
+++ b/node/process/membership/cluster_test.go
@@ -0,0 +1,246 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishstand/radishstand/api/peerpb"
+	"github.com/radishstand/radishstand/node/platformtest"
+)
+
+// gate stops everything that passes it while it is closed.
+type gate struct {
+	mu     sync.Mutex
+	opened chan struct{}
+}
+
+func (g *gate) close() { g.mu.Lock(); g.opened = make(chan struct{}); g.mu.Unlock() }
+func (g *gate) open()  { g.mu.Lock(); close(g.opened); g.opened = nil; g.mu.Unlock() }
+func (g *gate) pass() {
+	g.mu.Lock()
+	opened := g.opened
+	g.mu.Unlock()
+	if opened != nil {
+		<-opened
+	}
+}
+
+// testClock is the virtual clock of one node, which sees no time while the node is paused.
+type testClock struct{ gate *gate }
+
+func (c testClock) Now() time.Time { return time.Now() }
+func (c testClock) After(d time.Duration) <-chan time.Time {
+	out := make(chan time.Time, 1)
+	time.AfterFunc(d, func() { c.gate.pass(); out <- time.Now() })
+	return out
+}
+
+// network connects the real state machines of a test in memory.
+type network struct {
+	mu     sync.Mutex
+	nodes  map[string]*testNode
+	random *rand.Rand
+	loss   float64
+	cut    func(from, to *testNode) bool
+}
+
+type testNode struct {
+	*Membership
+	network *network
+	clock   testClock
+	stop    context.CancelFunc
+	done    chan error
+}
+
+var errLost = errors.New("no answer")
+
+// reach returns the target once the request has arrived, or an error when the time is up.
+func (n *testNode) reach(ctx context.Context, address string) (*testNode, error) {
+	n.clock.gate.pass()
+	w := n.network
+	w.mu.Lock()
+	to := w.nodes[address]
+	lost := to == nil || w.random.Float64() < w.loss || w.cut != nil && w.cut(n, to)
+	w.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		n.clock.gate.pass()
+		return nil, errLost
+	}
+	time.Sleep(time.Millisecond)
+	to.clock.gate.pass()
+	return to, nil
+}
+
+// returned delivers the answer unless it is lost or late.
+func (n *testNode) returned(ctx context.Context) error {
+	n.network.mu.Lock()
+	lost := n.network.random.Float64() < n.network.loss
+	n.network.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+	}
+	n.clock.gate.pass()
+	return ctx.Err()
+}
+
+func (n *testNode) Ping(ctx context.Context, address string, req *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	to, err := n.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	reply, _ := to.HandlePing(ctx, req)
+	return reply, n.returned(ctx)
+}
+
+func (n *testNode) Sync(ctx context.Context, address string, req *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	to, err := n.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	reply, _ := to.HandleSync(ctx, req)
+	return reply, n.returned(ctx)
+}
+
+// cluster is a fleet with its store.
+type cluster struct {
+	*network
+	t     *testing.T
+	store *platformtest.Memory
+	seed  uint64
+	peers []string
+}
+
+func newCluster(t *testing.T) *cluster {
+	w := &network{nodes: map[string]*testNode{}, random: rand.New(rand.NewPCG(1, 2))}
+	return &cluster{network: w, t: t, store: platformtest.NewMemory()}
+}
+
+func (c *cluster) start(address, place string) *testNode {
+	c.seed++
+	n := &testNode{network: c.network, clock: testClock{&gate{}}, done: make(chan error, 1)}
+	n.Membership = New(Config{Address: address, Place: place, Peers: c.peers, Table: c.store}, n, n.clock,
+		rand.New(rand.NewPCG(c.seed, 7)))
+	n.SetSelf(Server{ID: address, Service: "quotes", Slots: 17}, false)
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(c.t.Context())
+	c.mu.Lock()
+	c.nodes[address] = n
+	c.mu.Unlock()
+	go func() { n.done <- n.Run(ctx) }()
+	return n
+}
+
+// kill stops a node without a word.
+func (c *cluster) kill(n *testNode) {
+	c.mu.Lock()
+	if c.nodes[n.cfg.Address] == n {
+		delete(c.nodes, n.cfg.Address)
+	}
+	c.mu.Unlock()
+	n.stop()
+	<-n.done
+}
+
+func (c *cluster) stopAll() {
+	c.mu.Lock()
+	nodes := make([]*testNode, 0, len(c.nodes))
+	for _, n := range c.nodes {
+		nodes = append(nodes, n)
+	}
+	c.mu.Unlock()
+	for _, n := range nodes {
+		c.kill(n)
+	}
+	time.Sleep(10 * time.Second) // lets pending timers of the clocks end
+}
+
+func (c *cluster) setLoss(p float64) { c.mu.Lock(); c.loss = p; c.mu.Unlock() }
+func (c *cluster) setCut(f func(a, b *testNode) bool) {
+	c.mu.Lock()
+	c.cut = f
+	c.mu.Unlock()
+}
+
+// launch starts count nodes in each place, one after another.
+func (c *cluster) launch(count int, places ...string) []*testNode {
+	var nodes []*testNode
+	for i := range count {
+		for _, place := range places {
+			nodes = append(nodes, c.start(fmt.Sprintf("10.%s.%d.%d:7000", place, i/200, i%200), place))
+		}
+	}
+	return nodes
+}
+
+// eventually waits in virtual time until the condition holds and returns how long that took.
+func (c *cluster) eventually(limit time.Duration, what string, condition func() bool) time.Duration {
+	c.t.Helper()
+	for start := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		if condition() {
+			return time.Since(start)
+		}
+		require.Less(c.t, time.Since(start), limit, what)
+	}
+}
+
+// agree reports whether each of the nodes sees exactly these nodes as alive members.
+func agree(nodes []*testNode) bool {
+	for _, n := range nodes {
+		live := 0
+		for r := range n.Members() {
+			if r.State == Alive {
+				live++
+			}
+		}
+		if live != len(nodes) {
+			return false
+		}
+		for _, o := range nodes {
+			if r := n.table.get(o.cfg.Address); r == nil || r.State != Alive || r.Incarnation != o.Self().Incarnation {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// sees reports whether every node holds the address in the state.
+func sees(nodes []*testNode, address string, state State) bool {
+	for _, n := range nodes {
+		if r := n.table.get(address); r == nil || r.State != state {
+			return false
+		}
+	}
+	return true
+}
+
+// withCluster runs the scenario in virtual time.
+func withCluster(t *testing.T, scenario func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		scenario(c)
+	})
+}
+
+func TestAFleetFindsItselfAndNoticesAStoppedNode(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		nodes := c.launch(7, "a", "b")
+		t.Log("joined after", c.eventually(time.Minute, "join", func() bool { return agree(nodes) }))
+		dead := nodes[3]
+		c.kill(dead)
+		rest := append(append([]*testNode{}, nodes[:3]...), nodes[4:]...)
+		t.Log("dead after", c.eventually(time.Minute, "death", func() bool { return sees(rest, dead.cfg.Address, Dead) }))
+		require.Len(t, rest[0].ByService("quotes"), 13)
+	})
+}
--- /dev/null
+++ b/node/process/membership/gossip.go
@@ -0,0 +1,226 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/radishstand/radishstand/api/peerpb"
+)
+
+const (
+	// pushRingPeers and pushPartners are the peers that a change is pushed to, in the own place. The ring neighbours
+	// make the push graph connected, the random partners make it shallow.
+	pushRingPeers = 2
+	pushPartners  = 2
+	// crossPushes is how many nodes of a place pass a change to each other place, on average.
+	crossPushes = 4
+	// maxPushBytes bounds the records of one push, so that it fits a packet.
+	maxPushBytes = 1200
+	// pushBytesPerSecond and pushBurst bound all pushes of this node. The burst lets the loss of a rack spread at once.
+	pushBytesPerSecond = 1024
+	pushBurst          = 32 << 10
+	// maxOutbox bounds the changes that wait to be pushed; anti-entropy repairs what is dropped.
+	maxOutbox = 1024
+	// bulkRecords is the size from which received records are a transfer of old state and not news to pass on.
+	bulkRecords = 32
+)
+
+// outbox holds the keys of changed records until they are pushed, in the order of arrival.
+type outbox struct {
+	order   []string
+	entries map[string]entry
+	limiter *rate.Limiter
+}
+
+type entry struct{ versionOnly, own bool }
+
+func newOutbox() outbox {
+	return outbox{entries: map[string]entry{}, limiter: rate.NewLimiter(pushBytesPerSecond, pushBurst)}
+}
+
+func (o *outbox) add(key string, versionOnly, own bool) {
+	if e, ok := o.entries[key]; ok {
+		o.entries[key] = entry{versionOnly: e.versionOnly && versionOnly, own: e.own || own}
+		return
+	}
+	if len(o.order) >= maxOutbox {
+		delete(o.entries, o.order[0])
+		o.order = o.order[1:]
+	}
+	o.order = append(o.order, key)
+	o.entries[key] = entry{versionOnly: versionOnly, own: own}
+}
+
+// batch takes records from the outbox up to the size of a push.
+func (o *outbox) batch(t *table) (records []*peerpb.MemberRecord, size int, own bool) {
+	n := 0
+	for _, key := range o.order {
+		r := t.get(key)
+		if r == nil {
+			n++
+			continue
+		}
+		e := o.entries[key]
+		msg := r.message()
+		if e.versionOnly {
+			msg = &peerpb.MemberRecord{Address: key, Incarnation: r.Incarnation, SettingsVersion: r.SettingsVersion}
+		}
+		if s := proto.Size(msg); size > 0 && size+s > maxPushBytes {
+			break
+		} else {
+			size += s
+		}
+		n++
+		own = own || e.own
+		records = append(records, msg)
+	}
+	for _, key := range o.order[:n] {
+		delete(o.entries, key)
+	}
+	o.order = slices.Clone(o.order[n:])
+	return records, size, own
+}
+
+// flush pushes waiting changes to a few peers, within the limit on bytes.
+func (m *Membership) flush(ctx context.Context, now time.Time) {
+	m.mu.Lock()
+	if len(m.outbox.order) == 0 || m.outbox.limiter.TokensAt(now) < maxPushBytes {
+		m.mu.Unlock()
+		return
+	}
+	records, size, own := m.outbox.batch(m.table)
+	targets := m.pushTargets(now, own)
+	m.outbox.limiter.AllowN(now, min(size*len(targets), int(m.outbox.limiter.TokensAt(now))))
+	m.mu.Unlock()
+	for _, address := range targets {
+		m.tasks.Go(func() { m.push(ctx, address, records) })
+	}
+}
+
+// push sends records to one peer and merges its corrections. Errors are left to the detector and to anti-entropy.
+func (m *Membership) push(ctx context.Context, address string, records []*peerpb.MemberRecord) bool {
+	reply, err := m.send(ctx, address, &peerpb.SyncRequest{Records: records})
+	if err != nil {
+		return false
+	}
+	m.receive(reply.GetRecords(), reply.GetSettingsVersion(), address)
+	return true
+}
+
+// tell sends the known record of a member to the member itself.
+func (m *Membership) tell(ctx context.Context, address string) {
+	r := m.table.get(address)
+	if r == nil {
+		return
+	}
+	m.tasks.Go(func() { m.push(ctx, address, []*peerpb.MemberRecord{r.message()}) })
+}
+
+// partners are the random peers of this node. They change slowly, since each costs a connection.
+type partners struct {
+	near []string
+	far  string
+	due  time.Time
+}
+
+// pushTargets returns the peers for a push; the caller holds the lock. Own changes go to more peers, among them those
+// that monitor this node.
+func (m *Membership) pushTargets(now time.Time, own bool) []string {
+	m.refreshPartners(now)
+	targets := addresses(m.table.successors(m.cfg.Place, m.cfg.Address, pushRingPeers))
+	targets = append(targets, m.partners.near...)
+	if own {
+		targets = append(targets, addresses(m.table.predecessors(m.cfg.Place, m.cfg.Address, monitoredPeers))...)
+	}
+	if far := m.partners.far; far != "" {
+		share := float64(crossPushes*(len(m.table.places())-1)) / float64(max(1, len(m.table.ring(m.cfg.Place))))
+		if own || m.random.Float64() < share {
+			targets = append(targets, far)
+		}
+	}
+	slices.Sort(targets)
+	return slices.Compact(targets)
+}
+
+// refreshPartners replaces partners that are gone or have served their time; the caller holds the lock.
+func (m *Membership) refreshPartners(now time.Time) {
+	p := &m.partners
+	gone := func(address string) bool {
+		r := m.table.get(address)
+		return r == nil || !r.State.Live()
+	}
+	stale := !now.Before(p.due)
+	if stale {
+		p.due = now.Add(m.timing.PartnerEvery*3/4 + time.Duration(m.random.Int64N(int64(m.timing.PartnerEvery/2))))
+	}
+	if stale || len(p.near) < pushPartners || slices.ContainsFunc(p.near, gone) {
+		avoid := append(addresses(m.table.successors(m.cfg.Place, m.cfg.Address, pushRingPeers)), m.cfg.Address)
+		p.near = addresses(sample(m.random, m.table.ring(m.cfg.Place), pushPartners, avoid))
+	}
+	if stale || p.far == "" || gone(p.far) || !m.Alive(m.table.get(p.far).Place) {
+		p.far = ""
+		others := slices.DeleteFunc(m.table.places(), func(s string) bool { return s == m.cfg.Place })
+		if reachable := slices.DeleteFunc(slices.Clone(others), func(s string) bool { return !m.Alive(s) }); len(reachable) > 0 {
+			others = reachable
+		}
+		if len(others) > 0 {
+			ring := m.table.ring(others[m.random.IntN(len(others))])
+			if far := sample(m.random, ring, 1, nil); len(far) > 0 {
+				p.far = far[0].Address
+			}
+		}
+	}
+}
+
+// sample returns up to n random members that are not to be avoided.
+func sample(random *rand.Rand, from []*Member, n int, avoid []string) []*Member {
+	var out []*Member
+	if len(from) == 0 {
+		return nil
+	}
+	// A random start and a few random draws keep this constant work; a small place is walked completely.
+	if len(from) <= 4*(n+len(avoid)) {
+		for _, i := range random.Perm(len(from)) {
+			if len(out) < n && !slices.Contains(avoid, from[i].Address) {
+				out = append(out, from[i])
+			}
+		}
+		return out
+	}
+	for len(out) < n {
+		r := from[random.IntN(len(from))]
+		if !slices.Contains(avoid, r.Address) && !slices.Contains(out, r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func addresses(members []*Member) []string {
+	out := make([]string, len(members))
+	for i, r := range members {
+		out[i] = r.Address
+	}
+	return out
+}
+
+// traffic counts messages and their encoded bytes, without the framing of the transport.
+type traffic struct {
+	sentMessages, sentBytes, receivedMessages, receivedBytes atomic.Int64
+}
+
+func (t *traffic) sent(msg proto.Message) {
+	t.sentMessages.Add(1)
+	t.sentBytes.Add(int64(proto.Size(msg)))
+}
+
+func (t *traffic) received(msg proto.Message) {
+	t.receivedMessages.Add(1)
+	t.receivedBytes.Add(int64(proto.Size(msg)))
+}
