operator: add the operators' API and the node's command

Cause: operators edit settings and look into a node only through its API. Change: HTTP API for settings, members, dump and metrics; radishnode with flags, environment and configuration file.

--- /dev/null
+++ b/api/operator/operator.go
@@ -0,0 +1,139 @@
+// Package operator holds the JSON types of the operators' HTTP API of a node.
+package operator
+
+import (
+	"encoding/json"
+
+	"github.com/radishstand/radishstand/api/settings"
+)
+
+// Paths of the API.
+const (
+	PathHealth   = "/v1/health"
+	PathDump     = "/v1/dump"
+	PathStatus   = "/v1/status"
+	PathMembers  = "/v1/members"
+	PathServers  = "/v1/servers"
+	PathSettings = "/v1/settings"
+	PathExplain  = "/v1/settings/explain"
+	PathHistory  = "/v1/settings/history"
+	PathChanges  = "/v1/settings/changes"
+	PathRollback = "/v1/settings/rollback"
+	PathInForce  = "/v1/settings/in-force"
+	PathMetrics  = "/v1/metrics"
+)
+
+// Error codes.
+const (
+	CodeInvalid     = "invalid"
+	CodeConflict    = "conflict"
+	CodeUnknown     = "unknown"
+	CodeUnavailable = "unavailable"
+	CodeNotFound    = "not-found"
+)
+
+// Error is the body of a refused request.
+type Error struct {
+	// Code is one of the codes above.
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	// Problems lists every invalid setting.
+	Problems []string `json:"problems,omitempty"`
+	// Conflicts lists the keys that changed since the base version, with both values.
+	Conflicts []settings.Conflict `json:"conflicts,omitempty"`
+}
+
+// Settings is the answer to GET PathSettings; a query parameter version asks for an earlier one.
+type Settings struct {
+	Version int64           `json:"version"`
+	Tree    json.RawMessage `json:"tree"`
+}
+
+// Change is the body of POST PathChanges.
+type Change struct {
+	// ID names the change; a repeated submission is the same change.
+	ID     string `json:"id"`
+	Author string `json:"author"`
+	// BaseVersion is the version that the author saw.
+	BaseVersion int64           `json:"baseVersion"`
+	Edits       []settings.Edit `json:"edits"`
+}
+
+// Rollback is the body of POST PathRollback.
+type Rollback struct {
+	ID          string `json:"id"`
+	Author      string `json:"author"`
+	BaseVersion int64  `json:"baseVersion"`
+	ToVersion   int64  `json:"toVersion"`
+}
+
+// Accepted is the answer to an accepted change.
+type Accepted struct {
+	Version int64 `json:"version"`
+	// Repeated is true when the change had been accepted before.
+	Repeated bool `json:"repeated"`
+}
+
+// Version is one entry of the answer to GET PathHistory, which takes the query parameters after and limit.
+type Version struct {
+	Version         int64           `json:"version"`
+	ChangeID        string          `json:"changeId"`
+	Author          string          `json:"author"`
+	CommittedUnixMs int64           `json:"committedUnixMs"`
+	Edits           []settings.Edit `json:"edits"`
+}
+
+// InForce is the answer to GET PathInForce, which takes the query parameter version.
+type InForce struct {
+	Version int64              `json:"version"`
+	Places  map[string]InPlace `json:"places"`
+}
+
+// InPlace counts the nodes of a place that have a version, or a later one, in force.
+type InPlace struct {
+	Nodes   int `json:"nodes"`
+	InForce int `json:"inForce"`
+}
+
+// Member is one entry of the answer to GET PathMembers.
+type Member struct {
+	Address         string `json:"address"`
+	Place           string `json:"place"`
+	State           string `json:"state"`
+	Incarnation     uint64 `json:"incarnation"`
+	Service         string `json:"service,omitempty"`
+	ServerID        string `json:"serverId,omitempty"`
+	Slots           int    `json:"slots,omitempty"`
+	Draining        bool   `json:"draining,omitempty"`
+	SettingsVersion int64  `json:"settingsVersion"`
+}
+
+// Server is one entry of the answer to GET PathServers: a backend server as this node sees it.
+type Server struct {
+	ID           string  `json:"id"`
+	Service      string  `json:"service"`
+	Place        string  `json:"place"`
+	Node         string  `json:"node"`
+	Slots        int     `json:"slots"`
+	Draining     bool    `json:"draining"`
+	InProgress   int     `json:"inProgress"`
+	Queued       int     `json:"queued"`
+	Limit        int     `json:"limit"`
+	ServiceMs    float64 `json:"serviceMs"`
+	AgeMs        float64 `json:"ageMs"`
+	EjectedForMs float64 `json:"ejectedForMs"`
+}
+
+// Status is the answer to GET PathStatus.
+type Status struct {
+	Node            string             `json:"node"`
+	Place           string             `json:"place"`
+	State           string             `json:"state"`
+	SettingsVersion int64              `json:"settingsVersion"`
+	MembersByState  map[string]int     `json:"membersByState"`
+	Places          map[string]InPlace `json:"places"`
+	Unreachable     []string           `json:"unreachable,omitempty"`
+	// Store tells how the table service and the object store do.
+	Store      map[string]string `json:"store"`
+	InProgress int64             `json:"inProgress"`
+}
--- a/node/cmd/radishnode/main.go
+++ b/node/cmd/radishnode/main.go
@@ -1,4 +1,81 @@
 // Command radishnode is the node that runs beside a backend server.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/radishstand/radishstand/node/connection/platform/awsclient"
+	"github.com/radishstand/radishstand/node/process/node"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run is main with its surroundings as arguments, and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	o, err := parse(args, stderr)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	case o.check:
+		fmt.Fprintln(stdout, "configuration is valid")
+		return exitOK
+	}
+	logger := newLogger(stderr, o.level)
+	debug.SetMemoryLimit(int64(o.memoryLimitMB) << 20)
+	warnOpen(logger, &o.config)
+	client, err := awsclient.New(o.config.Platform)
+	if err != nil {
+		logger.Error("platform clients", "component", "main", "error", err)
+		return exitSettings
+	}
+	defer client.Close()
+	n, err := node.New(o.config, node.Store{Table: client, Objects: client}, logger)
+	if err != nil {
+		logger.Error("start", "component", "main", "error", err)
+		return exitFailed
+	}
+	if err := n.Run(ctx); err != nil {
+		return exitFailed
+	}
+	return exitOK
+}
+
+func newLogger(w io.Writer, level log.Level) *log.Logger {
+	return log.NewWithOptions(w, log.Options{
+		Level: level, ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Formatter: log.JSONFormatter,
+	})
+}
+
+// warnOpen makes every switched-off protection visible.
+func warnOpen(logger *log.Logger, c *node.Config) {
+	if c.TLS.Insecure {
+		logger.Warn("nodes talk without TLS; anyone who reaches the peer listener can act as a node", "component", "main")
+	}
+	if c.OperatorOpen {
+		logger.Warn("operators need no token; anyone who reaches the operators' listener can change settings", "component", "main")
+	}
+}
--- /dev/null
+++ b/node/cmd/radishnode/options.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/radishstand/radishstand/node/connection/platform/awsclient"
+	"github.com/radishstand/radishstand/node/process/node"
+)
+
+// envPrefix starts the names of environment variables: RADISHNODE_LISTEN_CALLERS sets listen.callers.
+const envPrefix = "RADISHNODE"
+
+// defaultMemoryLimitMB is the soft limit of the Go runtime. It stays below the 32 MB that a node may use.
+const defaultMemoryLimitMB = 28
+
+type options struct {
+	config        node.Config
+	check         bool
+	level         log.Level
+	memoryLimitMB int
+}
+
+// addressList is a flag that may be repeated or hold a comma-separated list.
+type addressList struct{ to *[]string }
+
+func (l addressList) String() string {
+	if l.to == nil {
+		return ""
+	}
+	return strings.Join(*l.to, ",")
+}
+
+func (l addressList) Set(text string) error {
+	for part := range strings.SplitSeq(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			*l.to = append(*l.to, part)
+		}
+	}
+	return nil
+}
+
+// parse reads flags, environment and the configuration file, in this order of precedence, and validates the result.
+func parse(args []string, stderr io.Writer) (*options, error) {
+	o := &options{}
+	o.config.Platform = awsclient.DefaultConfig()
+	o.config.Platform.FromEnvironment(os.LookupEnv)
+	fs, level := o.flags(stderr)
+	err := ff.Parse(fs, args,
+		ff.WithEnvVarPrefix(envPrefix), ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(ff.JSONParser))
+	if err != nil {
+		return nil, err
+	}
+	if o.level, err = log.ParseLevel(*level); err != nil {
+		return nil, fmt.Errorf("log.level: is %q; allowed are debug, info, warn, error", *level)
+	}
+	if err := o.config.Provision(); err != nil {
+		return nil, err
+	}
+	if err := o.config.Platform.Validate(); err != nil {
+		return nil, fmt.Errorf("platform.%w", err)
+	}
+	return o, nil
+}
+
+func (o *options) flags(stderr io.Writer) (*flag.FlagSet, *string) {
+	fs := flag.NewFlagSet("radishnode", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	c := &o.config
+	fs.String("config", "", "JSON file with any of these settings, nested at the dots")
+	fs.BoolVar(&o.check, "check", false, "validate the configuration and exit")
+	level := fs.String("log.level", "info", "lowest level that is logged: debug, info, warn, error")
+	fs.IntVar(&o.memoryLimitMB, "memoryLimitMB", defaultMemoryLimitMB, "soft memory limit in MB")
+	fs.StringVar(&c.Place, "place", "", "place of this host, as named in the settings tree")
+	fs.StringVar(&c.ListenCallers, "listen.callers", "", "IP:port for callers")
+	fs.StringVar(&c.ListenPeers, "listen.peers", "", "IP:port for other nodes")
+	fs.StringVar(&c.ListenServer, "listen.server", "", "IP:port for the backend server beside the node; usually loopback")
+	fs.StringVar(&c.ListenOperators, "listen.operators", "", "IP:port for operators")
+	fs.StringVar(&c.Advertise, "advertise", "", "IP:port at which other nodes reach listen.peers; listen.peers when empty")
+	fs.Var(addressList{&c.Peers}, "peers", "peer addresses to try while the table service is down")
+	fs.StringVar(&c.OperatorToken, "operators.token", "", "bearer token of operators")
+	fs.BoolVar(&c.OperatorOpen, "operators.open", false, "let operators in without a token")
+	fs.StringVar(&c.TLS.CertFile, "tls.certFile", "", "PEM file with this node's certificate")
+	fs.StringVar(&c.TLS.KeyFile, "tls.keyFile", "", "PEM file with this node's key")
+	fs.StringVar(&c.TLS.CAFile, "tls.caFile", "", "PEM file with the CA of all nodes")
+	fs.BoolVar(&c.TLS.Insecure, "tls.insecure", false, "run without TLS between nodes")
+	fs.IntVar(&c.MaxInProgress, "maxInProgress", 0, "most calls in progress (default 4096)")
+	fs.IntVar(&c.MaxConnections, "maxConnections", 0, "most connections of callers (default 4096)")
+	fs.DurationVar(&c.StopGrace, "stopGrace", time.Second, "time that peers are given to hear of a planned stop")
+	p := &c.Platform
+	fs.StringVar(&p.TableEndpoint, "platform.tableEndpoint", p.TableEndpoint, "URL of the table service")
+	fs.StringVar(&p.ObjectsEndpoint, "platform.objectsEndpoint", p.ObjectsEndpoint, "URL of the object store")
+	fs.StringVar(&p.Region, "platform.region", p.Region, "region that requests are signed for")
+	fs.StringVar(&p.Table, "platform.table", p.Table, "name of the table")
+	fs.StringVar(&p.Bucket, "platform.bucket", p.Bucket, "name of the bucket")
+	fs.StringVar(&p.AccessKey, "platform.accessKey", p.AccessKey, "access key id")
+	fs.StringVar(&p.SecretKey, "platform.secretKey", p.SecretKey, "secret access key")
+	return fs, level
+}
--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -301,3 +301,12 @@
 	}
 	return client.Release(ctx, r)
 }
+
+func (f *fleet) handoutPeers() handout.Peers { return nil }
+
+// accepted puts a version into force that this node committed.
+func (f *fleet) accepted(r commit.Result) {
+	if r.Tree != nil {
+		f.node.core.settings.Offer(r.Version, r.Tree)
+	}
+}
--- /dev/null
+++ b/node/process/operator/operator.go
@@ -0,0 +1,241 @@
+// Package operator serves the operators' HTTP API of a node: settings, members, dump, metrics and health.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/pprof"
+	"strconv"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/radishstand/radishstand/api/operator"
+	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/node/version/commit"
+)
+
+const (
+	// maxChangeBytes limits the body of a change.
+	maxChangeBytes = 512 << 10
+	defaultHistory = 20
+	maxHistory     = 500
+)
+
+// Editor commits changes of the settings.
+type Editor interface {
+	Commit(ctx context.Context, c commit.Change) (commit.Result, error)
+	Rollback(ctx context.Context, r commit.Rollback) (commit.Result, error)
+	Load(ctx context.Context, version int64) (*settings.Tree, error)
+	Versions(ctx context.Context, after int64, limit int) ([]commit.Version, error)
+}
+
+// View is what the API shows of a node.
+type View interface {
+	// Current returns the settings in force; the tree is nil while no version is known.
+	Current() (version int64, tree *settings.Tree)
+	// Accepted puts a version in force that this node committed.
+	Accepted(commit.Result)
+	InForce(version int64) map[string]operator.InPlace
+	Status() operator.Status
+	Members() []operator.Member
+	Servers() []operator.Server
+	Dump() any
+}
+
+// Handler serves the API.
+type Handler struct {
+	editor  Editor
+	view    View
+	metrics metrics.Registry
+	mux     *http.ServeMux
+}
+
+// New returns a Handler.
+func New(editor Editor, view View, registry metrics.Registry) *Handler {
+	h := &Handler{editor: editor, view: view, metrics: registry, mux: http.NewServeMux()}
+	h.mux.HandleFunc("GET "+operator.PathHealth, h.health)
+	h.mux.HandleFunc("GET "+operator.PathDump, show(view.Dump))
+	h.mux.HandleFunc("GET "+operator.PathStatus, show(view.Status))
+	h.mux.HandleFunc("GET "+operator.PathMembers, show(view.Members))
+	h.mux.HandleFunc("GET "+operator.PathServers, show(view.Servers))
+	h.mux.HandleFunc("GET "+operator.PathSettings, h.settings)
+	h.mux.HandleFunc("GET "+operator.PathExplain, h.explain)
+	h.mux.HandleFunc("GET "+operator.PathHistory, h.history)
+	h.mux.HandleFunc("GET "+operator.PathInForce, h.inForce)
+	h.mux.HandleFunc("POST "+operator.PathChanges, h.change)
+	h.mux.HandleFunc("POST "+operator.PathRollback, h.rollback)
+	h.mux.HandleFunc("GET "+operator.PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(h.metrics, w)
+	})
+	h.mux.HandleFunc("/debug/pprof/", pprof.Index)
+	h.mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	h.mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+func show[T any](value func() T) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, value()) }
+}
+
+func write(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
+
+// health says whether the node serves calls.
+func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
+	status := http.StatusOK
+	if version, _ := h.view.Current(); version == 0 || h.view.Status().State != "serving" {
+		status = http.StatusServiceUnavailable
+	}
+	write(w, status, map[string]string{"state": h.view.Status().State})
+}
+
+func (h *Handler) settings(w http.ResponseWriter, r *http.Request) {
+	version, tree := h.view.Current()
+	if text := r.URL.Query().Get("version"); text != "" {
+		asked, ok := number(w, r, "version", 0, 1, 1<<62)
+		if !ok {
+			return
+		}
+		earlier, err := h.editor.Load(r.Context(), asked)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		version, tree = asked, earlier
+	}
+	if tree == nil {
+		refuse(w, errNoSettings)
+		return
+	}
+	write(w, http.StatusOK, operator.Settings{Version: version, Tree: tree.Encode()})
+}
+
+func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
+	_, tree := h.view.Current()
+	if tree == nil {
+		refuse(w, errNoSettings)
+		return
+	}
+	write(w, http.StatusOK, tree.Explain(r.URL.Query().Get("place"), r.URL.Query().Get("service")))
+}
+
+func (h *Handler) history(w http.ResponseWriter, r *http.Request) {
+	limit, ok := number(w, r, "limit", defaultHistory, 1, maxHistory)
+	if !ok {
+		return
+	}
+	current, _ := h.view.Current()
+	after, ok := number(w, r, "after", max(0, current-limit), 0, 1<<62)
+	if !ok {
+		return
+	}
+	versions, err := h.editor.Versions(r.Context(), after, int(limit))
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	list := make([]operator.Version, 0, len(versions))
+	for _, v := range versions {
+		list = append(list, operator.Version(v))
+	}
+	write(w, http.StatusOK, list)
+}
+
+func (h *Handler) inForce(w http.ResponseWriter, r *http.Request) {
+	current, _ := h.view.Current()
+	version, ok := number(w, r, "version", current, 0, 1<<62)
+	if !ok {
+		return
+	}
+	write(w, http.StatusOK, operator.InForce{Version: version, Places: h.view.InForce(version)})
+}
+
+func (h *Handler) change(w http.ResponseWriter, r *http.Request) {
+	var c operator.Change
+	if !read(w, r, &c) {
+		return
+	}
+	result, err := h.editor.Commit(r.Context(), commit.Change(c))
+	h.accept(w, result, err)
+}
+
+func (h *Handler) rollback(w http.ResponseWriter, r *http.Request) {
+	var c operator.Rollback
+	if !read(w, r, &c) {
+		return
+	}
+	result, err := h.editor.Rollback(r.Context(), commit.Rollback(c))
+	h.accept(w, result, err)
+}
+
+func (h *Handler) accept(w http.ResponseWriter, result commit.Result, err error) {
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	h.view.Accepted(result)
+	write(w, http.StatusOK, operator.Accepted{Version: result.Version, Repeated: result.Repeated})
+}
+
+func read(w http.ResponseWriter, r *http.Request, to any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(to); err != nil {
+		write(w, http.StatusBadRequest, operator.Error{Code: operator.CodeInvalid, Message: "body: " + err.Error()})
+		return false
+	}
+	return true
+}
+
+func number(w http.ResponseWriter, r *http.Request, name string, otherwise, low, high int64) (int64, bool) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return otherwise, true
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < low || n > high {
+		write(w, http.StatusBadRequest, operator.Error{
+			Code: operator.CodeInvalid, Message: "query parameter " + name + " is not a whole number in its range",
+		})
+		return 0, false
+	}
+	return n, true
+}
+
+// errNoSettings means that the node does not know any version yet.
+var errNoSettings = errors.New("this node does not know the settings yet")
+
+// refuse turns an error of the settings into an answer.
+func refuse(w http.ResponseWriter, err error) {
+	body := operator.Error{Code: operator.CodeUnavailable, Message: err.Error()}
+	status := http.StatusServiceUnavailable
+	var invalid *settings.InvalidError
+	var conflict *settings.ConflictError
+	switch {
+	case errors.As(err, &invalid):
+		status, body.Code = http.StatusUnprocessableEntity, operator.CodeInvalid
+		for _, p := range invalid.Problems {
+			body.Problems = append(body.Problems, p.String())
+		}
+	case errors.As(err, &conflict):
+		status, body.Code, body.Conflicts = http.StatusConflict, operator.CodeConflict, conflict.Conflicts
+	case errors.Is(err, commit.ErrUnknown):
+		status, body.Code = http.StatusGatewayTimeout, operator.CodeUnknown
+	case errors.Is(err, commit.ErrNoVersion):
+		status, body.Code = http.StatusNotFound, operator.CodeNotFound
+	case errors.Is(err, commit.ErrBadChange), errors.Is(err, commit.ErrChangeIDReused):
+		status, body.Code = http.StatusBadRequest, operator.CodeInvalid
+	}
+	write(w, status, body)
+}
