--- a/node/version/commit/commit_test.go
+++ b/node/version/commit/commit_test.go
@@ -106,6 +106,27 @@
 	})
 }
 
+// Guards against reading the change id before the head: a write that takes effect between the two reads would look
+// impossible, and a failure after that would be reported as not applied.
+func TestWriteTakesEffectBetweenReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := platformtest.NewMemory()
+		transactions := 0
+		m.SetFault(func(op platformtest.Operation) platformtest.Fault {
+			f := platformtest.Fault{Delay: 10 * time.Millisecond}
+			if op.Name == "Transact" {
+				transactions++
+				f.LateEffect = 22 * time.Millisecond // after the first read that follows, which ends 15 to 20 ms later
+				f.Down = transactions > 1
+			}
+			return f
+		})
+		result, err := newEditor(m).Commit(t.Context(), change("c", 0, "defaults.call.timeoutMs", 100))
+		require.NoError(t, err)
+		require.Equal(t, Result{Version: 1, Repeated: true}, result)
+	})
+}
+
 // Guards against a result that disagrees with the history: under random faults and races, a change with a version is in
 // the history once, and a change reported as not applied never appears, however late writes take effect.
 func TestResultsAgreeWithHistoryUnderFaults(t *testing.T) {
