--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -106,7 +106,11 @@
 	}
 }
 
+// liveNodes is asked by the guard from its construction on, when there is no membership yet.
 func (f *fleet) liveNodes() int {
+	if f.members == nil {
+		return 1
+	}
 	live := 0
 	for m := range f.members.Members() {
 		if m.State.Live() {
--- /dev/null
+++ b/node/process/node/fleet_test.go
@@ -0,0 +1,200 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishstand/radishstand/api/contract"
+	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/node/backendtest"
+	"github.com/radishstand/radishstand/node/platformtest"
+	"github.com/radishstand/radishstand/node/version/commit"
+)
+
+// testFleet is a few real nodes with fake backend servers on loopback, around an in-memory platform.
+type testFleet struct {
+	t       *testing.T
+	store   *platformtest.Memory
+	nodes   []*Node
+	stops   []func()
+	servers []*backendtest.Server
+	tokens  atomic.Int64
+	client  *http.Client
+}
+
+// baseSettings lists two services at two places. Short times keep the tests short.
+const baseSettings = `{
+  "defaults": {"call": {"timeoutMs": 1000, "notRunStatus": 503, "notRunHeader": "X-Not-Run"}},
+  "places": {
+    "hue": {"services": {"quotes": {}, "crews": {"call": {"class": "critical"}}}},
+    "hoian": {"services": {"quotes": {}, "crews": {"call": {"class": "critical"}}}}
+  }}`
+
+// newTestFleet starts the nodes of the services, one node for each name, at the two places in turn.
+func newTestFleet(t *testing.T, services ...string) *testFleet {
+	f := &testFleet{t: t, store: platformtest.NewMemory(), client: &http.Client{
+		Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 500},
+	}}
+	f.commit("base", baseSettings)
+	for i, service := range services {
+		f.startNode([]string{"hue", "hoian"}[i%2], service, 4)
+	}
+	t.Cleanup(f.close)
+	f.await("all nodes know all servers", func() bool { return f.knows(services) })
+	return f
+}
+
+// commit replaces the settings tree.
+func (f *testFleet) commit(id, tree string) int64 {
+	editor := commit.NewEditor(commit.NewStore(f.store, f.store), time.Now)
+	defer editor.Close()
+	parsed, err := settings.Parse([]byte(tree))
+	require.NoError(f.t, err)
+	head, err := editor.HeadVersion(context.Background())
+	require.NoError(f.t, err)
+	before := &settings.Tree{}
+	if head > 0 {
+		before, err = editor.Load(context.Background(), head)
+		require.NoError(f.t, err)
+	}
+	result, err := editor.Commit(context.Background(), commit.Change{
+		ID: id, Author: "test", BaseVersion: head, Edits: settings.EditsBetween(before, parsed),
+	})
+	require.NoError(f.t, err)
+	return result.Version
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startNode starts a node and, unless the service is empty, its backend server.
+func (f *testFleet) startNode(place, service string, slots int) int {
+	config := Config{
+		Place: place, ListenCallers: freeAddress(f.t), ListenPeers: freeAddress(f.t), ListenServer: freeAddress(f.t),
+		ListenOperators: freeAddress(f.t), OperatorToken: "secret", TLS: TLSConfig{Insecure: true}, StopGrace: 300 * time.Millisecond,
+	}
+	for _, n := range f.nodes {
+		config.Peers = append(config.Peers, n.id)
+	}
+	require.NoError(f.t, config.Provision())
+	n, err := New(config, Store{Table: f.store, Objects: f.store}, log.New(io.Discard))
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	f.nodes = append(f.nodes, n)
+	f.stops = append(f.stops, func() {
+		cancel()
+		<-done
+	})
+	f.servers = append(f.servers, f.startServer(n, service, slots))
+	return len(f.nodes) - 1
+}
+
+func (f *testFleet) startServer(n *Node, service string, slots int) *backendtest.Server {
+	if service == "" {
+		return nil
+	}
+	s, err := backendtest.Start(service, slots)
+	require.NoError(f.t, err)
+	require.NoError(f.t, s.KeepAnnounced(n.config.ListenServer, 500*time.Millisecond))
+	return s
+}
+
+func (f *testFleet) close() {
+	for _, stop := range f.stops {
+		go stop()
+	}
+	for _, stop := range f.stops {
+		stop()
+	}
+	for _, s := range f.servers {
+		if s != nil {
+			s.Close()
+		}
+	}
+}
+
+// knows reports whether every node has settings and as many servers of each service as there are.
+func (f *testFleet) knows(services []string) bool {
+	want := map[string]int{}
+	for _, s := range services {
+		want[s]++
+	}
+	for _, n := range f.nodes {
+		if n.core.settings.Current() == nil {
+			return false
+		}
+		for service, count := range want {
+			if service != "" && len(n.core.balancer.Dump()[service]) != count {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (f *testFleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, holds, 15*time.Second, 10*time.Millisecond, what)
+}
+
+// reply is what a caller got.
+type reply struct {
+	token   string
+	status  int
+	outcome contract.Outcome
+	header  http.Header
+	body    string
+	err     error
+}
+
+// call sends a request with a token of its own to a node.
+func (f *testFleet) call(node int, method, service, path string, header http.Header, body string) reply {
+	token := fmt.Sprintf("token-%d", f.tokens.Add(1))
+	request, err := http.NewRequest(method, "http://"+f.nodes[node].config.ListenCallers+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Host = service + ".example"
+	request.Header.Set(backendtest.HeaderToken, token)
+	response, err := f.client.Do(request)
+	if err != nil {
+		return reply{token: token, err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return reply{
+		token: token, status: response.StatusCode, outcome: contract.Outcome(response.Header.Get(contract.HeaderOutcome)),
+		header: response.Header, body: string(text), err: err,
+	}
+}
+
+// runs returns how often the call with the token ran at any server.
+func (f *testFleet) runs(token string) int {
+	n := 0
+	for _, s := range f.servers {
+		if s != nil {
+			n += s.Runs(token)
+		}
+	}
+	return n
+}
