--- a/node/process/membership/membership.go
+++ b/node/process/membership/membership.go
@@ -259,7 +259,7 @@
 // schedule holds when periodic work is due next.
 type schedule struct {
 	sync, revive, sweep time.Time
-	rounds                      int
+	rounds              int
 	// joined is set by the first exchange that finds no difference.
 	joined bool
 }
--- a/node/process/node/recent.go
+++ b/node/process/node/recent.go
@@ -64,7 +64,7 @@
 	// Slowest calls since the last dump, slowest first.
 	Slowest []entry.Record `json:"slowest"`
 	// Failed are the last calls that did not end in an answer of a server.
-	Failed []entry.Record                          `json:"failed"`
+	Failed []entry.Record                        `json:"failed"`
 	Counts map[string]map[contract.Outcome]int64 `json:"counts"`
 }
 
--- a/node/process/registry/registry.go
+++ b/node/process/registry/registry.go
@@ -54,7 +54,7 @@
 	meter        *measure.Meter
 	meterAddress string
 	incarnation  uint64
-	stopping    bool
+	stopping     bool
 }
 
 // New returns an empty registry.
