--- a/node/connection/peer/pool.go
+++ b/node/connection/peer/pool.go
@@ -83,7 +83,6 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(idleAfter),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDefaultCallOptions(
 			grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveAfter, Timeout: keepaliveWait}),
@@ -130,7 +129,6 @@
 	server := grpc.NewServer(
 		grpc.Creds(c),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
-		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 			MinTime: keepaliveAfter / 2, PermitWithoutStream: true,
 		}),
