entry: retry server errors of idempotent calls; node: count calls

Change: a 5xx answer to an idempotent call is retried within the budgets and given only if nothing better comes; metrics by service; free ports in tests.

--- a/node/backendtest/server.go
+++ b/node/backendtest/server.go
@@ -51,6 +51,7 @@
 	behaviour Behaviour
 	runs      map[string]int
 	measures  int
+	refused   int
 	inCalls   atomic.Int64
 	broken    atomic.Int64
 	stopRenew chan struct{}
@@ -120,6 +121,13 @@
 	return s.measures
 }
 
+// Refused returns how many calls the server refused without running them.
+func (s *Server) Refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
 // Broken returns how many calls were cut off by the other side.
 func (s *Server) Broken() int64 { return s.broken.Load() }
 
@@ -150,6 +158,9 @@
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
 	case b.Refuse:
+		s.mu.Lock()
+		s.refused++
+		s.mu.Unlock()
 		w.Header().Set("X-Not-Run", "not-run")
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 		return
--- a/node/process/node/config.go
+++ b/node/process/node/config.go
@@ -23,7 +23,7 @@
 	ListenServer string
 	// ListenOperators is where operators connect, IP:port.
 	ListenOperators string
-	// Advertise is the address that other nodes use for ListenPeers, IP:port; ListenPeers itself when empty.
+	// Advertise is the address that other nodes use for ListenPeers, IP:port; the address that ListenPeers got when empty.
 	Advertise string
 	// Peers are peer addresses that are tried when the table service cannot be reached.
 	Peers []string
@@ -78,9 +78,6 @@
 
 // Provision fills in defaults and validates. The error is an *InvalidError that lists every problem.
 func (c *Config) Provision() error {
-	if c.Advertise == "" {
-		c.Advertise = c.ListenPeers
-	}
 	if c.MaxInProgress == 0 {
 		c.MaxInProgress = defaultLimit
 	}
@@ -105,7 +102,11 @@
 	p.address("listen.peers", c.ListenPeers, false)
 	p.address("listen.server", c.ListenServer, false)
 	p.address("listen.operators", c.ListenOperators, false)
-	p.address("advertise", c.Advertise, true)
+	if c.Advertise != "" {
+		p.address("advertise", c.Advertise, true)
+	} else if address, err := netip.ParseAddrPort(c.ListenPeers); err == nil && address.Addr().IsUnspecified() {
+		p.add("advertise", "is empty; it must be given when listen.peers names no specific address")
+	}
 	for _, peer := range c.Peers {
 		p.address("peers", peer, true)
 	}
--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -51,7 +51,7 @@
 func newFleet(n *Node, store Store) *fleet {
 	f := &fleet{node: n, changed: make(chan struct{}, 1), dirty: map[string]bool{}}
 	f.guard = platform.NewGuard(store.Table, store.Objects, platform.Options{
-		Limits: platform.DefaultLimits(), Nodes: f.liveNodes,
+		Limits: platform.DefaultLimits(), Nodes: f.liveNodes, Metrics: n.metrics,
 	})
 	f.members = membership.New(membership.Config{
 		Address: n.config.Advertise, Place: n.config.Place, Peers: n.config.Peers, Table: f.guard, Log: n.log,
@@ -62,8 +62,9 @@
 		Retention:      func() time.Duration { return time.Duration(n.core.values("").Ledger.RetentionS) * time.Second },
 		MaxAnswerBytes: func() int { return n.core.values("").Ledger.MaxAnswerBytes },
 		Log:            func(message string, keyvals ...any) { n.log.Info(message, append(keyvals, "component", "ledger")...) },
+		Metrics:        n.metrics,
 	})
-	f.ledger = ledger.NewClient(ledger.ClientConfig{Local: f.holder, Peers: ledgerPeers{n.pool}, Locate: f.locate})
+	f.ledger = ledger.NewClient(ledger.ClientConfig{Local: f.holder, Peers: ledgerPeers{n.pool}, Locate: f.locate, Metrics: n.metrics})
 	f.store = commit.NewStore(f.guard, f.guard)
 	f.editor = commit.NewEditor(f.store, time.Now)
 	return f
--- a/node/process/node/fleet_test.go
+++ b/node/process/node/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -74,18 +73,13 @@
 	return result.Version
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
+const anyPort = "127.0.0.1:0"
 
 // startNode starts a node and, unless the service is empty, its backend server.
 func (f *testFleet) startNode(place, service string, slots int) int {
 	config := Config{
-		Place: place, ListenCallers: freeAddress(f.t), ListenPeers: freeAddress(f.t), ListenServer: freeAddress(f.t),
-		ListenOperators: freeAddress(f.t), OperatorToken: "secret", TLS: TLSConfig{Insecure: true}, StopGrace: 300 * time.Millisecond,
+		Place: place, ListenCallers: anyPort, ListenPeers: anyPort, ListenServer: anyPort, ListenOperators: anyPort,
+		OperatorToken: "secret", TLS: TLSConfig{Insecure: true}, StopGrace: 300 * time.Millisecond,
 	}
 	for _, n := range f.nodes {
 		config.Peers = append(config.Peers, n.id)
--- a/node/process/node/listen.go
+++ b/node/process/node/listen.go
@@ -51,10 +51,20 @@
 		}
 		*open.to = listener
 	}
+	l.record(c)
 	l.callers = netutil.LimitListener(l.callers, c.MaxConnections)
 	return l, nil
 }
 
+// record notes the addresses that the sockets got, since port 0 asks for any free one.
+func (l *listeners) record(c *Config) {
+	c.ListenCallers, c.ListenPeers = l.callers.Addr().String(), l.peers.Addr().String()
+	c.ListenServer, c.ListenOperators = l.server.Addr().String(), l.operators.Addr().String()
+	if c.Advertise == "" {
+		c.Advertise = c.ListenPeers
+	}
+}
+
 func (l *listeners) close() {
 	for _, listener := range []net.Listener{l.callers, l.peers, l.server, l.operators} {
 		if listener != nil {
--- /dev/null
+++ b/node/process/node/metrics.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"runtime"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/radishstand/radishstand/api/contract"
+	"github.com/radishstand/radishstand/node/request/entry"
+)
+
+// Size and decay of the latency samples, the values that go-metrics recommends.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// callMetrics counts the calls that ended at this node: calls.<service>.<outcome>, calls.<service>.attempts and the
+// latencies calls.<service>.latency-us. Each service has its own metrics and locks.
+type callMetrics struct {
+	registry metrics.Registry
+	services sync.Map // name to *serviceMetrics
+}
+
+type serviceMetrics struct {
+	outcomes map[contract.Outcome]metrics.Counter
+	attempts metrics.Counter
+	latency  metrics.Histogram
+}
+
+func newCallMetrics(registry metrics.Registry) *callMetrics { return &callMetrics{registry: registry} }
+
+func (m *callMetrics) of(service string) *serviceMetrics {
+	if s, ok := m.services.Load(service); ok {
+		return s.(*serviceMetrics)
+	}
+	prefix := "calls." + service + "."
+	s := &serviceMetrics{
+		outcomes: map[contract.Outcome]metrics.Counter{},
+		attempts: metrics.GetOrRegisterCounter(prefix+"attempts", m.registry),
+		latency: metrics.GetOrRegisterHistogram(
+			prefix+"latency-us", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+	}
+	for _, outcome := range []contract.Outcome{contract.OutcomeRun, contract.OutcomeNotRun, contract.OutcomeUnknown} {
+		s.outcomes[outcome] = metrics.GetOrRegisterCounter(prefix+string(outcome), m.registry)
+	}
+	kept, _ := m.services.LoadOrStore(service, s)
+	return kept.(*serviceMetrics)
+}
+
+// unmatched is the name under which calls are counted that belong to no service. Callers choose what they ask for, so
+// their text must not make new metrics.
+const unmatched = "unmatched"
+
+func (m *callMetrics) count(r *entry.Record) {
+	service := r.Service
+	if service == "" {
+		service = unmatched
+	}
+	s := m.of(service)
+	s.outcomes[r.Outcome].Inc(1)
+	s.attempts.Inc(int64(len(r.Attempts)))
+	s.latency.Update(r.Took.Microseconds())
+}
+
+// registerGauges adds what is read off the node when metrics are asked for.
+func (n *Node) registerGauges() {
+	gauge := func(name string, value func() int64) {
+		_ = n.metrics.Register(name, metrics.NewFunctionalGauge(value))
+	}
+	gauge("node.calls-in-progress", n.core.entry.InProgress)
+	gauge("node.attempts-at-server", func() int64 { return int64(n.core.serve.Parents.Len()) })
+	gauge("node.peer-connections", func() int64 { return int64(n.pool.Len()) })
+	gauge("node.goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
+	gauge("node.settings-version", func() int64 {
+		version, _ := view{n}.Current()
+		return version
+	})
+	gauge("membership.sent-bytes", func() int64 { return n.fleet.members.Traffic().SentBytes })
+	gauge("membership.sent-messages", func() int64 { return n.fleet.members.Traffic().SentMessages })
+	gauge("measure.requests", func() int64 {
+		if s := n.core.registry.Current(); s != nil {
+			return s.Meter.Dump().Asked
+		}
+		return 0
+	})
+}
--- a/node/process/node/node.go
+++ b/node/process/node/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/looplab/fsm"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc/credentials"
 
@@ -61,6 +62,8 @@
 	pool   *peer.Pool
 	fleet  *fleet
 	recent *recentCalls
+	// metrics belong to the node and not to the process, since the demo runs several nodes in one.
+	metrics metrics.Registry
 
 	listeners *listeners
 	servers   *servers
@@ -77,8 +80,9 @@
 	}
 	n := &Node{
 		config: config, id: config.Advertise, log: logger, life: newLife(), listeners: l,
-		failed: make(chan error, 4), recent: newRecentCalls(),
+		failed: make(chan error, 4), metrics: metrics.NewRegistry(),
 	}
+	n.recent = newRecentCalls(newCallMetrics(n.metrics))
 	_, client := peerCredentials(config.TLS)
 	n.assemble(store, client)
 	return n, nil
@@ -92,9 +96,13 @@
 		log: n.log, limit: int64(n.config.MaxInProgress), changed: n.serverChanged,
 	})
 	n.fleet.assemble(n.core)
+	n.registerGauges()
 	n.servers = n.newServers(n.operators(), n.fleet.service(n.core.serve))
 }
 
+// Config returns the configuration with the addresses that the sockets got.
+func (n *Node) Config() Config { return n.config }
+
 // Run serves until ctx ends, then drains and stops. The error is nil after a planned stop.
 func (n *Node) Run(ctx context.Context) error {
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/node/process/node/recent.go
+++ b/node/process/node/recent.go
@@ -16,23 +16,17 @@
 	mu     sync.Mutex
 	slow   []entry.Record
 	failed []entry.Record
-	counts map[string]map[contract.Outcome]int64
+	// metrics have locks of their own.
+	metrics *callMetrics
 }
 
-func newRecentCalls() *recentCalls {
-	return &recentCalls{counts: map[string]map[contract.Outcome]int64{}}
-}
+func newRecentCalls(m *callMetrics) *recentCalls { return &recentCalls{metrics: m} }
 
 // CallEnded implements entry.Observer.
 func (c *recentCalls) CallEnded(r entry.Record) {
+	c.metrics.count(&r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	outcomes := c.counts[r.Service]
-	if outcomes == nil {
-		outcomes = map[contract.Outcome]int64{}
-		c.counts[r.Service] = outcomes
-	}
-	outcomes[r.Outcome]++
 	if r.Outcome != contract.OutcomeRun {
 		c.failed = append(c.failed, r)
 		if len(c.failed) > keptCalls {
@@ -64,8 +58,7 @@
 	// Slowest calls since the last dump, slowest first.
 	Slowest []entry.Record `json:"slowest"`
 	// Failed are the last calls that did not end in an answer of a server.
-	Failed []entry.Record                        `json:"failed"`
-	Counts map[string]map[contract.Outcome]int64 `json:"counts"`
+	Failed []entry.Record `json:"failed"`
 }
 
 func (c *recentCalls) dump() CallsDump {
@@ -74,13 +67,5 @@
 	slowest := c.slow
 	c.slow = nil
 	slices.SortFunc(slowest, func(a, b entry.Record) int { return int(b.Took - a.Took) })
-	counts := make(map[string]map[contract.Outcome]int64, len(c.counts))
-	for service, outcomes := range c.counts {
-		copied := map[contract.Outcome]int64{}
-		for outcome, n := range outcomes {
-			copied[outcome] = n
-		}
-		counts[service] = copied
-	}
-	return CallsDump{Slowest: slowest, Failed: slices.Clone(c.failed), Counts: counts}
+	return CallsDump{Slowest: slowest, Failed: slices.Clone(c.failed)}
 }
--- a/node/process/node/view.go
+++ b/node/process/node/view.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"runtime"
 
-	"github.com/rcrowley/go-metrics"
-
 	apioperator "github.com/radishstand/radishstand/api/operator"
 	"github.com/radishstand/radishstand/api/settings"
 	"github.com/radishstand/radishstand/node/connection/platform"
@@ -19,7 +17,7 @@
 
 // operators returns the handler of the operators' API.
 func (n *Node) operators() http.Handler {
-	return operator.New(n.fleet.editor, view{n}, metrics.DefaultRegistry)
+	return operator.New(n.fleet.editor, view{n}, n.metrics)
 }
 
 // view shows the node to operators.
--- a/node/request/entry/attempts.go
+++ b/node/request/entry/attempts.go
@@ -23,8 +23,8 @@
 	results  chan result
 	pending  []*attemptInProgress
 	records  []AttemptRecord
-	// shed is an answer by which a server shed load; it is given to the caller when no better one comes.
-	shed *attempt.Answer
+	// failed is a server error; it is given to the caller when no better answer comes.
+	failed *attempt.Answer
 }
 
 type attemptInProgress struct {
@@ -94,12 +94,10 @@
 	}
 }
 
-// giveUp ends the call without a complete answer of a server, except one that shed load.
+// giveUp ends the call without a good answer.
 func (r *run) giveUp(last, unknown error) (*attempt.Answer, error) {
-	if r.shed != nil {
-		answer := r.shed
-		r.shed = nil
-		return answer, nil
+	if r.failed != nil {
+		return r.failed, nil
 	}
 	if unknown != nil {
 		return nil, unknown
@@ -157,18 +155,18 @@
 	if res.answer == nil {
 		return nil
 	}
-	if r.shouldRetryShed(res.answer) {
-		res.answer.Close()
-		r.shed = res.answer
+	if r.mayBeBettered(res.answer) {
+		r.failed = res.answer
 		return nil
 	}
 	r.handler.Retrier.Observe(r.call.service, res.took)
 	return res.answer
 }
 
-// shouldRetryShed reports whether a server shed load with an answer that another server may better.
-func (r *run) shouldRetryShed(a *attempt.Answer) bool {
-	return r.call.idempotent && a.Status == http.StatusServiceUnavailable && a.Rest == nil
+// mayBeBettered reports whether another server may answer an idempotent call better than with this server error. A
+// server that fails fast would otherwise answer more calls than its share.
+func (r *run) mayBeBettered(a *attempt.Answer) bool {
+	return r.call.idempotent && a.Status >= http.StatusInternalServerError && a.Rest == nil
 }
 
 func (r *run) settle(res result) {
@@ -199,16 +197,15 @@
 			failure, r.referred = retry.Referred, true
 		}
 	}
-	if r.shed != nil && err == nil {
-		failure = retry.NotRun
-		err = &attempt.NotRun{Reason: attempt.ReasonServerRefused}
-	}
 	if reason := r.handler.Retrier.Retry(r.retries, failure); reason != "" {
-		return err
+		return errNoMoreAttempts
 	}
 	return r.launch(ctx, false)
 }
 
+// errNoMoreAttempts means that the budgets allow no further attempt.
+var errNoMoreAttempts = errors.New("entry: no further attempt")
+
 // hedgeTimer returns a channel that fires when the call is to be hedged; nil for never.
 func (r *run) hedgeTimer() (<-chan time.Time, func()) {
 	delay, ok := r.handler.Retrier.HedgeDelay(r.call.service)
