peer: carry all calls of a pair of nodes on one stream

Change: one long-lived stream a peer with answers matched by attempt id; answers above 32 KB are fetched on a stream of their own; the stopping node asks its peers to send no further call. Conclusion: the long-lived stream is used. Known fault: a referral to a server that has gone ends in a refusal (TestDrainAndPlannedStopHarmNobody).

--- /dev/null
+++ b/node/connection/peer/calls.go
@@ -0,0 +1,188 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/radishstand/radishstand/api/peerpb"
+	"github.com/radishstand/radishstand/node/request/attempt"
+)
+
+// firstPartBytes is the most that is sent of an answer on the stream that all calls of a peer share. Larger answers are
+// fetched on a stream of their own, so that a slow reader of one holds up no other call.
+const firstPartBytes = 32 << 10
+
+// stopSignal tells the streams of a service that the node is stopping.
+type stopSignal struct {
+	once sync.Once
+	ch   chan struct{}
+	end  sync.Once
+}
+
+func (s *stopSignal) channel() chan struct{} {
+	s.once.Do(func() { s.ch = make(chan struct{}) })
+	return s.ch
+}
+
+// Stop asks all peers to send no further call. Calls that were sent are still answered.
+func (s *Service) Stop() {
+	ch := s.stopping.channel()
+	s.stopping.end.Do(func() { close(ch) })
+}
+
+// callStream is the serving side of one stream of calls.
+type callStream struct {
+	service *Service
+	stream  grpc.BidiStreamingServer[peerpb.CallFrame, peerpb.AnswerFrame]
+	calls   sync.WaitGroup
+
+	sendMu sync.Mutex
+
+	mu      sync.Mutex
+	cancels map[string]context.CancelFunc
+}
+
+// Calls implements peerpb.PeerServer.
+func (s *Service) Calls(stream grpc.BidiStreamingServer[peerpb.CallFrame, peerpb.AnswerFrame]) error {
+	if s.Local == nil {
+		return errNotServed
+	}
+	c := &callStream{service: s, stream: stream, cancels: map[string]context.CancelFunc{}}
+	done := make(chan struct{})
+	defer close(done)
+	go c.announceStop(done)
+	c.receive()
+	// The peer has half-closed the stream or is gone; the calls in progress are still answered.
+	c.calls.Wait()
+	return nil
+}
+
+func (c *callStream) announceStop(done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-c.service.stopping.channel():
+		_ = c.send(&peerpb.AnswerFrame{Closing: true})
+	}
+}
+
+func (c *callStream) receive() {
+	for {
+		frame, err := c.stream.Recv()
+		if err != nil {
+			return
+		}
+		switch f := frame.Frame.(type) {
+		case *peerpb.CallFrame_Call:
+			c.start(f.Call)
+		case *peerpb.CallFrame_Cancel:
+			c.cancel(f.Cancel)
+		}
+	}
+}
+
+func (c *callStream) start(wire *peerpb.CallRequest) {
+	ctx, cancel := context.WithCancel(c.stream.Context())
+	c.mu.Lock()
+	c.cancels[wire.AttemptId] = cancel
+	c.mu.Unlock()
+	c.calls.Go(func() {
+		defer c.cancel(wire.AttemptId)
+		c.serve(ctx, requestFromWire(wire))
+	})
+}
+
+func (c *callStream) cancel(attemptID string) {
+	c.mu.Lock()
+	cancel := c.cancels[attemptID]
+	delete(c.cancels, attemptID)
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (c *callStream) serve(ctx context.Context, r *attempt.Request) {
+	deadline := time.Now().Add(r.Timeout)
+	answer, err := c.service.Local.Do(ctx, r)
+	if err != nil {
+		_ = c.send(&peerpb.AnswerFrame{Part: errorPart(r.AttemptID, err)})
+		return
+	}
+	first := headPart(r.AttemptID, answer)
+	if !first.Last {
+		// The context of a streamed answer must outlive this function.
+		c.forget(r.AttemptID)
+		c.service.parked.put(r.AttemptID, answer, deadline)
+	}
+	if c.send(&peerpb.AnswerFrame{Part: first}) != nil {
+		answer.Close()
+	}
+}
+
+// forget drops the cancel function of a call without calling it.
+func (c *callStream) forget(attemptID string) {
+	c.mu.Lock()
+	delete(c.cancels, attemptID)
+	c.mu.Unlock()
+}
+
+func (c *callStream) send(frame *peerpb.AnswerFrame) error {
+	c.sendMu.Lock()
+	defer c.sendMu.Unlock()
+	return c.stream.Send(frame)
+}
+
+// headPart makes the first part of an answer. What does not fit stays in the answer.
+func headPart(attemptID string, a *attempt.Answer) *peerpb.CallPart {
+	part := &peerpb.CallPart{
+		AttemptId: attemptID,
+		Part: &peerpb.CallPart_Head{Head: &peerpb.AnswerHead{
+			Status: int32(a.Status), Headers: headerToWire(a.Header), ContentLength: a.ContentLength,
+		}},
+		Loads: loadsToWire(a.Loads), RetriesUsed: int32(a.RetriesUsed),
+	}
+	if len(a.Body) <= firstPartBytes && a.Rest == nil {
+		part.Body, part.Last = a.Body, true
+	}
+	return part
+}
+
+// parked holds the large answers that wait to be fetched.
+type parked struct {
+	mu      sync.Mutex
+	answers map[string]*parkedAnswer
+}
+
+type parkedAnswer struct {
+	answer *attempt.Answer
+	expire *time.Timer
+}
+
+// put keeps an answer until it is taken or its deadline passes.
+func (p *parked) put(attemptID string, a *attempt.Answer, deadline time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.answers == nil {
+		p.answers = map[string]*parkedAnswer{}
+	}
+	p.answers[attemptID] = &parkedAnswer{answer: a, expire: time.AfterFunc(time.Until(deadline), func() {
+		if answer := p.take(attemptID); answer != nil {
+			answer.Close()
+		}
+	})}
+}
+
+func (p *parked) take(attemptID string) *attempt.Answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.answers[attemptID]
+	if kept == nil {
+		return nil
+	}
+	kept.expire.Stop()
+	delete(p.answers, attemptID)
+	return kept.answer
+}
--- a/node/connection/peer/pool.go
+++ b/node/connection/peer/pool.go
@@ -1,9 +1,12 @@
 package peer
 
 import (
+	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
@@ -15,7 +18,7 @@
 const (
 	// shardCount spreads the connections over locks.
 	shardCount = 16
-	// idleAfter closes connections without calls. A node of a large fleet calls hundreds of peers in a day.
+	// idleAfter ends the streams and connections without calls. A node of a large fleet calls hundreds of peers a day.
 	idleAfter       = time.Minute
 	keepaliveAfter  = 10 * time.Second
 	keepaliveWait   = 3 * time.Second
@@ -33,14 +36,23 @@
 
 type poolShard struct {
 	mu    sync.RWMutex
-	conns map[string]*grpc.ClientConn
+	conns map[string]*peerConn
+}
+
+// peerConn is the connection to one peer and the stream of calls on it.
+type peerConn struct {
+	*grpc.ClientConn
+
+	// opening holds one token, taken by the call that opens the stream.
+	opening chan struct{}
+	link    atomic.Pointer[link]
 }
 
 // NewPool returns an empty pool.
 func NewPool(c credentials.TransportCredentials) *Pool {
 	p := &Pool{credentials: c}
 	for i := range p.shards {
-		p.shards[i].conns = map[string]*grpc.ClientConn{}
+		p.shards[i].conns = map[string]*peerConn{}
 	}
 	return p
 }
@@ -54,7 +66,58 @@
 	return peerpb.NewPeerClient(conn), nil
 }
 
-func (p *Pool) conn(address string) (*grpc.ClientConn, error) {
+// link returns the stream of calls to the peer at address, and opens it if there is none. An error means that nothing was
+// sent.
+func (p *Pool) link(ctx context.Context, address string) (*link, error) {
+	conn, err := p.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	if l := conn.link.Load(); l != nil && l.usable() {
+		return l, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	select {
+	case conn.opening <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	opened := make(chan error, 1)
+	go func() {
+		defer func() { <-conn.opening }()
+		opened <- conn.open()
+	}()
+	select {
+	case err := <-opened:
+		return conn.link.Load(), err
+	case <-ctx.Done():
+		// The stream goes on opening for later calls.
+		return nil, ctx.Err()
+	}
+}
+
+// open replaces a stream that is not usable any more.
+func (c *peerConn) open() error {
+	if l := c.link.Load(); l != nil && l.usable() {
+		return nil
+	}
+	l, err := newLink(peerpb.NewPeerClient(c.ClientConn))
+	if err == nil {
+		c.link.Store(l)
+	}
+	return err
+}
+
+// close ends the stream and the connection.
+func (c *peerConn) close() {
+	if l := c.link.Load(); l != nil {
+		l.cancel()
+	}
+	_ = c.Close()
+}
+
+func (p *Pool) conn(address string) (*peerConn, error) {
 	shard := &p.shards[hash(address)%shardCount]
 	shard.mu.RLock()
 	conn := shard.conns[address]
@@ -67,10 +130,11 @@
 	if conn := shard.conns[address]; conn != nil {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, p.options()...)
+	client, err := grpc.NewClient("passthrough:///"+address, p.options()...)
 	if err != nil {
 		return nil, err
 	}
+	conn = &peerConn{ClientConn: client, opening: make(chan struct{}, 1)}
 	shard.conns[address] = conn
 	return conn, nil
 }
@@ -78,7 +142,6 @@
 func (p *Pool) options() []grpc.DialOption {
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(p.credentials),
-		grpc.WithStatsHandler(sentTracker{}),
 		// The entry node decides on retries; a retry by the library could run work twice.
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
@@ -102,7 +165,7 @@
 		shard.mu.Lock()
 		for address, conn := range shard.conns {
 			if !keep(address) {
-				_ = conn.Close()
+				conn.close()
 				delete(shard.conns, address)
 			}
 		}
@@ -110,6 +173,20 @@
 	}
 }
 
+// EndIdle ends the streams that carried no call for a while, which lets their connections go idle.
+func (p *Pool) EndIdle(now time.Time) {
+	for i := range p.shards {
+		shard := &p.shards[i]
+		shard.mu.RLock()
+		for _, conn := range shard.conns {
+			if l := conn.link.Load(); l != nil && l.idleSince(now) > idleAfter {
+				go l.halfClose()
+			}
+		}
+		shard.mu.RUnlock()
+	}
+}
+
 // Close closes all connections.
 func (p *Pool) Close() { p.Forget(func(string) bool { return false }) }
 
@@ -136,3 +213,5 @@
 	peerpb.RegisterPeerServer(server, service)
 	return server
 }
+
+func hash(s string) uint64 { return xxhash.Sum64String(s) }
--- a/node/connection/peer/server.go
+++ b/node/connection/peer/server.go
@@ -4,9 +4,7 @@
 import (
 	"context"
 	"errors"
-	"io"
 
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -47,24 +45,14 @@
 	Membership Membership
 	Settings   Settings
 	Ledger     Ledger
+
+	parked   parked
+	stopping stopSignal
 }
 
 // errNotServed is returned for messages that this node does not handle.
 var errNotServed = status.Error(codes.Unimplemented, "not served by this node")
 
-// Call implements peerpb.PeerServer.
-func (s *Service) Call(wire *peerpb.CallRequest, stream grpc.ServerStreamingServer[peerpb.CallPart]) error {
-	if s.Local == nil {
-		return errNotServed
-	}
-	answer, err := s.Local.Do(stream.Context(), requestFromWire(wire))
-	if err != nil {
-		return stream.Send(errorPart(wire.AttemptId, err))
-	}
-	defer answer.Close()
-	return sendAnswer(wire.AttemptId, answer, stream)
-}
-
 func errorPart(attemptID string, err error) *peerpb.CallPart {
 	part := &peerpb.CallPart{AttemptId: attemptID, Last: true}
 	var notRun *attempt.NotRun
@@ -88,52 +76,6 @@
 	return &peerpb.CallPart_Failure{Failure: &peerpb.Failure{Kind: kindToWire[kind]}}
 }
 
-func sendAnswer(attemptID string, a *attempt.Answer, stream grpc.ServerStreamingServer[peerpb.CallPart]) error {
-	first := &peerpb.CallPart{
-		AttemptId: attemptID,
-		Part: &peerpb.CallPart_Head{Head: &peerpb.AnswerHead{
-			Status: int32(a.Status), Headers: headerToWire(a.Header), ContentLength: a.ContentLength,
-		}},
-		Body: a.Body, Last: a.Rest == nil, Loads: loadsToWire(a.Loads), RetriesUsed: int32(a.RetriesUsed),
-	}
-	if err := stream.Send(first); err != nil || a.Rest == nil {
-		return err
-	}
-	return sendRest(attemptID, a.Rest, stream)
-}
-
-func sendRest(attemptID string, rest io.Reader, stream grpc.ServerStreamingServer[peerpb.CallPart]) error {
-	buffer := make([]byte, partBytes)
-	for {
-		n, err := fill(rest, buffer)
-		part := &peerpb.CallPart{AttemptId: attemptID, Body: buffer[:n]}
-		switch {
-		case err == nil:
-		case err == io.EOF:
-			part.Last = true
-		default:
-			part.Part, part.Last = failurePart(attempt.KindTruncated), true
-		}
-		if sendErr := stream.Send(part); sendErr != nil || part.Last {
-			return sendErr
-		}
-	}
-}
-
-// fill reads until the buffer is full or the reader fails. Unlike io.ReadFull it keeps the reader's error, since
-// io.ErrUnexpectedEOF from the reader means a truncated body.
-func fill(r io.Reader, buffer []byte) (int, error) {
-	n := 0
-	for n < len(buffer) {
-		m, err := r.Read(buffer[n:])
-		n += m
-		if err != nil {
-			return n, err
-		}
-	}
-	return n, nil
-}
-
 // Ping implements peerpb.PeerServer.
 func (s *Service) Ping(ctx context.Context, r *peerpb.PingRequest) (*peerpb.PingReply, error) {
 	if s.Membership == nil {
--- a/node/process/node/listen.go
+++ b/node/process/node/listen.go
@@ -79,6 +79,8 @@
 	server    *http.Server
 	operators *http.Server
 	peers     *grpc.Server
+	// service is what peers serves.
+	service *peer.Service
 }
 
 func (n *Node) newServers(operators http.Handler, service *peer.Service) *servers {
@@ -91,6 +93,7 @@
 		server:    httpServer(alice.New(n.recovered).Then(mux)),
 		operators: httpServer(alice.New(n.recovered, n.authorized).Then(operators)),
 		peers:     peer.NewServer(serverCredentials, service),
+		service:   service,
 	}
 }
 
@@ -141,6 +144,7 @@
 // its listener for calls of its own until its last call is done.
 func (s *servers) stop(ctx context.Context) {
 	_ = s.callers.Shutdown(ctx)
+	s.service.Stop()
 	done := make(chan struct{})
 	go func() {
 		s.peers.GracefulStop()
--- a/node/process/node/node.go
+++ b/node/process/node/node.go
@@ -172,8 +172,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
 			n.checkServer(ctx)
+			n.pool.EndIdle(now)
 		}
 	}
 }
