admission, balance: forget service times faster; send no sibling reports

The estimate of the present service time covered 16 completions and weighed a report like four own answers, longer than a noisy neighbour's phase. It now covers two completions (a stall still shows through the calls in progress), and own answers weigh twice as much. Reports of other servers on every answer quadrupled the report bytes and did not shorten the tail.

--- a/node/process/admission/estimate.go
+++ b/node/process/admission/estimate.go
@@ -7,11 +7,11 @@
 
 const (
 	// memory is the number of completions at full load over which the estimate forgets.
-	memory = 16
+	memory = 2
 	// minMemory bounds the time over which it forgets.
-	minMemory = 2 * time.Millisecond
+	minMemory = time.Millisecond
 	// priorWeight is the number of completions as which the long-run service time counts.
-	priorWeight = 1
+	priorWeight = 2
 	// longWeight is the weight of one completion in the long-run service time.
 	longWeight = 0.01
 	// errorFactor is the multiple of the long-run service time that a failed call counts as.
--- a/node/process/balance/experiment/call.go
+++ b/node/process/balance/experiment/call.go
@@ -39,7 +39,7 @@
 
 // begin starts a call.
 func (w *world) begin(entry int, r *rand.Rand) {
-	c := &call{w: w, entry: entry, begun: w.now, deadline: w.now + callTimeout, demand: demand(r), measured: w.measuring}
+	c := &call{w: w, entry: entry, begun: w.now, deadline: w.now + callTimeout, demand: w.deployment.scenario.demand(r), measured: w.measuring}
 	idempotent := r.Float64() < idempotentShare
 	c.budget = w.retriers[entry].Begin(serviceName, idempotent, epoch.Add(c.deadline), -1)
 	if c.measured {
--- a/node/process/balance/experiment/policy_product.go
+++ b/node/process/balance/experiment/policy_product.go
@@ -9,7 +9,7 @@
 )
 
 // siblings is the number of reports of other servers that ride on an answer.
-const siblings = 3
+const siblings = 0
 
 // product is the product's chooser, one for each entry node.
 type product struct {
--- a/node/process/balance/experiment/server.go
+++ b/node/process/balance/experiment/server.go
@@ -9,11 +9,8 @@
 	"github.com/radishstand/radishstand/node/process/admission"
 )
 
-// Service times at full speed are log-normal.
-const (
-	serviceMean  = 10 * time.Millisecond
-	serviceSigma = 0.5
-)
+// serviceMean is the mean service time at full speed.
+const serviceMean = 10 * time.Millisecond
 
 // phase is a kind of phase of a server's speed: its probability and the range of factors by which the server is slowed.
 type phase struct{ probability, least, most float64 }
@@ -22,6 +19,7 @@
 // scale.
 type scenario struct {
 	name              string
+	sigma             float64 // of the log-normal service times
 	shortest, longest time.Duration
 	phases            []phase
 }
@@ -29,13 +27,16 @@
 // Scenarios of noisy neighbours.
 var (
 	// stalls has mostly full speed, often somewhat less, and at times almost a stop.
-	stalls = scenario{"stalls", 3 * time.Millisecond, 100 * time.Millisecond,
+	stalls = scenario{"stalls", 0.5, 3 * time.Millisecond, 100 * time.Millisecond,
 		[]phase{{0.60, 1, 1}, {0.25, 1.2, 3}, {0.10, 3, 10}, {0.04, 50, 50}, {0.01, 1000, 1000}}}
 	// mild has no stops, so that the tail is made by the choice rather than by calls that are caught in a stop.
-	mild = scenario{"mild", 3 * time.Millisecond, 100 * time.Millisecond,
+	mild = scenario{"mild", 0.5, 3 * time.Millisecond, 100 * time.Millisecond,
 		[]phase{{0.55, 1, 1}, {0.30, 1.2, 3}, {0.15, 3, 6}}}
+	// heavy has a heavier tail of service times.
+	heavy = scenario{"heavy", 1.2, 3 * time.Millisecond, 100 * time.Millisecond,
+		[]phase{{0.60, 1, 1}, {0.25, 1.2, 3}, {0.10, 3, 10}, {0.04, 50, 50}, {0.01, 1000, 1000}}}
 	// lasting has longer phases.
-	lasting = scenario{"lasting", 30 * time.Millisecond, 1000 * time.Millisecond,
+	lasting = scenario{"lasting", 0.5, 30 * time.Millisecond, 1000 * time.Millisecond,
 		[]phase{{0.70, 1, 1}, {0.20, 1.2, 3}, {0.09, 3, 10}, {0.01, 50, 50}}}
 )
 
--- a/node/process/balance/experiment/sweep_test.go
+++ b/node/process/balance/experiment/sweep_test.go
@@ -19,7 +19,7 @@
 	sweepOnly    = flag.String("policies", "", "policies of the comparison; empty for all")
 	sweepSeeds   = flag.Int("seeds", 3, "number of seeds of the comparison, from 1")
 	sweepSeconds = flag.Int("seconds", 20, "virtual seconds of each run of the comparison")
-	sweepWorld   = flag.String("scenario", "stalls", "how the speed of servers shifts: stalls, mild or lasting")
+	sweepWorld   = flag.String("scenario", "stalls", "how the speed of servers shifts: stalls, mild, heavy or lasting")
 	sweepCores   = flag.Int("cores", 0, "calls that a server runs at full speed; zero for all slots")
 )
 
@@ -95,7 +95,7 @@
 	}
 	for _, d := range []deployment{coop, yatai} {
 		d.cores = *sweepCores
-		d.scenario = map[string]scenario{"stalls": stalls, "mild": mild, "lasting": lasting}[*sweepWorld]
+		d.scenario = map[string]scenario{"stalls": stalls, "mild": mild, "heavy": heavy, "lasting": lasting}[*sweepWorld]
 		for _, text := range strings.Split(*sweepLoads, ",") {
 			load, err := strconv.ParseFloat(text, 64)
 			if err != nil {
--- a/node/process/balance/experiment/world.go
+++ b/node/process/balance/experiment/world.go
@@ -154,9 +154,9 @@
 }
 
 // demand draws the time that a call needs at full speed.
-func demand(r *rand.Rand) time.Duration {
-	mu := math.Log(float64(serviceMean)) - serviceSigma*serviceSigma/2
-	return time.Duration(math.Exp(mu + serviceSigma*r.NormFloat64()))
+func (s scenario) demand(r *rand.Rand) time.Duration {
+	mu := math.Log(float64(serviceMean)) - s.sigma*s.sigma/2
+	return time.Duration(math.Exp(mu + s.sigma*r.NormFloat64()))
 }
 
 // class is the class of all calls of the comparison.
--- a/node/process/balance/record.go
+++ b/node/process/balance/record.go
@@ -9,7 +9,7 @@
 	// ringSize is the number of own starts whose times are kept to count those that a report does not include.
 	ringSize = 8
 	// reportWeight is the number of own answers that weigh as much as a report's service time.
-	reportWeight = 4
+	reportWeight = 2
 	// serviceDefault is assumed before the first report.
 	serviceDefault = 10 * time.Millisecond
 	// refusalHold is the time for which a refusal makes a server unattractive; it doubles with each refusal in a row.
