--- a/node/process/balance/experiment/world.go
+++ b/node/process/balance/experiment/world.go
@@ -99,12 +99,12 @@
 }
 
 // sibling returns the function by which the admission of a server finds a free sibling.
-func (w *world) sibling(server int) func() (string, bool) {
+func (w *world) sibling(server int) func(time.Duration) (string, bool) {
 	if !w.options.refer {
 		return nil
 	}
-	return func() (string, bool) {
-		return w.policy.(*product).balancers[server].Sibling(serviceName, serverID(server))
+	return func(within time.Duration) (string, bool) {
+		return w.policy.(*product).balancers[server].Sibling(serviceName, serverID(server), within)
 	}
 }
 
@@ -154,9 +154,9 @@
 }
 
 // demand draws the time that a call needs at full speed.
-func demand(r *rand.Rand) time.Duration {
-	mu := math.Log(float64(serviceMean)) - serviceSigma*serviceSigma/2
-	return time.Duration(math.Exp(mu + serviceSigma*r.NormFloat64()))
+func (s scenario) demand(r *rand.Rand) time.Duration {
+	mu := math.Log(float64(serviceMean)) - s.sigma*s.sigma/2
+	return time.Duration(math.Exp(mu + s.sigma*r.NormFloat64()))
 }
 
 // class is the class of all calls of the comparison.
