membership: add failure tests and measurements, bound push traffic

Settings versions stopped spreading when a peer knew them from direct contact. Change: coarse hashes first; pushes are limited with their framing; quick rounds last until four exchanges in a row find little difference; only publications change a peer's version; a provisional incarnation is not lowered by a late write; indexes copy once a change.

--- a/node/process/membership/cluster_test.go
+++ b/node/process/membership/cluster_test.go
@@ -24,12 +24,21 @@
 
 func (g *gate) close() { g.mu.Lock(); g.opened = make(chan struct{}); g.mu.Unlock() }
 func (g *gate) open()  { g.mu.Lock(); close(g.opened); g.opened = nil; g.mu.Unlock() }
-func (g *gate) pass() {
+func (g *gate) pass()  { _ = g.passBefore(context.Background()) }
+
+// passBefore waits until the gate is open, or returns an error when the context ends first.
+func (g *gate) passBefore(ctx context.Context) error {
 	g.mu.Lock()
 	opened := g.opened
 	g.mu.Unlock()
-	if opened != nil {
-		<-opened
+	if opened == nil {
+		return nil
+	}
+	select {
+	case <-opened:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
@@ -76,7 +85,10 @@
 		return nil, errLost
 	}
 	time.Sleep(time.Millisecond)
-	to.clock.gate.pass()
+	if err := to.clock.gate.passBefore(ctx); err != nil {
+		n.clock.gate.pass()
+		return nil, err
+	}
 	return to, nil
 }
 
@@ -116,7 +128,9 @@
 	t     *testing.T
 	store *platformtest.Memory
 	seed  uint64
-	peers []string
+	// peers and timing are used for the nodes started next.
+	peers  []string
+	timing Timing
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -127,7 +141,7 @@
 func (c *cluster) start(address, place string) *testNode {
 	c.seed++
 	n := &testNode{network: c.network, clock: testClock{&gate{}}, done: make(chan error, 1)}
-	n.Membership = New(Config{Address: address, Place: place, Peers: c.peers, Table: c.store}, n, n.clock,
+	n.Membership = New(Config{Address: address, Place: place, Peers: c.peers, Table: c.store, Timing: c.timing}, n, n.clock,
 		rand.New(rand.NewPCG(c.seed, 7)))
 	n.SetSelf(Server{ID: address, Service: "quotes", Slots: 17}, false)
 	var ctx context.Context
@@ -205,7 +219,7 @@
 			return false
 		}
 		for _, o := range nodes {
-			if r := n.table.get(o.cfg.Address); r == nil || r.State != Alive || r.Incarnation != o.Self().Incarnation {
+			if r := n.table.get(o.cfg.Address); r == nil || o.Self() == nil || r.State != Alive || r.Incarnation != o.Self().Incarnation {
 				return false
 			}
 		}
@@ -224,17 +238,17 @@
 }
 
 // withCluster runs the scenario in virtual time.
-func withCluster(t *testing.T, scenario func(c *cluster)) {
+func withCluster(t *testing.T, scenario func(t *testing.T, c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
 		defer c.stopAll()
-		scenario(c)
+		scenario(t, c)
 	})
 }
 
 func TestAFleetFindsItselfAndNoticesAStoppedNode(t *testing.T) {
-	withCluster(t, func(c *cluster) {
+	withCluster(t, func(t *testing.T, c *cluster) {
 		nodes := c.launch(7, "a", "b")
 		t.Log("joined after", c.eventually(time.Minute, "join", func() bool { return agree(nodes) }))
 		dead := nodes[3]
--- a/node/process/membership/config.go
+++ b/node/process/membership/config.go
@@ -74,7 +74,7 @@
 	Pause time.Duration
 	// SyncEvery is the period of anti-entropy.
 	SyncEvery time.Duration
-	// JoinEvery is the period of anti-entropy until the first exchange that finds no difference.
+	// JoinEvery is the period of anti-entropy until a new node holds the records of the fleet.
 	JoinEvery time.Duration
 	// SyncTimeout bounds an exchange of records.
 	SyncTimeout time.Duration
@@ -87,7 +87,7 @@
 	// Retention is how long dead and left records are kept. It must exceed the longest partition or pause after which
 	// old news may arrive.
 	Retention time.Duration
-	// LinkEvery is the period of a prober's pings to another place.
+	// LinkEvery is the period of a prober's pings to another place; it is twice as long while the place answers.
 	LinkEvery time.Duration
 	// RefreshEvery is the period of rewriting the registration. 13,000 nodes make 0.6 writes/s at 6 h.
 	RefreshEvery time.Duration
--- a/node/process/membership/gossip.go
+++ b/node/process/membership/gossip.go
@@ -22,9 +22,15 @@
 	crossPushes = 4
 	// maxPushBytes bounds the records of one push, so that it fits a packet.
 	maxPushBytes = 1200
-	// pushBytesPerSecond and pushBurst bound all pushes of this node. The burst lets the loss of a rack spread at once.
-	pushBytesPerSecond = 1024
-	pushBurst          = 32 << 10
+	// pushBytesPerSecond and pushBurst bound the pushes of this node. Received pushes cost as much again, so that a node
+	// stays under 3 KB/s together with pings and anti-entropy. Under lasting churn, changes wait and share messages. The
+	// burst lets the loss of a rack spread at once.
+	pushBytesPerSecond = 512
+	pushBurst          = 24 << 10
+	// pushFraming is an estimate of what gRPC, TLS and TCP add to a push and its answer.
+	pushFraming = 300
+	// pushReserve must be in hand before a push starts; it is about the cost of a full push to all targets.
+	pushReserve = 4 * (maxPushBytes + pushFraming)
 	// maxOutbox bounds the changes that wait to be pushed; anti-entropy repairs what is dropped.
 	maxOutbox = 1024
 	// bulkRecords is the size from which received records are a transfer of old state and not news to pass on.
@@ -90,13 +96,13 @@
 // flush pushes waiting changes to a few peers, within the limit on bytes.
 func (m *Membership) flush(ctx context.Context, now time.Time) {
 	m.mu.Lock()
-	if len(m.outbox.order) == 0 || m.outbox.limiter.TokensAt(now) < maxPushBytes {
+	if len(m.outbox.order) == 0 || m.outbox.limiter.TokensAt(now) < pushReserve {
 		m.mu.Unlock()
 		return
 	}
 	records, size, own := m.outbox.batch(m.table)
 	targets := m.pushTargets(now, own)
-	m.outbox.limiter.AllowN(now, min(size*len(targets), int(m.outbox.limiter.TokensAt(now))))
+	m.outbox.limiter.AllowN(now, min((size+pushFraming)*len(targets), int(m.outbox.limiter.TokensAt(now))))
 	m.mu.Unlock()
 	for _, address := range targets {
 		m.tasks.Go(func() { m.push(ctx, address, records) })
--- a/node/process/membership/links.go
+++ b/node/process/membership/links.go
@@ -137,6 +137,9 @@
 	p.busy, p.due = false, now.Add(m.timing.LinkEvery)
 	if answered {
 		p.failures, p.successes = 0, p.successes+1
+		if !p.down {
+			p.due = p.due.Add(m.timing.LinkEvery)
+		}
 	} else {
 		p.failures, p.successes = p.failures+1, 0
 	}
--- /dev/null
+++ b/node/process/membership/measure_test.go
@@ -0,0 +1,199 @@
+package membership
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishstand/radishstand/api/peerpb"
+)
+
+var fleetSizes = flag.String("fleet", "50", "fleets of TestTrafficStaysWithinBudget, separated by commas: nodes of one place, or nodes of each place x places")
+
+// TestMain fixes the seed of the differential tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := flag.Set("rapid.seed", "7"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// framingBytes is an estimate of what gRPC, TLS and TCP add to a request or an answer.
+const framingBytes = 150
+
+// rates returns messages and bytes a second of the average and of the busiest node, sent and received together.
+func rates(nodes []*testNode, before []Traffic, span time.Duration) (messages, payload, framed, worst float64) {
+	for i, n := range nodes {
+		t := n.Traffic()
+		k := float64(t.SentMessages+t.ReceivedMessages-before[i].SentMessages-before[i].ReceivedMessages) / span.Seconds()
+		b := float64(t.SentBytes+t.ReceivedBytes-before[i].SentBytes-before[i].ReceivedBytes) / span.Seconds()
+		messages, payload = messages+k/float64(len(nodes)), payload+b/float64(len(nodes))
+		worst = max(worst, b+k*framingBytes)
+	}
+	return messages, payload, payload + messages*framingBytes, worst
+}
+
+func snapshot(nodes []*testNode) []Traffic {
+	var out []Traffic
+	for _, n := range nodes {
+		out = append(out, n.Traffic())
+	}
+	return out
+}
+
+// Guards against control traffic over 3 KB/s a node, at rest and with the changes of the large fleet: 39 hosts that fail
+// and 1,100 that are replaced a day, with about 6 changes each, are one change in 13 s.
+func TestTrafficStaysWithinBudget(t *testing.T) {
+	const budget, span = 3 << 10, 2 * time.Minute
+	for _, size := range strings.Split(*fleetSizes, ",") {
+		count, places := size, "1"
+		if i := strings.Index(size, "x"); i > 0 {
+			count, places = size[:i], size[i+1:]
+		}
+		perPlace, err := strconv.Atoi(count)
+		require.NoError(t, err)
+		names := strings.Split("a,b,c,d,e,f,g,h", ",")
+		n, err := strconv.Atoi(places)
+		require.NoError(t, err)
+		t.Run(size+" nodes", func(t *testing.T) {
+			withCluster(t, func(t *testing.T, c *cluster) {
+				nodes := c.launch(perPlace, names[:n]...)
+				t.Log("all joined after", c.eventually(2*time.Minute, "join", func() bool { return agree(nodes) }))
+				time.Sleep(time.Minute)
+				t.Log("change known to all after", c.spreadTimes(nodes))
+				time.Sleep(time.Minute)
+				for _, load := range []struct {
+					name  string
+					every time.Duration
+				}{{"at rest", 0}, {"a change in 13 s", 13 * time.Second}, {"a change a second", time.Second}, {"5 changes a second", time.Second / 5}} {
+					name, every := load.name, load.every
+					before := snapshot(nodes)
+					for start, i := time.Now(), 0; time.Since(start) < span; i++ {
+						if every == 0 {
+							time.Sleep(span)
+							break
+						}
+						nodes[i%len(nodes)].SetSelf(Server{ID: "s", Service: "quotes", Slots: i}, i%2 == 0)
+						time.Sleep(every)
+					}
+					messages, payload, framed, worst := rates(nodes, before, span)
+					t.Logf("%-18s %.1f messages/s, %.0f B/s payload, %.0f B/s with framing, busiest node %.0f B/s", name, messages, payload, framed, worst)
+					require.Less(t, framed, float64(budget))
+				}
+			})
+		})
+	}
+}
+
+// spreadTimes returns the median and longest time until all nodes know of a change, over 15 changes.
+func (c *cluster) spreadTimes(nodes []*testNode) string {
+	var times []time.Duration
+	for i := range 15 {
+		n := nodes[i*7%len(nodes)]
+		n.SetSelf(Server{ID: "s", Service: "quotes", Slots: 1000 + i}, false)
+		start := time.Now()
+		for !slices.ContainsFunc(nodes, func(o *testNode) bool { return time.Since(start) > time.Minute }) {
+			if !slices.ContainsFunc(nodes, func(o *testNode) bool { return o.table.get(n.cfg.Address).Slots != int32(1000+i) }) {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		times = append(times, time.Since(start))
+		time.Sleep(5 * time.Second)
+	}
+	slices.Sort(times)
+	return fmt.Sprintf("%v (median), %v (longest)", times[len(times)/2], times[len(times)-1])
+}
+
+// silent is a transport that reaches nobody.
+type silent struct{}
+
+func (silent) Ping(context.Context, string, *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	return &peerpb.PingReply{Alive: true, Incarnation: 1}, nil
+}
+
+func (silent) Sync(context.Context, string, *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	return &peerpb.SyncReply{}, nil
+}
+
+type stepClock struct{ now time.Time }
+
+func (c *stepClock) Now() time.Time                       { return c.now }
+func (c *stepClock) After(time.Duration) <-chan time.Time { return nil }
+
+func filled(records int) (*Membership, *stepClock) {
+	clock := &stepClock{now: time.Unix(1e9, 0)}
+	m := New(Config{Address: "10.0.0.0:7000", Place: "p0"}, silent{}, clock, rand.New(rand.NewPCG(1, 1)))
+	fill(m.table, records, 8, max(1, records/19))
+	m.self.incarnation, m.self.sequence = 1, 3
+	return m, clock
+}
+
+var recordCounts = []int{1000, 4000, 13000}
+
+// BenchmarkTick is the work of one tick with its answers; a node makes 10 a second. The retained bytes are those of the
+// whole table with its indexes.
+func BenchmarkTick(b *testing.B) {
+	for _, records := range recordCounts {
+		b.Run(fmt.Sprint(records), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			m, clock := filled(records)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ResetTimer()
+			for range b.N {
+				clock.now = clock.now.Add(m.timing.Tick)
+				m.tick(context.Background())
+				m.tasks.Wait()
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(records), "bytes/record")
+		})
+	}
+}
+
+// BenchmarkWork is the work of the parts that grow with the number of records.
+func BenchmarkWork(b *testing.B) {
+	for _, records := range recordCounts {
+		m, _ := filled(records)
+		ctx := context.Background()
+		changing, _ := filled(records)
+		equal := &peerpb.SyncRequest{From: "x", BucketHashes: m.table.hashes(bucketCount)}
+		differs := &peerpb.SyncRequest{From: "x", BucketHashes: slices.Clone(equal.BucketHashes)}
+		differs.BucketHashes[3]++
+		target := m.table.ring("p1")[0]
+		for name, f := range map[string]func(i int){
+			"compare equal":          func(int) { _, _ = m.HandleSync(ctx, equal) },
+			"compare one differing":  func(int) { _, _ = m.HandleSync(ctx, differs) },
+			"rendezvous, one place":  func(i int) { m.Rendezvous(strconv.Itoa(i), func(p string) bool { return p == "p2" }) },
+			"rendezvous, all places": func(i int) { m.Rendezvous(strconv.Itoa(i), nil) },
+			"by service":             func(int) { m.ByService(target.Service) },
+			"merge a change": func(int) {
+				c := *changing.table.get(target.Address)
+				c.Sequence++
+				changing.apply(&c, false)
+			},
+		} {
+			b.Run(fmt.Sprintf("%s/%d", name, records), func(b *testing.B) {
+				b.ReportAllocs()
+				for i := range b.N {
+					f(i)
+				}
+			})
+		}
+	}
+}
--- a/node/process/membership/membership.go
+++ b/node/process/membership/membership.go
@@ -259,9 +259,10 @@
 // schedule holds when periodic work is due next.
 type schedule struct {
 	sync, revive, sweep time.Time
-	rounds                      int
-	// joined is set by the first exchange that finds no difference.
+	rounds              int
+	// joined is set once several exchanges in a row, counted in equal, found little difference.
 	joined bool
+	equal  int
 }
 
 func (m *Membership) runSchedule(ctx context.Context, now time.Time) {
--- a/node/process/membership/owner.go
+++ b/node/process/membership/owner.go
@@ -7,9 +7,21 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// versionSpread is the time, for each live member, over which the fleet publishes a new settings version. It holds the
-// publications at 10/s, some 1 KB/s at each node.
-const versionSpread = 100 * time.Millisecond
+const (
+	// A fleet of smallFleet/4 nodes publishes a new settings version within quickSpread, which the burst of pushes
+	// allows. A larger one takes spreadPerMember for each member, which holds the publications at 4/s, some 450 B/s at
+	// each node.
+	quickSpread     = time.Second
+	spreadPerMember = 250 * time.Millisecond
+)
+
+// versionSpread is the time over which a fleet publishes a new settings version.
+func versionSpread(members int64) time.Duration {
+	if members <= smallFleet/4 {
+		return quickSpread
+	}
+	return time.Duration(members) * spreadPerMember
+}
 
 // owner is this node's own record. Only the owner raises its sequence.
 type owner struct {
@@ -84,7 +96,7 @@
 	}
 	if o.publishAt.IsZero() {
 		m.mu.Lock()
-		o.publishAt = now.Add(time.Duration(m.random.Int64N(versionSpread.Nanoseconds()*m.table.count.Load() + 1)))
+		o.publishAt = now.Add(time.Duration(m.random.Int64N(int64(versionSpread(m.table.count.Load())))))
 		m.mu.Unlock()
 	}
 	if now.Before(o.publishAt) {
--- a/node/process/membership/register.go
+++ b/node/process/membership/register.go
@@ -145,7 +145,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
-	case found.Registration == m.registrar.id && stored >= o.heard:
+	case found.Registration == m.registrar.id && stored >= o.incarnation && stored > o.heard:
 		return stored, true, nil
 	case found.Registration != "" && found.Registration != m.registrar.id && o.registered:
 		return 0, false, ErrSuperseded
--- a/node/process/membership/sync.go
+++ b/node/process/membership/sync.go
@@ -18,6 +18,8 @@
 	// joinedDifference is the number of differing buckets at which a joining node counts as having joined: in a large
 	// fleet a change is under way at most times.
 	joinedDifference = 2
+	// joinedRounds is the number of such rounds in a row; nodes that start together find little difference at first.
+	joinedRounds = 4
 	// maxJoinRounds ends the quick rounds of a joining node in any case.
 	maxJoinRounds = 200
 )
@@ -42,13 +44,8 @@
 			m.apply(r, len(records) < bulkRecords)
 		}
 	}
-	if version == 0 || from == "" {
-		return
-	}
-	if peer := m.table.get(from); peer != nil && peer.State.Live() && version > peer.SettingsVersion {
-		m.table.merge(&Member{Address: from, Incarnation: peer.Incarnation, SettingsVersion: version, hash: peer.hash}, m.clock.Now())
-	}
-	if m.cfg.PeerVersion != nil {
+	// The version is not put into the peer's record: a node that knew it already would not pass on the peer's publication.
+	if version > 0 && m.cfg.PeerVersion != nil {
 		m.cfg.PeerVersion(from, version)
 	}
 }
@@ -72,10 +69,18 @@
 }
 
 // compare adds the records of differing buckets to the reply, from a random bucket on, so that repeated bounded answers
-// cover all of them. Only buckets sent in full are asked for.
+// cover all of them. Only buckets sent in full are asked for. Buckets too coarse for the table are only named.
 func (m *Membership) compare(theirs []uint64, reply *peerpb.SyncReply) {
 	n := len(theirs)
 	ours := m.table.hashes(n)
+	if n < bucketCount && m.table.count.Load() > smallFleet {
+		for b := range n {
+			if ours[b] != theirs[b] {
+				reply.WantBuckets = append(reply.WantBuckets, uint32(b))
+			}
+		}
+		return
+	}
 	m.mu.Lock()
 	start := m.random.IntN(n)
 	m.mu.Unlock()
@@ -101,27 +106,18 @@
 	}
 }
 
-func (m *Membership) bucketsToCompare() int {
-	if m.table.count.Load() <= smallFleet {
-		return smallBuckets
-	}
-	return bucketCount
-}
-
-// exchange compares all buckets with a peer and transfers what differs in both directions. It reports whether the peer
-// answered.
+// exchange compares buckets with a peer, coarsely and then finely, and transfers what differs in both directions. It
+// reports whether the peer answered.
 func (m *Membership) exchange(ctx context.Context, address string) bool {
-	n := m.bucketsToCompare()
-	req := &peerpb.SyncRequest{BucketHashes: m.table.hashes(n)}
-	if m.Self() == nil {
-		// Asks for the highest incarnation of this address that the peer knows; nobody keeps incarnation 0.
-		req.Records = []*peerpb.MemberRecord{{Address: m.cfg.Address, State: peerpb.MemberState_MEMBER_STATE_ALIVE}}
+	n := coarseBuckets
+	reply, err := m.compareWith(ctx, address, n)
+	if err == nil && len(reply.GetWantBuckets()) > 0 && len(reply.GetRecords()) == 0 {
+		n = bucketCount
+		reply, err = m.compareWith(ctx, address, n)
 	}
-	reply, err := m.send(ctx, address, req)
 	if err != nil {
 		return false
 	}
-	m.receive(reply.GetRecords(), reply.GetSettingsVersion(), address)
 	m.noteDifference(len(reply.GetWantBuckets()))
 	if missing := m.lacking(reply, n); len(missing) > 0 {
 		m.push(ctx, address, missing)
@@ -129,11 +125,30 @@
 	return true
 }
 
+// compareWith sends n bucket hashes and merges the records of the answer.
+func (m *Membership) compareWith(ctx context.Context, address string, n int) (*peerpb.SyncReply, error) {
+	req := &peerpb.SyncRequest{BucketHashes: m.table.hashes(n)}
+	if m.Self() == nil {
+		// Asks for the highest incarnation of this address that the peer knows; nobody keeps incarnation 0.
+		req.Records = []*peerpb.MemberRecord{{Address: m.cfg.Address, State: peerpb.MemberState_MEMBER_STATE_ALIVE}}
+	}
+	reply, err := m.send(ctx, address, req)
+	if err == nil {
+		m.receive(reply.GetRecords(), reply.GetSettingsVersion(), address)
+	}
+	return reply, err
+}
+
 func (m *Membership) noteDifference(buckets int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := &m.schedule
-	if !s.joined && (buckets <= joinedDifference || s.rounds > maxJoinRounds) {
+	if buckets > joinedDifference {
+		s.equal = 0
+	} else {
+		s.equal++
+	}
+	if s.equal >= joinedRounds || s.rounds > maxJoinRounds {
 		s.joined = true
 	}
 }
@@ -212,7 +227,7 @@
 	})
 }
 
-// wakeParts is the number of peers asked for news after a pause.
+// wakePeers is the number of peers asked for news after a pause.
 const wakePeers = 3
 
 // wake catches up after a pause of this process. After a pause that is long against the retention, the records held here
@@ -225,7 +240,7 @@
 		peers = append(peers, m.partners.far)
 	}
 	if paused {
-		m.schedule.joined = false
+		m.schedule.joined, m.schedule.equal, m.schedule.rounds = false, 0, 0
 	}
 	m.mu.Unlock()
 	if paused {
--- a/node/process/membership/table.go
+++ b/node/process/membership/table.go
@@ -16,10 +16,11 @@
 	// bucketCount is the finest division of the records for anti-entropy. At 13,000 records a bucket holds about 51,
 	// some 4 KB on the wire, and all hashes take 2 KB.
 	bucketCount = 256
-	// smallBuckets is the number of hashes compared in a fleet of at most smallFleet records.
-	smallBuckets = 64
-	smallFleet   = 256
-	shardCount   = 16
+	// coarseBuckets is the number of hashes that are compared first. A node with at most smallFleet records answers with
+	// the records at once, a larger one asks for the finer comparison, which is then rarely needed.
+	coarseBuckets = 16
+	smallFleet    = 256
+	shardCount    = 16
 )
 
 // interner shares the strings of places and services, of which there are few.
@@ -264,55 +265,54 @@
 	ix := &t.index
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	ix.drop(before)
-	ix.add(after)
-}
-
-func (ix *index) drop(m *Member) {
-	switch {
-	case m == nil || !m.State.Live():
-	case isLink(m.Address):
+	if m := cmp.Or(after, before); isLink(m.Address) {
 		delete(ix.links, m.Address)
-	default:
-		replace(ix.places, m.Place, m, nil)
-		if m.Service != "" {
-			replace(ix.services, m.Service, m, nil)
+		if after != nil && after.State.Live() {
+			ix.links[m.Address] = after
 		}
+		return
 	}
+	was, is := live(before), live(after)
+	replace(ix.places, was, is, func(m *Member) string { return m.Place })
+	replace(ix.services, was, is, func(m *Member) string { return m.Service })
 }
 
-func (ix *index) add(m *Member) {
-	switch {
-	case m == nil || !m.State.Live():
-	case isLink(m.Address):
-		ix.links[m.Address] = m
-	default:
-		replace(ix.places, m.Place, nil, m)
-		if m.Service != "" {
-			replace(ix.services, m.Service, nil, m)
-		}
+func live(m *Member) *Member {
+	if m == nil || !m.State.Live() {
+		return nil
 	}
+	return m
 }
 
-// replace stores a copy of the named slice without drop and with add, in ring order.
-func replace(lists map[string][]*Member, name string, drop, add *Member) {
-	old := lists[name]
-	next := make([]*Member, 0, len(old)+1)
-	for _, m := range old {
-		if drop != nil && m.Address == drop.Address {
-			continue
+// replace puts the new record of an address in the place of the old one, in copies of the slices concerned. Either may be
+// nil. Records without a name are in no slice.
+func replace(lists map[string][]*Member, was, is *Member, name func(*Member) string) {
+	if was != nil && is != nil && name(was) == name(is) {
+		if list, i, found := position(lists, name(is), is); found {
+			list = slices.Clone(list)
+			list[i] = is
+			lists[name(is)] = list
 		}
-		next = append(next, m)
+		return
 	}
-	if add != nil {
-		i, _ := slices.BinarySearchFunc(next, add, ringOrder)
-		next = slices.Insert(next, i, add)
+	if was != nil && name(was) != "" {
+		list, i, found := position(lists, name(was), was)
+		if found && len(list) == 1 {
+			delete(lists, name(was))
+		} else if found {
+			lists[name(was)] = slices.Concat(list[:i], list[i+1:])
+		}
 	}
-	if len(next) == 0 {
-		delete(lists, name)
-		return
+	if is != nil && name(is) != "" {
+		list, i, _ := position(lists, name(is), is)
+		lists[name(is)] = slices.Concat(list[:i], []*Member{is}, list[i:])
 	}
-	lists[name] = next
+}
+
+func position(lists map[string][]*Member, name string, m *Member) (list []*Member, i int, found bool) {
+	list = lists[name]
+	i, found = slices.BinarySearchFunc(list, m, ringOrder)
+	return list, i, found
 }
 
 func ringOrder(a, b *Member) int {
