entry: follow referrals to the named sibling and hedge only stalled servers

Cause: a call referred to a sibling that had gone was refused (TestDrainAndPlannedStopHarmNobody failed with 'sibling free'). Change: the entry node follows the hint, starts over when all servers were tried, asks to stay when no extra attempt is left, and asks the chooser before each hedge.

--- a/node/process/node/core.go
+++ b/node/process/node/core.go
@@ -19,9 +19,6 @@
 	"github.com/radishstand/radishstand/node/version/current"
 )
 
-// freeReports is how many load reports of siblings are looked at for a free one.
-const freeReports = 4
-
 // core is the request path: what calls pass through, without the fleet.
 type core struct {
 	settings *current.Holder
@@ -61,7 +58,7 @@
 	})
 	parents, pools := attempt.NewTable(), retry.NewPools()
 	k.serve = &serve.Handler{
-		Registry: k.registry, Settings: k.settings, Balancer: k.balancer, Parents: parents, Pools: pools, Now: time.Now,
+		Registry: k.registry, Settings: k.settings, Parents: parents, Pools: pools, Now: time.Now,
 	}
 	k.entry = entry.New(entry.Config{
 		NodeID: c.nodeID, Settings: k.settings, Balancer: k.balancer, Retrier: k.retrier, Parents: parents, Pools: pools,
@@ -73,9 +70,15 @@
 
 func (k *core) newAdmission(service string, slots int) *admission.Admission {
 	return admission.New(admission.Config{
-		Slots:   slots,
-		Values:  func() settings.Admission { return k.values(service).Admission },
-		Sibling: func() (string, bool) { return k.freeSibling(service) },
+		Slots:  slots,
+		Values: func() settings.Admission { return k.values(service).Admission },
+		Sibling: func(within time.Duration) (string, bool) {
+			own := k.registry.Current()
+			if own == nil {
+				return "", false
+			}
+			return k.balancer.Sibling(service, own.ID, within)
+		},
 	})
 }
 
@@ -99,17 +102,6 @@
 	return time.Duration(k.values(service).Drain.RenewWithinMs) * time.Millisecond
 }
 
-// freeSibling names a server with free slots other than the local one.
-func (k *core) freeSibling(service string) (string, bool) {
-	own := k.registry.Current()
-	for _, l := range k.balancer.Freshest(service, freeReports) {
-		if (own == nil || l.ServerID != own.ID) && !l.Draining && l.Queued == 0 && l.InProgress < l.Limit {
-			return l.ServerID, true
-		}
-	}
-	return "", false
-}
-
 // applySettings hands the values of the version in force to the parts that keep their own copy.
 func (k *core) applySettings() {
 	snapshot := k.settings.Current()
--- a/node/request/entry/attempts.go
+++ b/node/request/entry/attempts.go
@@ -18,8 +18,7 @@
 	retries *retry.Call
 	// reserved is what was taken from the pool of the parent attempt.
 	reserved int
-	excluded []string
-	referred bool
+	tried    []string
 	results  chan result
 	pending  []*attemptInProgress
 	records  []AttemptRecord
@@ -64,11 +63,15 @@
 }
 
 func (r *run) loop(ctx context.Context) (*attempt.Answer, error) {
-	if err := r.launch(ctx, false); err != nil {
+	server, err := r.pick()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.launch(ctx, server, false); err != nil {
 		return nil, err
 	}
-	hedge, stop := r.hedgeTimer()
-	defer stop()
+	hedge := r.newHedgeTimer()
+	defer hedge.stop()
 	// unknown is the first failure that leaves the outcome open; it outlives later proofs of not-run.
 	var unknown error
 	for {
@@ -84,16 +87,25 @@
 				continue
 			}
 			return r.giveUp(res.err, unknown)
-		case <-hedge:
-			hedge = nil
-			if r.handler.Retrier.Hedge(r.retries) == "" {
-				// Without another server the hedge is dropped; the attempt in progress goes on.
-				_ = r.launch(ctx, true)
-			}
+		case <-hedge.fired():
+			r.hedge(ctx)
+			hedge.again()
 		}
 	}
 }
 
+// pick chooses a server that was not tried yet or, when all were, any.
+func (r *run) pick() (balance.Server, error) {
+	server, err := r.handler.Balancer.Pick(r.call.service, r.tried)
+	if err != nil && len(r.tried) > 0 {
+		server, err = r.handler.Balancer.Pick(r.call.service, nil)
+	}
+	if err != nil {
+		return server, &attempt.NotRun{Reason: attempt.ReasonNoServer}
+	}
+	return server, nil
+}
+
 // giveUp ends the call without a good answer.
 func (r *run) giveUp(last, unknown error) (*attempt.Answer, error) {
 	if r.failed != nil {
@@ -105,22 +117,19 @@
 	return nil, last
 }
 
-// launch starts an attempt at the best server that was not tried yet.
-func (r *run) launch(ctx context.Context, hedge bool) error {
+// launch starts an attempt at a server.
+func (r *run) launch(ctx context.Context, server balance.Server, hedge bool) error {
 	h := r.handler
-	server, err := h.Balancer.Pick(r.call.service, r.excluded)
-	if err != nil {
-		return &attempt.NotRun{Reason: attempt.ReasonNoServer}
-	}
 	now := h.Now()
 	remaining := r.call.deadline.Sub(now)
 	if remaining <= 0 {
 		return &attempt.NotRun{Reason: attempt.ReasonDeadline}
 	}
-	r.excluded = append(r.excluded, server.ID)
+	r.tried = append(r.tried, server.ID)
+	stay := !r.retries.MayRefer()
 	a := &attemptInProgress{server: server, passed: r.retries.Pass(), hedge: hedge, started: now}
 	request := r.call.request(server.ID, remaining, a.passed)
-	request.Stay = r.referred
+	request.Stay = stay
 	ctx, a.cancel = context.WithCancel(ctx)
 	r.pending = append(r.pending, a)
 	h.Balancer.Started(server)
@@ -190,30 +199,68 @@
 
 // again starts another attempt after a failed one, if the budgets allow it.
 func (r *run) again(ctx context.Context, err error) error {
-	failure := retry.Unknown
+	failure, hint := retry.Unknown, ""
 	if notRun, ok := errors.AsType[*attempt.NotRun](err); ok {
 		failure = retry.NotRun
 		if notRun.Reason == attempt.ReasonSiblingFree {
-			failure, r.referred = retry.Referred, true
+			failure, hint = retry.Referred, notRun.Hint
 		}
 	}
 	if reason := r.handler.Retrier.Retry(r.retries, failure); reason != "" {
 		return errNoMoreAttempts
 	}
-	return r.launch(ctx, false)
+	server, known := r.handler.Balancer.Lookup(hint)
+	if !known {
+		if server, err = r.pick(); err != nil {
+			return err
+		}
+	}
+	return r.launch(ctx, server, false)
 }
 
 // errNoMoreAttempts means that the budgets allow no further attempt.
 var errNoMoreAttempts = errors.New("entry: no further attempt")
 
-// hedgeTimer returns a channel that fires when the call is to be hedged; nil for never.
-func (r *run) hedgeTimer() (<-chan time.Time, func()) {
+// hedge starts an attempt beside the one in progress if another server is much better by now.
+func (r *run) hedge(ctx context.Context) {
+	if len(r.pending) != 1 {
+		return
+	}
+	server, err := r.handler.Balancer.Hedge(r.pending[0].server, r.tried)
+	if err != nil || r.handler.Retrier.Hedge(r.retries) != "" {
+		return
+	}
+	// Past its deadline the hedge is dropped; the attempt in progress ends by itself.
+	_ = r.launch(ctx, server, true)
+}
+
+// hedgeTimer fires when a call has taken so long that a hedge is worth a look, and then at half of that time again.
+type hedgeTimer struct {
+	timer *time.Timer
+	every time.Duration
+}
+
+func (r *run) newHedgeTimer() *hedgeTimer {
 	delay, ok := r.handler.Retrier.HedgeDelay(r.call.service)
 	if !ok || !r.call.idempotent {
-		return nil, func() {}
+		return &hedgeTimer{}
+	}
+	return &hedgeTimer{timer: time.NewTimer(delay), every: delay / 2}
+}
+
+func (t *hedgeTimer) fired() <-chan time.Time {
+	if t.timer == nil {
+		return nil
+	}
+	return t.timer.C
+}
+
+func (t *hedgeTimer) again() { t.timer.Reset(t.every) }
+
+func (t *hedgeTimer) stop() {
+	if t.timer != nil {
+		t.timer.Stop()
 	}
-	timer := time.NewTimer(delay)
-	return timer.C, func() { timer.Stop() }
 }
 
 // finish cancels the attempts that lost against another one and settles with the parent attempt.
--- a/node/request/serve/serve.go
+++ b/node/request/serve/serve.go
@@ -8,7 +8,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -22,14 +21,10 @@
 	"github.com/radishstand/radishstand/node/version/current"
 )
 
-// siblingReports is the number of sibling load reports that ride on an answer.
-const siblingReports = 3
-
 // Handler carries out attempts at the local backend server. It is safe for concurrent use.
 type Handler struct {
 	Registry *registry.Registry
 	Settings *current.Holder
-	Balancer *balance.Balancer
 	Parents  *attempt.Table
 	Pools    *retry.Pools
 	Now      func() time.Time
@@ -103,15 +98,15 @@
 	return notRun
 }
 
-// Loads returns the report of the server and the freshest ones known of its siblings.
+// Loads returns the report of the server. Reports of its siblings are not sent along: they quadrupled the bytes and did
+// not shorten the tail (docs/measurements-policy.md).
 func (h *Handler) Loads(server *registry.Server) []balance.Load {
 	l := server.Admission.Load(h.Now())
 	own := balance.Load{
 		ServerID: server.ID, Incarnation: server.Incarnation, Sequence: l.Sequence, InProgress: l.InProgress,
 		Queued: l.Queued, Limit: l.Limit, ServiceTime: l.ServiceTime, Draining: l.Draining,
 	}
-	siblings := h.Balancer.Freshest(server.Announced.Service, siblingReports)
-	return append([]balance.Load{own}, slices.DeleteFunc(siblings, func(l balance.Load) bool { return l.ServerID == own.ServerID })...)
+	return []balance.Load{own}
 }
 
 // exchange is one admitted attempt.
