version/handout: add the hand-out of versions

A new version must be in force everywhere within 3 s and cost each node little. Two readers per place poll the head; a node announces the number of a version that it takes to two nodes on the ring of its place and to a random one, and a node that hears of a higher number pulls the changes. Each node checks with a random peer every second, readers across places. A fresh node takes the head of the table or, while the table is down, the highest version of at least two peers.

--- /dev/null
+++ b/node/version/handout/handout_test.go
@@ -0,0 +1,248 @@
+package handout
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishstand/radishstand/api/peerpb"
+	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/node/platformtest"
+	"github.com/radishstand/radishstand/node/version/commit"
+	"github.com/radishstand/radishstand/node/version/current"
+)
+
+// Guards against a version that takes longer than 3 s to be in force, or costs more with a larger place, also while 5 %
+// of the nodes hang and nobody knows yet. Prints the figures.
+func TestFleetTakesVersion(t *testing.T) {
+	const changes, changeGap = 4, 2 * time.Second
+	for _, hanging := range []int{0, 5} {
+		for _, size := range []int{100, 400, 1600} {
+			t.Run(fmt.Sprintf("%d nodes of which %d%% hang", size, hanging), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t)
+					defer f.stop()
+					for range size {
+						f.add("hue")
+					}
+					time.Sleep(3 * time.Second)
+					require.Equal(t, size, f.inForce(0))
+					hangs := map[string]bool{}
+					for _, i := range rand.New(rand.NewPCG(4, 4)).Perm(size - 2)[:size*hanging/100] {
+						hangs[f.all[i+2]] = true // not the readers
+					}
+					f.mu.Lock()
+					f.blocked = func(from, to string) bool { return hangs[from] || hangs[to] }
+					f.mu.Unlock()
+					messages, bytes := f.traffic()
+					time.Sleep(changes * changeGap)
+					idleMessages, idleBytes := f.traffic()
+					idleMessages, idleBytes = idleMessages-messages, idleBytes-bytes
+					messages, bytes = f.traffic()
+					var times []int64
+					announced := -f.announcements()
+					for i := range int64(changes) {
+						f.commit(fmt.Sprint("c", i), i, "places.hue.services.quotes.call.timeoutMs", 100+i)
+						start := time.Now()
+						for f.inForce(i+1) < size-len(hangs) && time.Since(start) < 10*time.Second {
+							time.Sleep(5 * time.Millisecond)
+						}
+						times = append(times, time.Since(start).Milliseconds())
+						time.Sleep(changeGap - time.Since(start))
+					}
+					announced += f.announcements()
+					slices.Sort(times)
+					messagesNow, bytesNow := f.traffic()
+					all := float64(size * changes)
+					t.Logf("nodes %d, hanging %d: in force after %v ms; per node and change: %.1f announcements, %.1f messages, "+
+						"%.0f bytes of payload; idle: %.1f messages/s, %.0f bytes/s of payload per node",
+						size, len(hangs), times, float64(announced)/all, float64(messagesNow-messages-idleMessages)/all,
+						float64(bytesNow-bytes-idleBytes)/all, float64(idleMessages)/all/changeGap.Seconds(),
+						float64(idleBytes)/all/changeGap.Seconds())
+					require.Less(t, times[changes-1], int64(3000))
+					require.LessOrEqual(t, announced, int64((ringPeers+randomPeers)*changes*size))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a place that loses the store, or all links, and then reverts, stops or never catches up.
+func TestPlaceWithoutStoreAndLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.noTable = "hanoi"
+		for range 20 {
+			f.add("hue")
+			f.add("hanoi")
+		}
+		f.commit("a", 0, "places.hue.services.quotes", map[string]any{})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 40, f.inForce(1), "readers ask in other places")
+
+		f.mu.Lock()
+		f.blocked = func(from, to string) bool { return f.nodes[from].place != f.nodes[to].place }
+		f.mu.Unlock()
+		time.Sleep(5 * time.Second) // fetches in progress end
+		f.commit("b", 1, "defaults.call.timeoutMs", 7)
+		for range 20 {
+			time.Sleep(time.Second)
+			for _, n := range f.nodes {
+				require.GreaterOrEqual(t, n.out.State().Version, int64(1))
+			}
+		}
+		require.Equal(t, 20, f.inForce(2), "only the place with the store has the version")
+
+		f.mu.Lock()
+		f.blocked = func(string, string) bool { return false }
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 40, f.inForce(2))
+	})
+}
+
+// Guards against lost announcements leaving a node behind.
+func TestChecksReplaceLostAnnouncements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		for range 30 {
+			f.add("hue")
+		}
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		f.muted = true
+		f.mu.Unlock()
+		f.commit("a", 0, "places.hue.services.quotes", map[string]any{})
+		time.Sleep(20 * time.Second)
+		require.Equal(t, 30, f.inForce(1))
+	})
+}
+
+// Guards against a fresh node that serves with a lower version than the table or several peers know, or that serves
+// while it knows none.
+func TestBootstrap(t *testing.T) {
+	cases := []struct {
+		name      string
+		tableDown bool
+		peers     []int64 // versions of the peers
+		want      int64   // -1 while unready
+	}{
+		{"nothing was accepted yet", false, nil, 0},
+		{"the table is up and there are no peers", false, nil, 3},
+		{"the table is up and the peers lag", false, []int64{1, 2, 2}, 3},
+		{"the table is down and no peer is known", true, nil, -1},
+		{"the table is down and one peer answers", true, []int64{3}, -1},
+		{"the table is down and two peers answer", true, []int64{1, 3}, 3},
+		{"the table is down and the peers know nothing either", true, []int64{-1, -1, -1}, -1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.stop()
+				trees := []*settings.Tree{{}}
+				for i := range max(c.want, slices.Max(append(c.peers, 0))) {
+					v := f.commit(fmt.Sprint("c", i), i, "defaults.call.timeoutMs", 10+i)
+					tree, err := trees[i].Apply(v.Edits)
+					require.NoError(t, err)
+					trees = append(trees, tree)
+				}
+				if c.tableDown {
+					f.store.SetFault(func(platformtest.Operation) platformtest.Fault { return platformtest.Fault{Down: true} })
+				}
+				for i, version := range c.peers {
+					n := &fakeNode{fleet: f, id: fmt.Sprint("p", i), holder: current.New("hue")}
+					n.out = New(Config{Holder: n.holder, Peers: n})
+					if version >= 0 {
+						n.out.adoptTree(version, trees[version])
+					}
+					f.nodes[n.id] = n
+					f.all = append(f.all, n.id)
+				}
+				fresh := f.add("hue")
+				time.Sleep(4 * time.Second)
+				require.Equal(t, c.want, fresh.out.State().Version)
+				f.store.SetFault(nil)
+				time.Sleep(4 * time.Second)
+				require.GreaterOrEqual(t, fresh.out.State().Version, max(c.want, 0), "the table is back")
+			})
+		})
+	}
+}
+
+// Guards against a version offered late, out of order or damaged changing what is in force.
+func TestAdoptTakesOnlyWhatContinues(t *testing.T) {
+	change := func(version int64, timeout int) *peerpb.SettingsVersion {
+		edit := settings.Set("defaults.call.timeoutMs", fmt.Append(nil, timeout))
+		return messageOf(commit.Version{Version: version, ChangeID: "c", Edits: []settings.Edit{edit}})
+	}
+	snapshot := func(version int64, text string) *peerpb.SettingsVersion {
+		return &peerpb.SettingsVersion{Version: version, Change: []byte(text), Snapshot: true}
+	}
+	cases := []struct {
+		name    string
+		offered []*peerpb.SettingsVersion
+		want    int64
+		fails   bool
+	}{
+		{"the next versions", []*peerpb.SettingsVersion{change(6, 1), change(7, 2)}, 7, false},
+		{"an old change", []*peerpb.SettingsVersion{change(5, 1), change(4, 1)}, 5, false},
+		{"an old snapshot", []*peerpb.SettingsVersion{snapshot(4, `{}`)}, 5, false},
+		{"a change after a gap", []*peerpb.SettingsVersion{change(7, 1)}, 5, false},
+		{"a newer snapshot and the change after it", []*peerpb.SettingsVersion{snapshot(9, `{}`), change(10, 3)}, 10, false},
+		{"a damaged change after a good one", []*peerpb.SettingsVersion{change(6, 1), {Version: 7, Change: []byte("[")}}, 6, true},
+		{"a damaged snapshot", []*peerpb.SettingsVersion{snapshot(9, `{"places": 1}`)}, 5, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := New(Config{Holder: current.New("hue")})
+			h.adoptTree(5, &settings.Tree{})
+			require.Equal(t, c.fails, h.adopt(c.offered) != nil)
+			require.Equal(t, c.want, h.State().Version)
+		})
+	}
+}
+
+// Guards against unbounded memory or replies, and against a lagging peer that cannot be served.
+func TestServeIsBounded(t *testing.T) {
+	h := New(Config{Holder: current.New("hue")})
+	require.EqualValues(t, -1, h.Serve(&peerpb.FetchSettingsRequest{AfterVersion: -1, MaxBytes: 1}).HeadVersion)
+	h.adoptTree(0, &settings.Tree{})
+	text := strings.Repeat("x", 200)
+	for i := range int64(5000) {
+		edit := settings.Set(fmt.Sprintf("places.hue.services.s%d.measure.healthPath", i%10), fmt.Appendf(nil, "%q", "/"+text))
+		h.Accept(commit.Version{Version: i + 1, ChangeID: "c", Edits: []settings.Edit{edit}})
+	}
+	require.EqualValues(t, 5000, h.State().Version)
+	require.LessOrEqual(t, h.State().LogBytes, maxLogBytes)
+	few := h.Serve(&peerpb.FetchSettingsRequest{AfterVersion: 4000, MaxBytes: 1000})
+	require.Len(t, few.Versions, 3, "as many as fit")
+	whole := h.Serve(&peerpb.FetchSettingsRequest{AfterVersion: 10, MaxBytes: maxFetchBytes})
+	require.Len(t, whole.Versions, 1)
+	require.True(t, whole.Versions[0].Snapshot)
+	require.Empty(t, h.Serve(&peerpb.FetchSettingsRequest{AfterVersion: 10, MaxBytes: 100}).Versions)
+}
+
+// Guards against an operator being told that a version is in force where it is not.
+func TestCoverage(t *testing.T) {
+	nodes := []Seen{{"hue", 4}, {"hue", 5}, {"hanoi", 3}, {"hanoi", 4}}
+	require.Equal(t, Coverage{Version: 4, Nodes: 4, NodesInForce: 3, Places: 2, PlacesInForce: 1}, CoverageOf(4, nodes))
+	require.False(t, CoverageOf(4, nil).Complete())
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		start := time.Now()
+		require.False(t, Wait(ctx, 5, func() []Seen { return nodes }).Complete())
+		require.Equal(t, time.Second, time.Since(start))
+		require.True(t, Wait(ctx, 3, func() []Seen { return nodes }).Complete())
+	})
+}
