settings: remove the adaptive admission limit

The limit under the slots was planned to follow latency. Slots that match the server matter; following latency does not find them. adaptive and minLimitShare are removed.

--- a/api/settings/values.go
+++ b/api/settings/values.go
@@ -46,10 +46,8 @@
 type Admission struct {
 	QueueLength     int     `json:"queueLength" default:"64" min:"0" max:"10000" unit:"calls" doc:"Longest queue at a server, all classes together."`
 	MaxQueueMs      int     `json:"maxQueueMs" default:"1000" min:"0" max:"60000" unit:"ms" doc:"Longest time in the queue."`
-	Adaptive        bool    `json:"adaptive" default:"true" doc:"Lower the limit under the announced slots when latency rises."`
-	MinLimitShare   float64 `json:"minLimitShare" default:"0.5" min:"0.05" max:"1" doc:"Lowest adaptive limit, as a share of the slots."`
 	DeferrableShare float64 `json:"deferrableShare" default:"0.05" min:"0" max:"0.5" doc:"Share of admissions kept for the lowest waiting class."`
-	ReferMarginMs   int     `json:"referMarginMs" default:"2" min:"0" max:"1000" unit:"ms" doc:"A call is referred to a free sibling server when the expected wait is longer than this; 0 never refers."`
+	ReferMarginMs   int     `json:"referMarginMs" default:"2" min:"0" max:"1000" unit:"ms" doc:"A call is referred to a faster sibling server when the expected wait is longer than this; 0 never refers."`
 }
 
 // Balance configures the choice of a backend server.
@@ -65,7 +63,7 @@
 	MaxPerCall      int     `json:"maxPerCall" default:"2" min:"0" max:"10" unit:"attempts" doc:"Most extra attempts of a call and all calls below it."`
 	BudgetRatio     float64 `json:"budgetRatio" default:"0.1" min:"0" max:"1" doc:"Extra attempts as a share of the first attempts of a service at a node."`
 	BudgetMinPerSec float64 `json:"budgetMinPerSec" default:"5" min:"0" max:"1000" unit:"1/s" doc:"Extra attempts that are always allowed."`
-	HedgePercentile float64 `json:"hedgePercentile" default:"0.95" min:"0" max:"1" doc:"Idempotent calls are hedged after this percentile of recent latencies; 0 or 1 never hedges."`
+	HedgePercentile float64 `json:"hedgePercentile" default:"0.95" min:"0" max:"1" doc:"Idempotent calls at a stalled server are hedged after this percentile of recent latencies; 0 or 1 never hedges."`
 	HedgeMinMs      int     `json:"hedgeMinMs" default:"5" min:"0" max:"60000" unit:"ms" doc:"Shortest time before a hedge."`
 }
 
