--- /dev/null
+++ b/ctl/cli/cli.go
@@ -0,0 +1,170 @@
+// Package cli holds what the subcommands of radishctl share: their surroundings, options, output and exit codes.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Exit codes of radishctl.
+const (
+	ExitOK = 0
+	// ExitFailed is for every failure without a code of its own.
+	ExitFailed = 1
+	// ExitInvalid is for wrong usage and for settings that were refused as invalid.
+	ExitInvalid = 2
+	// ExitConflict is for an edit of a setting that changed since its base version.
+	ExitConflict = 3
+	// ExitUnavailable is for an outcome that stayed unknown, and for a node or store that cannot be reached.
+	ExitUnavailable = 4
+	// ExitCheck is for a check that did not hold, such as an invariant in the demo.
+	ExitCheck = 5
+)
+
+// Error is an error with an exit code.
+type Error struct {
+	Code int
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Fail returns an error with an exit code.
+func Fail(code int, format string, args ...any) error {
+	return &Error{Code: code, Err: fmt.Errorf(format, args...)}
+}
+
+// ExitCode returns the exit code of the result of a command.
+func ExitCode(err error) int {
+	var coded *Error
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case errors.As(err, &coded):
+		return coded.Code
+	}
+	return ExitFailed
+}
+
+// Env is the surroundings of a command.
+type Env struct {
+	Stdin          io.Reader
+	Stdout, Stderr io.Writer
+	// Node is the address of a node's operators' listener, host:port or URL.
+	Node string
+	// Token is the operators' bearer token.
+	Token string
+	// JSON selects output for scripts.
+	JSON bool
+}
+
+// DefaultNode is the address that is used without --node.
+const DefaultNode = "127.0.0.1:7403"
+
+// Flags returns a flag set for a command with the options that all commands share. Its defaults are the values that the
+// options have now, so a shared option may stand before or after the name of a subcommand.
+func (e *Env) Flags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(e.Stderr)
+	e.share(fs)
+	return fs
+}
+
+// sharedFlag passes a value on to an option without ever resetting it to a default.
+type sharedFlag struct{ to *string }
+
+func (f sharedFlag) String() string {
+	if f.to == nil {
+		return ""
+	}
+	return *f.to
+}
+
+func (f sharedFlag) Set(text string) error {
+	*f.to = text
+	return nil
+}
+
+func (e *Env) share(fs *flag.FlagSet) {
+	fs.Var(sharedFlag{&e.Node}, "node", "address of a node's operators' listener (environment RADISHCTL_NODE)")
+	fs.Func("token", "bearer token of operators (environment RADISHCTL_TOKEN)", func(text string) error {
+		e.Token = text
+		return nil
+	})
+	fs.BoolVar(&e.JSON, "json", e.JSON, "print JSON")
+}
+
+// Command describes a subcommand.
+type Command struct {
+	Name, Usage, Short string
+	// Long explains the command; Examples are complete command lines.
+	Long     string
+	Examples []string
+	Flags    *flag.FlagSet
+	// Args is the number of arguments that the command takes; a negative MaxArgs sets no upper bound.
+	MinArgs, MaxArgs int
+	Run              func(ctx context.Context, args []string) error
+	Subcommands      []*ffcli.Command
+}
+
+// Build returns the command for the command line.
+func (c Command) Build() *ffcli.Command {
+	long := c.Long
+	if len(c.Examples) > 0 {
+		long += "\n\nEXAMPLES\n  " + strings.Join(c.Examples, "\n  ")
+	}
+	return &ffcli.Command{
+		Name: c.Name, ShortUsage: c.Usage, ShortHelp: c.Short, LongHelp: long, FlagSet: c.Flags,
+		Subcommands: c.Subcommands, Exec: c.exec,
+	}
+}
+
+func (c Command) exec(ctx context.Context, args []string) error {
+	for _, arg := range args {
+		if strings.HasPrefix(arg, "--") {
+			return Fail(ExitInvalid, "%s: option %s must stand before the arguments", c.Name, arg)
+		}
+	}
+	if c.Run == nil {
+		if len(args) > 0 {
+			return Fail(ExitInvalid, "%s: unknown subcommand %q", c.Name, args[0])
+		}
+		return flag.ErrHelp
+	}
+	if len(args) < c.MinArgs || c.MaxArgs >= 0 && len(args) > c.MaxArgs {
+		return Fail(ExitInvalid, "%s: %d arguments given; usage: %s", c.Name, len(args), c.Usage)
+	}
+	return c.Run(ctx, args)
+}
+
+// PrintJSON writes a value as indented JSON.
+func (e *Env) PrintJSON(value any) error {
+	encoder := json.NewEncoder(e.Stdout)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// Table writes rows in aligned columns under a head.
+func (e *Env) Table(head []string, rows [][]string) error {
+	w := tabwriter.NewWriter(e.Stdout, 0, 0, 2, ' ', 0)
+	for _, row := range append([][]string{head}, rows...) {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
+// Printf writes a line for people.
+func (e *Env) Printf(format string, args ...any) { fmt.Fprintf(e.Stdout, format+"\n", args...) }
--- /dev/null
+++ b/ctl/client/client.go
@@ -0,0 +1,240 @@
+// Package client calls the operators' HTTP API of a node.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/radishstand/radishstand/api/operator"
+	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/ctl/cli"
+)
+
+const (
+	// requestTimeout bounds one request. The node's own submission of a change ends earlier.
+	requestTimeout = 15 * time.Second
+	maxAnswerBytes = 64 << 20
+	// resolvePause is the time between submissions of a change whose outcome is unknown.
+	resolvePause = 500 * time.Millisecond
+	inForcePause = 50 * time.Millisecond
+)
+
+// ErrUnknownOutcome means that a change may or may not have been accepted.
+var ErrUnknownOutcome = errors.New("the outcome of the change is unknown")
+
+// Refused is an answer of the node that says no.
+type Refused struct {
+	Status int
+	Body   operator.Error
+}
+
+// Error implements error.
+func (e *Refused) Error() string {
+	text := e.Body.Message
+	if e.Body.Code != "" {
+		text = e.Body.Code + ": " + text
+	}
+	for _, p := range e.Body.Problems {
+		text += "\n  " + p
+	}
+	for _, c := range e.Body.Conflicts {
+		text += "\n  " + c.String()
+	}
+	return text
+}
+
+// Client calls one node. It is safe for concurrent use.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// New returns a Client for a node's operators' listener, host:port or URL.
+func New(node, token string) *Client {
+	if !strings.Contains(node, "://") {
+		node = "http://" + node
+	}
+	return &Client{base: strings.TrimSuffix(node, "/"), token: token, http: &http.Client{Timeout: requestTimeout}}
+}
+
+// Of returns the Client that the options of the command line ask for.
+func Of(env *cli.Env) *Client { return New(env.Node, env.Token) }
+
+// Get reads a path into a value.
+func (c *Client) Get(ctx context.Context, path string, query url.Values, to any) error {
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	return c.do(ctx, http.MethodGet, path, nil, to)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, to any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return &cli.Error{Code: cli.ExitInvalid, Err: fmt.Errorf("node address: %w", err)}
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return &cli.Error{Code: cli.ExitUnavailable, Err: err}
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return &cli.Error{Code: cli.ExitUnavailable, Err: fmt.Errorf("read the answer: %w", err)}
+	}
+	if response.StatusCode != http.StatusOK {
+		return refusal(response.StatusCode, answer)
+	}
+	if err := json.Unmarshal(answer, to); err != nil {
+		return fmt.Errorf("answer of %s is not as expected: %w", path, err)
+	}
+	return nil
+}
+
+// refusal turns a refusing answer into an error with the exit code that fits.
+func refusal(status int, answer []byte) error {
+	refused := &Refused{Status: status}
+	if json.Unmarshal(answer, &refused.Body) != nil || refused.Body.Code == "" {
+		refused.Body.Message = fmt.Sprintf("node answered %d: %s", status, strings.TrimSpace(string(answer)))
+	}
+	code := cli.ExitFailed
+	switch refused.Body.Code {
+	case operator.CodeInvalid:
+		code = cli.ExitInvalid
+	case operator.CodeConflict:
+		code = cli.ExitConflict
+	case operator.CodeUnknown, operator.CodeUnavailable:
+		code = cli.ExitUnavailable
+	}
+	return &cli.Error{Code: code, Err: refused}
+}
+
+// Code returns the error code of a refusal, or "".
+func Code(err error) string {
+	if refused, ok := errors.AsType[*Refused](err); ok {
+		return refused.Body.Code
+	}
+	return ""
+}
+
+// Settings reads the settings in force, or an earlier version if version is above 0.
+func (c *Client) Settings(ctx context.Context, version int64) (operator.Settings, error) {
+	var s operator.Settings
+	query := url.Values{}
+	if version > 0 {
+		query.Set("version", strconv.FormatInt(version, 10))
+	}
+	err := c.Get(ctx, operator.PathSettings, query, &s)
+	return s, err
+}
+
+// Tree reads the settings in force, or an earlier version. A fleet that has no settings yet has the empty tree as
+// version 0. A node that has not learnt the settings of its fleet looks the same; a change based on version 0 then
+// conflicts with every setting that it touches, so nothing is overwritten.
+func (c *Client) Tree(ctx context.Context, version int64) (int64, *settings.Tree, error) {
+	s, err := c.Settings(ctx, version)
+	if refused, ok := errors.AsType[*Refused](err); ok && version == 0 && refused.Status == http.StatusServiceUnavailable {
+		return 0, &settings.Tree{}, nil
+	}
+	if err != nil {
+		return 0, nil, err
+	}
+	tree, err := settings.ParseStored(s.Tree)
+	return s.Version, tree, err
+}
+
+// Submit sends a change (operator.Change or operator.Rollback) to a path of the API. An unknown outcome is resolved by
+// sending it again under the same id until ctx ends; the error then has the code ExitUnavailable.
+func (c *Client) Submit(ctx context.Context, path string, change any) (operator.Accepted, error) {
+	var accepted operator.Accepted
+	body, err := json.Marshal(change)
+	if err != nil {
+		return accepted, err
+	}
+	doubt := false
+	for {
+		err := c.do(ctx, http.MethodPost, path, body, &accepted)
+		doubt = doubt || undecided(err)
+		if !doubt || cli.ExitCode(err) != cli.ExitUnavailable {
+			return accepted, err
+		}
+		select {
+		case <-ctx.Done():
+			return accepted, &cli.Error{Code: cli.ExitUnavailable, Err: fmt.Errorf("%w: %w", ErrUnknownOutcome, err)}
+		case <-time.After(resolvePause):
+		}
+	}
+}
+
+// undecided reports whether a submission may have been accepted in spite of the error.
+func undecided(err error) bool {
+	if cli.ExitCode(err) != cli.ExitUnavailable {
+		return false
+	}
+	if code := Code(err); code != "" {
+		return code == operator.CodeUnknown
+	}
+	// A connection that was never opened carried nothing.
+	dial, ok := errors.AsType[*net.OpError](err)
+	return !ok || dial.Op != "dial"
+}
+
+// AwaitInForce polls until the version is in force at every node of every place, or until ctx ends. It returns the last
+// state that was read.
+func (c *Client) AwaitInForce(ctx context.Context, version int64) (operator.InForce, bool, error) {
+	query := url.Values{"version": {strconv.FormatInt(version, 10)}}
+	var last operator.InForce
+	var failure error
+	for {
+		var now operator.InForce
+		if err := c.Get(ctx, operator.PathInForce, query, &now); err == nil {
+			last, failure = now, nil
+			if Everywhere(now) {
+				return now, true, nil
+			}
+		} else if ctx.Err() == nil {
+			failure = err
+		}
+		select {
+		case <-ctx.Done():
+			return last, false, failure
+		case <-time.After(inForcePause):
+		}
+	}
+}
+
+// Everywhere reports whether the version is in force at every node.
+func Everywhere(f operator.InForce) bool {
+	nodes, inForce, _, _ := Count(f)
+	return nodes > 0 && nodes == inForce
+}
+
+// Count sums over the places. A place counts as in force when all its nodes do.
+func Count(f operator.InForce) (nodes, inForce, places, placesInForce int) {
+	for _, p := range f.Places {
+		nodes += p.Nodes
+		inForce += p.InForce
+		if p.Nodes == 0 {
+			continue
+		}
+		places++
+		if p.Nodes == p.InForce {
+			placesInForce++
+		}
+	}
+	return nodes, inForce, places, placesInForce
+}
--- /dev/null
+++ b/ctl/show/show.go
@@ -0,0 +1,144 @@
+// Package show holds the subcommands that show the state of a node and its fleet.
+package show
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/radishstand/radishstand/api/operator"
+	"github.com/radishstand/radishstand/ctl/cli"
+	"github.com/radishstand/radishstand/ctl/client"
+)
+
+// Commands returns the subcommands.
+func Commands(env *cli.Env) []*ffcli.Command {
+	return []*ffcli.Command{
+		command(env, "status", "show how the node and its fleet are doing", operator.PathStatus,
+			"Prints the node's state, its settings version, the members by state, the version in force by place, places that\n"+
+				"this node cannot reach, and the circuit breakers towards the store.", status),
+		command(env, "members", "list the nodes of the fleet", operator.PathMembers,
+			"Lists the members as the node knows them, with the settings version that each of them last reported.", members),
+		command(env, "servers", "list the backend servers with their load", operator.PathServers,
+			"Lists the backend servers as this node sees them. Load comes from the last report; the column age says how old it is.", servers),
+		command(env, "dump", "print the whole state of the node as JSON", operator.PathDump,
+			"Prints the node's state: calls in progress and the last calls, balancer, admission, members, ledger, store.\n"+
+				"The form may change between releases.", dump),
+	}
+}
+
+// command reads one path of the API and prints the answer as it came (--json) or by the printer.
+func command(env *cli.Env, name, short, path, long string, print func(*cli.Env, []byte) error) *ffcli.Command {
+	return cli.Command{
+		Name: name, Usage: "radishctl " + name + " [options]", Short: short, Long: long, Flags: env.Flags(name),
+		Examples: []string{"radishctl " + name + " --node 10.1.2.3:7403", "radishctl " + name + " --json"},
+		Run: func(ctx context.Context, _ []string) error {
+			var raw json.RawMessage
+			if err := client.Of(env).Get(ctx, path, nil, &raw); err != nil {
+				return err
+			}
+			if env.JSON {
+				return env.PrintJSON(raw)
+			}
+			return print(env, raw)
+		},
+	}.Build()
+}
+
+func dump(env *cli.Env, raw []byte) error { return env.PrintJSON(json.RawMessage(raw)) }
+
+func status(env *cli.Env, raw []byte) error {
+	var s operator.Status
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return err
+	}
+	env.Printf("node %s in place %s is %s; %d calls in progress", s.Node, s.Place, s.State, s.InProgress)
+	env.Printf("settings version %d", s.SettingsVersion)
+	env.Printf("members: %s", counts(s.MembersByState))
+	for _, name := range slices.Sorted(maps.Keys(s.Store)) {
+		env.Printf("store, %s: breaker %s", name, s.Store[name])
+	}
+	for _, place := range s.Unreachable {
+		env.Printf("place %s cannot be reached from here", place)
+	}
+	var rows [][]string
+	for _, name := range slices.Sorted(maps.Keys(s.Places)) {
+		p := s.Places[name]
+		rows = append(rows, []string{name, strconv.Itoa(p.Nodes), strconv.Itoa(p.InForce)})
+	}
+	return env.Table([]string{"PLACE", "NODES", "VERSION IN FORCE"}, rows)
+}
+
+func counts(m map[string]int) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%d %s", m[name], name))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func members(env *cli.Env, raw []byte) error {
+	var list []operator.Member
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return err
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		return a.Place < b.Place || a.Place == b.Place && a.Address < b.Address
+	})
+	var rows [][]string
+	for _, m := range list {
+		rows = append(rows, []string{
+			m.Place, m.Address, m.State, strconv.FormatUint(m.Incarnation, 10), text(m.Service), strconv.Itoa(m.Slots),
+			yes(m.Draining), strconv.FormatInt(m.SettingsVersion, 10),
+		})
+	}
+	return env.Table([]string{"PLACE", "NODE", "STATE", "INCARNATION", "SERVICE", "SLOTS", "DRAINING", "SETTINGS"}, rows)
+}
+
+func servers(env *cli.Env, raw []byte) error {
+	var list []operator.Server
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return err
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		return a.Service < b.Service || a.Service == b.Service && a.ID < b.ID
+	})
+	var rows [][]string
+	for _, s := range list {
+		rows = append(rows, []string{
+			s.Service, s.Place, s.ID, fmt.Sprintf("%d/%d of %d", s.InProgress, s.Limit, s.Slots), strconv.Itoa(s.Queued),
+			fmt.Sprintf("%.1f ms", s.ServiceMs), fmt.Sprintf("%.0f ms", s.AgeMs), yes(s.Draining), ejected(s.EjectedForMs),
+		})
+	}
+	return env.Table([]string{"SERVICE", "PLACE", "SERVER", "BUSY/LIMIT", "QUEUED", "SERVICE TIME", "AGE", "DRAINING", "EJECTED"}, rows)
+}
+
+func text(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "-"
+}
+
+func ejected(ms float64) string {
+	if ms <= 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f ms", ms)
+}
