--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -41,6 +41,13 @@
 // Error implements error.
 func (e *Refused) Error() string {
 	text := e.Body.Message
+	switch {
+	case len(e.Body.Problems) > 0:
+		// The message repeats the list in one line.
+		text = "settings refused"
+	case len(e.Body.Conflicts) > 0:
+		text = "settings changed since the base version"
+	}
 	if e.Body.Code != "" {
 		text = e.Body.Code + ": " + text
 	}
