node: hand settings versions out through peers

Cause: a poller in every node would cost the store 13,000 reads a period. Change: the hand-out reads the head at two nodes of a place, announces along the ring of the place and to random peers, and pulls what is missing. Conclusion: the stub is gone.

--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -24,6 +24,10 @@
 // refreshEvery bounds how often a burst of membership changes is handed to the chooser and the ledger.
 const refreshEvery = 20 * time.Millisecond
 
+// readersPerPlace is the number of nodes of a place that poll the head of the settings: a second one, so that the loss of
+// one delays no change until the loss is noticed.
+const readersPerPlace = 2
+
 // fleet is what the node shares with others: membership, settings versions and the idempotency ledger.
 type fleet struct {
 	node    *Node
@@ -55,7 +59,7 @@
 	})
 	f.members = membership.New(membership.Config{
 		Address: n.config.Advertise, Place: n.config.Place, Peers: n.config.Peers, Table: f.guard, Log: n.log,
-		PeerVersion: func(address string, version int64) { f.handout.Heard(address, version) },
+		PeerVersion: func(address string, version int64) { f.handout.Mention(address, version) },
 	}, transport{n.pool}, membership.SystemClock{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	f.holder = ledger.NewServer(ledger.Config{
 		Table: f.guard, Locate: f.locate,
@@ -73,14 +77,14 @@
 // assemble joins the fleet with the request path.
 func (f *fleet) assemble(k *core) {
 	f.handout = handout.New(handout.Config{
-		Holder: k.settings, Store: f.store, Peers: f.handoutPeers(), Reader: f.isReader, Log: f.node.log,
+		Holder: k.settings, Store: f.store, Peers: &settingsPeers{fleet: f}, IsReader: f.isReader, Random: rand.Float64,
 	})
 	f.members.Subscribe(f.memberChanged)
 }
 
 // service joins the handlers of the messages between nodes.
 func (f *fleet) service(local *serve.Handler) *peer.Service {
-	return &peer.Service{Local: local, Membership: f.members, Settings: f.handout, Ledger: f.holder}
+	return &peer.Service{Local: local, Membership: f.members, Settings: settingsServer{f.handout}, Ledger: f.holder}
 }
 
 func (f *fleet) start(ctx context.Context, loops *sync.WaitGroup) {
@@ -124,7 +128,7 @@
 // isReader reports whether this node polls the head of the settings for its place.
 func (f *fleet) isReader() bool {
 	here := func(place string) bool { return place == f.node.config.Place }
-	for _, m := range f.members.RendezvousN("settings-head", handout.ReadersPerPlace, here) {
+	for _, m := range f.members.RendezvousN("settings-head", readersPerPlace, here) {
 		if m.Address == f.node.id {
 			return true
 		}
@@ -307,11 +311,9 @@
 	return client.Release(ctx, r)
 }
 
-func (f *fleet) handoutPeers() handout.Peers { return nil }
-
-// accepted puts a version into force that this node committed.
+// accepted puts a version into force that this node committed, and tells peers.
 func (f *fleet) accepted(r commit.Result) {
-	if r.Tree != nil {
-		f.node.core.settings.Offer(r.Version, r.Tree)
+	if r.Accepted != nil {
+		f.handout.Accept(*r.Accepted)
 	}
 }
--- a/node/process/node/node.go
+++ b/node/process/node/node.go
@@ -202,7 +202,9 @@
 			return
 		case <-changed:
 			n.core.applySettings()
-			n.log.Info("settings in force", "component", "settings", "version", n.core.settings.Current().Version)
+			version := n.core.settings.Current().Version
+			n.fleet.members.SetSettingsVersion(version)
+			n.log.Info("settings in force", "component", "settings", "version", version)
 		}
 	}
 }
--- /dev/null
+++ b/node/process/node/settingspeers.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+
+	"github.com/radishstand/radishstand/api/peerpb"
+	"github.com/radishstand/radishstand/node/version/handout"
+)
+
+// settingsPeers implements handout.Peers over the membership.
+type settingsPeers struct {
+	fleet *fleet
+	// live caches the addresses of live members for one generation of the membership.
+	live atomic.Pointer[liveMembers]
+}
+
+// liveMembers are addresses in the order of the ring.
+type liveMembers struct {
+	generation uint64
+	ownPlace   []string
+	anywhere   []string
+}
+
+func (p *settingsPeers) members() *liveMembers {
+	generation := p.fleet.members.Generation()
+	if cached := p.live.Load(); cached != nil && cached.generation == generation {
+		return cached
+	}
+	l := &liveMembers{generation: generation}
+	for m := range p.fleet.members.Members() {
+		if !m.State.Live() || m.Address == p.fleet.node.id {
+			continue
+		}
+		l.anywhere = append(l.anywhere, m.Address)
+		if m.Place == p.fleet.node.config.Place {
+			l.ownPlace = append(l.ownPlace, m.Address)
+		}
+	}
+	slices.Sort(l.ownPlace)
+	p.live.Store(l)
+	return l
+}
+
+// Next implements handout.Peers.
+func (p *settingsPeers) Next(n int) []string {
+	ring := p.members().ownPlace
+	n = min(n, len(ring))
+	start, _ := slices.BinarySearch(ring, p.fleet.node.id)
+	next := make([]string, 0, n)
+	for i := range n {
+		next = append(next, ring[(start+i)%len(ring)])
+	}
+	return next
+}
+
+// Sample implements handout.Peers.
+func (p *settingsPeers) Sample(n int, scope handout.Scope) []string {
+	members := p.members()
+	from := members.anywhere
+	if scope == handout.OwnPlace && len(members.ownPlace) > 0 {
+		from = members.ownPlace
+	}
+	if len(from) == 0 {
+		// Nobody is known yet; the configured peers may know the settings.
+		from = p.fleet.node.config.Peers
+	}
+	n = min(n, len(from))
+	sample := make([]string, 0, n)
+	start := rand.IntN(max(1, len(from)))
+	for i := range n {
+		// A stride through a random start gives different peers without a copy of the list.
+		sample = append(sample, from[(start+i*max(1, len(from)/max(1, n)))%len(from)])
+	}
+	return sample
+}
+
+// Announce implements handout.Peers. The version travels in a message of the membership that holds nothing else.
+func (p *settingsPeers) Announce(ctx context.Context, peer string, version int64) error {
+	client, err := p.fleet.node.pool.Client(peer)
+	if err != nil {
+		return err
+	}
+	_, err = client.Sync(ctx, &peerpb.SyncRequest{
+		From: p.fleet.node.id, Place: p.fleet.node.config.Place, SettingsVersion: version,
+	})
+	return err
+}
+
+// Fetch implements handout.Peers.
+func (p *settingsPeers) Fetch(
+	ctx context.Context, peer string, r *peerpb.FetchSettingsRequest,
+) (*peerpb.FetchSettingsReply, error) {
+	client, err := p.fleet.node.pool.Client(peer)
+	if err != nil {
+		return nil, err
+	}
+	return client.FetchSettings(ctx, r)
+}
+
+// settingsServer answers the peers that fetch versions.
+type settingsServer struct{ handout *handout.Handout }
+
+// HandleFetch implements peer.Settings.
+func (s settingsServer) HandleFetch(
+	_ context.Context, r *peerpb.FetchSettingsRequest,
+) (*peerpb.FetchSettingsReply, error) {
+	return s.handout.Serve(r), nil
+}
--- a/node/process/node/view.go
+++ b/node/process/node/view.go
@@ -13,6 +13,7 @@
 	"github.com/radishstand/radishstand/node/process/membership"
 	"github.com/radishstand/radishstand/node/process/operator"
 	"github.com/radishstand/radishstand/node/version/commit"
+	"github.com/radishstand/radishstand/node/version/handout"
 )
 
 // operators returns the handler of the operators' API.
@@ -106,6 +107,7 @@
 	Balance     map[string][]balance.ServerDump `json:"balance"`
 	Membership  membership.Dump                 `json:"membership"`
 	Ledger      ledger.Dump                     `json:"ledger"`
+	Settings    handout.State                   `json:"settings"`
 	Store       platform.State                  `json:"store"`
 	Attempts    int                             `json:"attemptsAtServer"`
 	Connections int                             `json:"peerConnections"`
@@ -132,7 +134,7 @@
 	runtime.ReadMemStats(&memory)
 	return dump{
 		Status: v.Status(), Server: v.server(), Calls: n.recent.dump(), Balance: n.core.balancer.Dump(),
-		Membership: n.fleet.members.Dump(), Ledger: n.fleet.holder.Dump(), Store: n.fleet.guard.State(),
+		Membership: n.fleet.members.Dump(), Ledger: n.fleet.holder.Dump(), Settings: n.fleet.handout.State(), Store: n.fleet.guard.State(),
 		Attempts: n.core.serve.Parents.Len(), Connections: n.pool.Len(),
 		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 	}
