entry: let early repeats of keyed work wait for the answer; test the fleet's failures

Change: a claim that finds its key in progress is repeated for up to half of the remaining time; tests for racing operators, lost store answers, store outage with a joining node, a replaced place, and missing tokens.

--- /dev/null
+++ b/node/process/node/operators_test.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishstand/radishstand/api/contract"
+	"github.com/radishstand/radishstand/api/operator"
+	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/node/platformtest"
+)
+
+// operate sends an operator's request to a node and decodes the answer.
+func (f *testFleet) operate(node int, method, path, token string, body, to any) int {
+	encoded, err := json.Marshal(body)
+	require.NoError(f.t, err)
+	request, err := http.NewRequest(method, "http://"+f.nodes[node].config.ListenOperators+path, bytes.NewReader(encoded))
+	require.NoError(f.t, err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := f.client.Do(request)
+	require.NoError(f.t, err)
+	defer response.Body.Close()
+	if to != nil {
+		require.NoError(f.t, json.NewDecoder(response.Body).Decode(to))
+	}
+	return response.StatusCode
+}
+
+func (f *testFleet) edit(node int, id string, base int64, path, value string) (status int, accepted operator.Accepted, refused operator.Error) {
+	change := operator.Change{ID: id, Author: "test", BaseVersion: base, Edits: []settings.Edit{settings.Set(path, json.RawMessage(value))}}
+	var raw json.RawMessage
+	status = f.operate(node, http.MethodPost, operator.PathChanges, "secret", change, &raw)
+	_ = json.Unmarshal(raw, &accepted)
+	_ = json.Unmarshal(raw, &refused)
+	return status, accepted, refused
+}
+
+// version returns the version in force at a node.
+func (f *testFleet) version(node int) int64 {
+	if s := f.nodes[node].core.settings.Current(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+// Guards against an accepted edit that is not in force everywhere soon, and against edits that overwrite each other
+// unseen when operators race at different nodes.
+func TestRacingOperatorsGetOneWinnerAndAClearConflict(t *testing.T) {
+	f := newTestFleet(t, "quotes", "crews", "quotes", "crews")
+	const path = "places.hue.services.quotes.call.timeoutMs"
+	base := f.version(0)
+	statuses := make([]int, 2)
+	conflicts := make([]operator.Error, 2)
+	var racers sync.WaitGroup
+	for i := range 2 {
+		racers.Go(func() { statuses[i], _, conflicts[i] = f.edit(i, fmt.Sprintf("race-%d", i), base, path, fmt.Sprint(700+i)) })
+	}
+	racers.Wait()
+	require.ElementsMatch(t, []int{http.StatusOK, http.StatusConflict}, statuses)
+	for i, status := range statuses {
+		if status == http.StatusConflict {
+			require.Len(t, conflicts[i].Conflicts, 1)
+			require.Equal(t, path, conflicts[i].Conflicts[0].Path)
+			require.JSONEq(t, fmt.Sprint(700+i), string(conflicts[i].Conflicts[0].Yours))
+			require.JSONEq(t, fmt.Sprint(701-i), string(conflicts[i].Conflicts[0].Theirs))
+		}
+	}
+	for node := range f.nodes {
+		f.await("the winner is in force", func() bool { return f.version(node) == base+1 })
+	}
+	// Edits of different keys from the same base merge.
+	status, accepted, _ := f.edit(2, "other", base, "places.hoian.services.crews.call.timeoutMs", "800")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, base+2, accepted.Version)
+	status, again, _ := f.edit(3, "other", base, "places.hoian.services.crews.call.timeoutMs", "800")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, operator.Accepted{Version: base + 2, Repeated: true}, again)
+}
+
+// Guards against an edit whose store answer is lost being reported as refused, or applied twice.
+func TestEditWithLostStoreAnswersIsAppliedOnce(t *testing.T) {
+	f := newTestFleet(t, "quotes", "crews")
+	base := f.version(0)
+	f.store.SetFault(func(op platformtest.Operation) platformtest.Fault {
+		return platformtest.Fault{LoseAnswer: op.Name == "Transact"}
+	})
+	status, accepted, refused := f.edit(0, "lost", base, "defaults.call.timeoutMs", "900")
+	f.store.SetFault(nil)
+	if status != http.StatusOK {
+		require.Equal(t, operator.CodeUnknown, refused.Code)
+		status, accepted, _ = f.edit(1, "lost", base, "defaults.call.timeoutMs", "900")
+	}
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, base+1, accepted.Version)
+	for node := range f.nodes {
+		f.await("in force", func() bool { return f.version(node) == base+1 })
+	}
+}
+
+// Guards against settings, dumps and metrics for anyone without the operators' token.
+func TestOperatorsNeedTheToken(t *testing.T) {
+	f := newTestFleet(t, "quotes")
+	for _, path := range []string{operator.PathDump, operator.PathSettings, operator.PathMetrics, operator.PathStatus, "/debug/pprof/"} {
+		for _, token := range []string{"", "wrong"} {
+			require.Equal(t, http.StatusUnauthorized, f.operate(0, http.MethodGet, path, token, nil, nil), path)
+		}
+	}
+	require.Equal(t, http.StatusOK, f.operate(0, http.MethodGet, operator.PathDump, "secret", nil, nil))
+}
+
+// Guards against a store outage that stops calls, evicts nodes, or lets keyed work run unrecorded.
+func TestStoreOutageStopsOnlyKeyedWorkAndEdits(t *testing.T) {
+	f := newTestFleet(t, "crews", "quotes", "crews")
+	f.store.SetFault(func(platformtest.Operation) platformtest.Fault { return platformtest.Fault{Down: true} })
+	for i := range 10 {
+		r := f.call(i%3, http.MethodGet, "quotes", "/offer", nil, "")
+		require.Equal(t, contract.OutcomeRun, r.outcome, r.body)
+		r = f.call(i%3, http.MethodPost, "crews", "/book", nil, "unkeyed")
+		require.Equal(t, contract.OutcomeRun, r.outcome, r.body)
+		r = f.call(i%3, http.MethodPost, "crews", "/book", key(fmt.Sprint("down", i)), "keyed")
+		require.Equal(t, contract.OutcomeNotRun, r.outcome, r.body)
+		require.Zero(t, f.runs(r.token))
+	}
+	status, _, _ := f.edit(0, "down", f.version(0), "defaults.call.timeoutMs", "900")
+	require.NotEqual(t, http.StatusOK, status)
+	// A node that joins during the outage learns members and settings from its peers.
+	joined := f.startNode("hue", "quotes", 4)
+	f.await("the new node serves", func() bool {
+		r := f.call(joined, http.MethodGet, "quotes", "/offer", nil, "")
+		return r.outcome == contract.OutcomeRun
+	})
+	f.store.SetFault(nil)
+	f.await("keyed work runs again", func() bool {
+		r := f.call(0, http.MethodPost, "crews", "/book", key(fmt.Sprint("up", f.tokens.Load())), "keyed")
+		return r.outcome == contract.OutcomeRun
+	})
+}
+
+// Guards against work, settings or members lost when every node of a place is replaced at once.
+func TestAllNodesOfAPlaceAreReplaced(t *testing.T) {
+	f := newTestFleet(t, "quotes", "crews", "quotes", "crews")
+	status, accepted, _ := f.edit(1, "before", f.version(1), "defaults.call.timeoutMs", "1500")
+	require.Equal(t, http.StatusOK, status)
+	for _, i := range []int{0, 2} {
+		// The host dies: no drain, no farewell.
+		f.kill(i)
+	}
+	added := f.startNode("hue", "quotes", 4)
+	f.startNode("hue", "quotes", 4)
+	f.await("the new nodes have the settings", func() bool { return f.version(added) >= accepted.Version })
+	f.await("the other place uses the new servers", func() bool {
+		r := f.call(1, http.MethodGet, "quotes", "/offer", nil, "")
+		return r.outcome == contract.OutcomeRun
+	})
+	f.await("the dead servers are forgotten", func() bool { return len(f.nodes[1].core.balancer.Dump()["quotes"]) == 2 })
+}
+
+// kill ends a node and its server as a lost host does.
+func (f *testFleet) kill(i int) {
+	n := f.nodes[i]
+	f.servers[i].Close()
+	n.stop()
+	n.servers.peers.Stop()
+	for _, s := range []*http.Server{n.servers.callers, n.servers.server, n.servers.operators} {
+		_ = s.Close()
+	}
+	n.pool.Close()
+	f.stops[i] = func() {}
+}
+
+// Guards against an answer of one key's first request being lost when the caller repeats it early.
+func TestEarlyRepeatOfKeyedWorkGetsTheSameAnswer(t *testing.T) {
+	f := newTestFleet(t, "crews", "quotes")
+	var callers sync.WaitGroup
+	replies := make([]reply, 4)
+	for i := range replies {
+		callers.Go(func() {
+			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			replies[i] = f.call(i%2, http.MethodPost, "crews", "/book", key("early"), "crew 9")
+		})
+	}
+	callers.Wait()
+	runs := 0
+	for _, r := range replies {
+		require.Equal(t, contract.OutcomeRun, r.outcome, r.body)
+		require.Equal(t, replies[0].body, r.body)
+		runs += f.runs(r.token)
+	}
+	require.Equal(t, 1, runs)
+}
--- a/node/request/entry/keyed.go
+++ b/node/request/entry/keyed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/radishstand/radishstand/api/contract"
 	"github.com/radishstand/radishstand/api/peerpb"
@@ -49,14 +50,36 @@
 	if h.Ledger == nil {
 		return ledger.ClaimResult{}, ledgerRefusal()
 	}
-	result, err := h.Ledger.Claim(ctx, ledger.Claim{
+	claim := ledger.Claim{
 		Key: c.ledgerKey(), Body: ledger.HashOf([]byte(c.method), []byte(c.target), c.body),
 		CallID: c.claimID, Timeout: c.deadline.Sub(h.Now()),
-	})
-	if err != nil {
-		return result, ledgerRefusal()
 	}
-	return result, refusalOfClaim(result.State)
+	patience := c.deadline.Sub(h.Now()) / 2
+	for wait := firstRepeat; ; wait *= 2 {
+		result, err := h.Ledger.Claim(ctx, claim)
+		if err != nil {
+			return result, ledgerRefusal()
+		}
+		if result.State != ledger.InProgress || patience < wait || sleep(ctx, wait) != nil {
+			return result, refusalOfClaim(result.State)
+		}
+		patience -= wait
+	}
+}
+
+// firstRepeat is the first wait before a claim that found the key in progress is repeated; it doubles. A caller who
+// repeats a request early gets the answer of the first one instead of a conflict.
+const firstRepeat = 30 * time.Millisecond
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
 }
 
 func refusalOfClaim(state ledger.ClaimState) *refusal {
