--- a/node/process/node/operators_test.go
+++ b/node/process/node/operators_test.go
@@ -60,7 +60,9 @@
 	conflicts := make([]operator.Error, 2)
 	var racers sync.WaitGroup
 	for i := range 2 {
-		racers.Go(func() { statuses[i], _, conflicts[i] = f.edit(i, fmt.Sprintf("race-%d", i), base, path, fmt.Sprint(700+i)) })
+		racers.Go(func() {
+			statuses[i], _, conflicts[i] = f.edit(i, fmt.Sprintf("race-%d", i), base, path, fmt.Sprint(700+i))
+		})
 	}
 	racers.Wait()
 	require.ElementsMatch(t, []int{http.StatusOK, http.StatusConflict}, statuses)
