settings: read trees without copying objects, bound their size without encoding

Parsing copied each object once per level, and each commit encoded the whole tree to check its size. A cursor now reads one document in place, and EncodedBound gives an upper bound; the tree is encoded only when the bound exceeds the limit.

--- a/api/settings/decode.go
+++ b/api/settings/decode.go
@@ -55,12 +55,12 @@
 	if !ok {
 		return nil, d.err()
 	}
-	d.object("", raw, func(name, path string, raw json.RawMessage) bool {
+	d.object("", newCursor(raw), func(name, path string, c *cursor) bool {
 		switch name {
 		case "defaults":
-			tree.Defaults = d.partial(path, "", raw)
+			tree.Defaults = d.partial(path, "", c)
 		case "places":
-			d.named(path, raw, func(name, path string, raw json.RawMessage) { tree.Places[name] = d.place(path, raw) })
+			d.named(path, c, func(name, path string, c *cursor) { tree.Places[name] = d.place(path, c) })
 		default:
 			return false
 		}
@@ -108,55 +108,80 @@
 	return bytes.TrimSpace(raw), true
 }
 
-// object calls member for each member of a JSON object; member reports whether it knows the name.
-func (d *decoder) object(path string, raw json.RawMessage, member func(name, path string, raw json.RawMessage) bool, known ...string) {
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
+// cursor reads a JSON document whose syntax was checked, without copying its objects.
+type cursor struct {
+	data []byte
+	dec  *json.Decoder
+}
+
+func newCursor(data []byte) *cursor {
+	return &cursor{data: data, dec: json.NewDecoder(bytes.NewReader(data))}
+}
+
+// atObject reports whether the next value is an object.
+func (c *cursor) atObject() bool {
+	rest := bytes.TrimLeft(c.data[c.dec.InputOffset():], " \t\r\n:,")
+	return len(rest) > 0 && rest[0] == '{'
+}
+
+// raw reads the next value.
+func (c *cursor) raw() json.RawMessage {
+	var value json.RawMessage
+	_ = c.dec.Decode(&value) // the syntax was checked
+	return value
+}
+
+// object calls member for each member of a JSON object; member reports whether it knows the name. It may leave the value
+// unread.
+func (d *decoder) object(path string, c *cursor, member func(name, path string, c *cursor) bool, known ...string) {
+	if !c.atObject() {
 		allowed := "object"
 		if known != nil {
 			allowed = "object with the keys " + strings.Join(known, ", ")
 		}
-		d.fault(path, string(raw), allowed)
+		d.fault(path, string(c.raw()), allowed)
 		return
 	}
+	_, _ = c.dec.Token() // the opening brace
 	seen := map[string]bool{}
-	for dec.More() {
-		t, _ := dec.Token() // the syntax of raw was checked as a whole
-		name := t.(string)
-		var value json.RawMessage
-		_ = dec.Decode(&value)
-		child := join(path, name)
-		if seen[name] {
+	for c.dec.More() {
+		t, _ := c.dec.Token()
+		name, _ := t.(string)
+		child, before := join(path, name), c.dec.InputOffset()
+		switch {
+		case seen[name]:
 			d.fault(child, "the key twice", "each key once")
-			continue
+		case !member(name, child, c) && d.strict:
+			d.fault(child, "unknown key", "one of "+strings.Join(known, ", "))
 		}
 		seen[name] = true
-		if !member(name, child, value) && d.strict {
-			d.fault(child, "unknown key", "one of "+strings.Join(known, ", "))
+		if c.dec.InputOffset() == before {
+			c.raw()
 		}
 	}
+	_, _ = c.dec.Token() // the closing brace
 }
 
 // named reads an object whose keys are names of places or services.
-func (d *decoder) named(path string, raw json.RawMessage, member func(name, path string, raw json.RawMessage)) {
-	d.object(path, raw, func(name, path string, raw json.RawMessage) bool {
+func (d *decoder) named(path string, c *cursor, member func(name, path string, c *cursor)) {
+	d.object(path, c, func(name, path string, c *cursor) bool {
 		if !namePattern.MatchString(name) {
 			d.fault(path, fmt.Sprintf("%q", name), nameRule)
 			return true
 		}
-		member(name, path, raw)
+		member(name, path, c)
 		return true
 	})
 }
 
-func (d *decoder) place(path string, raw json.RawMessage) Place {
+func (d *decoder) place(path string, c *cursor) Place {
 	place := Place{Services: map[string]Partial{}}
-	d.object(path, raw, func(name, path string, raw json.RawMessage) bool {
+	d.object(path, c, func(name, path string, c *cursor) bool {
 		switch name {
 		case "values":
-			place.Values = d.partial(path, "", raw)
+			place.Values = d.partial(path, "", c)
 		case "services":
-			place.Services = d.services(path, raw)
+			place.Services = d.services(path, c)
 		default:
 			return false
 		}
@@ -165,40 +190,41 @@
 	return place
 }
 
-func (d *decoder) services(path string, raw json.RawMessage) map[string]Partial {
+func (d *decoder) services(path string, c *cursor) map[string]Partial {
 	services := map[string]Partial{}
-	d.named(path, raw, func(name, path string, raw json.RawMessage) { services[name] = d.partial(path, "", raw) })
+	d.named(path, c, func(name, path string, c *cursor) { services[name] = d.partial(path, "", c) })
 	return services
 }
 
 // partial reads the settings below a group. The keys of the result are relative to the level of the tree.
-func (d *decoder) partial(path, key string, raw json.RawMessage) Partial {
+func (d *decoder) partial(path, key string, c *cursor) Partial {
 	out := Partial{}
-	d.group(out, path, key, raw)
+	d.group(out, path, key, c)
 	return out
 }
 
-func (d *decoder) group(out Partial, path, key string, raw json.RawMessage) {
+func (d *decoder) group(out Partial, path, key string, c *cursor) {
 	var known []string
 	if g := groupByKey[key]; g != nil {
 		known = g.names
 	}
-	d.object(path, raw, func(name, path string, raw json.RawMessage) bool {
-		return d.setting(out, path, join(key, name), raw)
+	d.object(path, c, func(name, path string, c *cursor) bool {
+		return d.setting(out, path, join(key, name), c)
 	}, known...)
 }
 
 // setting reads the setting or group named key and reports whether it is known.
-func (d *decoder) setting(out Partial, path, key string, raw json.RawMessage) bool {
+func (d *decoder) setting(out Partial, path, key string, c *cursor) bool {
 	if groupByKey[key] != nil {
-		d.group(out, path, key, raw)
+		d.group(out, path, key, c)
 		return true
 	}
 	f := fieldByKey[key]
 	if f == nil {
-		d.keep(out, path, key, raw)
+		d.keep(out, path, key, c)
 		return false
 	}
+	raw := c.raw()
 	value := reflect.New(f.typ).Elem()
 	before := len(d.problems)
 	d.value(f.rule, path, raw, value)
@@ -206,19 +232,19 @@
 		out[f.Key] = value.Interface()
 	} else if !d.strict {
 		d.problems = d.problems[:before]
-		out[f.Key] = slices.Clone(raw)
+		out[f.Key] = raw
 	}
 	return true
 }
 
 // keep stores what this program does not know, down to the values that are no objects, so that edits by path fit.
-func (d *decoder) keep(out Partial, path, key string, raw json.RawMessage) {
+func (d *decoder) keep(out Partial, path, key string, c *cursor) {
 	switch {
 	case d.strict:
-	case len(raw) > 0 && raw[0] == '{':
-		d.group(out, path, key, raw)
+	case c.atObject():
+		d.group(out, path, key, c)
 	default:
-		out[strings.Clone(key)] = slices.Clone(raw)
+		out[key] = c.raw()
 	}
 }
 
@@ -273,7 +299,7 @@
 	t, names := target.Type(), namesOf(target.Type())
 	present := map[string]bool{}
 	before := len(d.problems)
-	d.object(path, raw, func(name, path string, raw json.RawMessage) bool {
+	d.object(path, newCursor(raw), func(name, path string, c *cursor) bool {
 		i := slices.Index(names, name)
 		if i < 0 {
 			if !d.strict {
@@ -282,7 +308,7 @@
 			return false
 		}
 		present[name] = true
-		d.value(ruleOf(t.Field(i)), path, raw, target.Field(i))
+		d.value(ruleOf(t.Field(i)), path, c.raw(), target.Field(i))
 		return true
 	}, names...)
 	for i, name := range names {
--- a/api/settings/edit.go
+++ b/api/settings/edit.go
@@ -107,17 +107,18 @@
 	if !ok {
 		return out
 	}
+	c := newCursor(raw)
 	switch l.kind {
 	case atPlace:
-		out.place = d.place(e.Path, raw)
+		out.place = d.place(e.Path, c)
 	case atServices:
-		out.services = d.services(e.Path, raw)
+		out.services = d.services(e.Path, c)
 	default:
 		out.partial = Partial{}
 		if l.key == "" {
-			d.group(out.partial, e.Path, "", raw)
+			d.group(out.partial, e.Path, "", c)
 		} else {
-			d.setting(out.partial, e.Path, l.key, raw)
+			d.setting(out.partial, e.Path, l.key, c)
 		}
 	}
 	return out
--- a/api/settings/model_test.go
+++ b/api/settings/model_test.go
@@ -117,6 +117,7 @@
 		tree, err := (&Tree{}).Apply(edits)
 		require.NoError(t, err)
 		require.Equal(t, naiveFlatten(naiveApply([]byte("{}"), edits)), naiveFlatten(tree.Encode()))
+		require.GreaterOrEqual(t, tree.EncodedBound(), len(tree.Encode()))
 		again, err := Parse(tree.Encode())
 		require.NoError(t, err)
 		require.Empty(t, Diff(tree, again), "a tree survives its JSON form")
@@ -181,3 +182,23 @@
 		require.Equal(t, want, tree.Resolve(place, service))
 	})
 }
+
+// Guards against a document that makes the parser panic or accept what it does not keep.
+func TestParseOfDamagedDocuments(t *testing.T) {
+	accepted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		tree, err := (&Tree{}).Apply(drawEdits(t, "edits"))
+		require.NoError(t, err)
+		data := tree.Encode()
+		for range rapid.IntRange(0, 2).Draw(t, "damages") {
+			at := rapid.IntRange(0, len(data)-1).Draw(t, "at")
+			data[at] = rapid.SampledFrom([]byte("{}[]\",:1x \\\xff")).Draw(t, "byte")
+		}
+		_, _ = ParseStored(data)
+		if parsed, err := Parse(data); err == nil {
+			accepted++
+			require.Equal(t, naiveFlatten(data), naiveFlatten(parsed.Encode()))
+		}
+	})
+	require.NotZero(t, accepted)
+}
--- a/api/settings/tree.go
+++ b/api/settings/tree.go
@@ -60,6 +60,26 @@
 	return data
 }
 
+// EncodedBound returns a size in bytes that Encode does not exceed. It takes far less time and memory than Encode.
+func (t *Tree) EncodedBound() int {
+	total := len(`{"defaults":,"places":{}}`) + t.Defaults.bound()
+	for name, place := range t.Places {
+		total += len(name) + len(`"":{"values":,"services":{}},`) + place.Values.bound()
+		for service, partial := range place.Services {
+			total += len(service) + len(`"":,`) + partial.bound()
+		}
+	}
+	return total
+}
+
+func (p Partial) bound() int {
+	total := len(`{}`)
+	for key, value := range p {
+		total += len(key) + len(`"":{},`)*(1+strings.Count(key, ".")) + len(encode(value))
+	}
+	return total
+}
+
 // Services returns the names of the services that any place lists, sorted.
 func (t *Tree) Services() []string {
 	seen := map[string]struct{}{}
--- a/node/version/commit/commit.go
+++ b/node/version/commit/commit.go
@@ -258,8 +258,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if size := len(merged.Encode()); size > MaxTreeBytes {
-		return nil, eris.Wrapf(ErrBadChange, "the settings would have %d bytes, allowed %d", size, MaxTreeBytes)
+	if merged.EncodedBound() > MaxTreeBytes {
+		if size := len(merged.Encode()); size > MaxTreeBytes {
+			return nil, eris.Wrapf(ErrBadChange, "the settings would have %d bytes, allowed %d", size, MaxTreeBytes)
+		}
 	}
 	return merged, nil
 }
--- a/node/version/commit/commit_test.go
+++ b/node/version/commit/commit_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -268,3 +269,30 @@
 		})
 	}
 }
+
+// Guards against a tree too large for one message between nodes, or a change too large for a row of the table.
+func TestSizesAreBounded(t *testing.T) {
+	e := newEditor(platformtest.NewMemory())
+	path := "/" + strings.Repeat("x", 250)
+	services := func(count int) map[string]any {
+		out := map[string]any{}
+		for i := range count {
+			out[fmt.Sprint("s", i)] = map[string]any{"measure": map[string]any{"healthPath": path}}
+		}
+		return out
+	}
+	_, err := e.Commit(t.Context(), change("big", 0, "places.p.services", services(1000)))
+	require.ErrorIs(t, err, ErrBadChange)
+	size := 0
+	for i := range int64(100) {
+		result, err := e.Commit(t.Context(), change(fmt.Sprint("c", i), i, fmt.Sprintf("places.p%d.services", i), services(800)))
+		if err != nil {
+			require.ErrorIs(t, err, ErrBadChange)
+			require.Greater(t, size, MaxTreeBytes-MaxChangeBytes)
+			return
+		}
+		size = len(result.Tree.Encode())
+		require.LessOrEqual(t, size, MaxTreeBytes)
+	}
+	t.Fatal("no change was refused")
+}
--- a/node/version/current/size_test.go
+++ b/node/version/current/size_test.go
@@ -66,6 +66,7 @@
 		}
 		run("parse", func() { _, _ = settings.Parse(text) })
 		run("encode", func() { tree.Encode() })
+		run("encoded bound", func() { tree.EncodedBound() })
 		run("edit", func() { _, _ = tree.ApplyStored(edit) })
 		run("merge", func() { _, _ = settings.Merge(tree, tree, edit) })
 		run("compile", func() { compile("place-1", 1, tree) })
