--- a/node/version/current/size_test.go
+++ b/node/version/current/size_test.go
@@ -66,6 +66,7 @@
 		}
 		run("parse", func() { _, _ = settings.Parse(text) })
 		run("encode", func() { tree.Encode() })
+		run("encoded bound", func() { tree.EncodedBound() })
 		run("edit", func() { _, _ = tree.ApplyStored(edit) })
 		run("merge", func() { _, _ = settings.Merge(tree, tree, edit) })
 		run("compile", func() { compile("place-1", 1, tree) })
@@ -73,7 +74,8 @@
 	}
 }
 
-// BenchmarkCommittedEdits measures what 20 edits in force one after another keep alive, since trees share parts.
+// BenchmarkCommittedEdits puts edits of the largest tree in force one after another and measures the heap afterwards,
+// which would grow if old versions stayed reachable.
 func BenchmarkCommittedEdits(b *testing.B) {
 	tree, err := settings.Parse(sizedTree(8, 700))
 	if err != nil {
@@ -91,4 +93,5 @@
 		h.Offer(version, tree)
 	}
 	b.ReportMetric(float64(heap())/1024/1024, "MB-heap")
+	runtime.KeepAlive(h)
 }
