--- a/node/process/admission/admission_test.go
+++ b/node/process/admission/admission_test.go
@@ -217,6 +217,7 @@
 	b.ask(Call{Class: contract.ClassNormal}, &n)
 	moves, stays := b.ask(Call{Class: contract.ClassNormal}, &n), b.ask(Call{Class: contract.ClassNormal, Stay: true}, &n)
 	faster = true
+	b.at = b.at.Add(sweepEvery)
 	b.Sweep()
 	require.Equal(t, ReasonSiblingFree, moves.reason)
 	require.Empty(t, stays.reason)
