spec: add a model of the settings and the check script

Cause: an accepted version must never be lost or revert, through lost answers, racing editors, outages and replaced nodes. With STRICT_BOOTSTRAP Spin finds a replaced node that goes below the version of its predecessor: the table is down and the predecessor alone had the version, so all peers that it asks are behind. Conclusion: commit and hand-out hold; bootstrap from peers holds only in the weaker sense that a node takes the highest version of those asked.

--- /dev/null
+++ b/.ci/checks/model.sh
@@ -0,0 +1,79 @@
+#!/usr/bin/env bash
+# Checks the models in spec/ with Spin. Each model must hold; each mutant, which lacks one guard, and each reach check,
+# which denies that a part of the model is ever reached, must fail an assertion. Prints the number of states of each run.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+spec=$PWD/spec
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+failed=0
+
+# run NAME MODEL EXPECT FLAGS...: EXPECT is holds or fails.
+run() {
+  local name=$1 model=$2 expect=$3 dir="$work/$1" states errors verdict=ok optimize=-O1
+  shift 3
+  # Runs that fail are short, so that compiling takes most of their time.
+  [ "$expect" = holds ] || optimize=-O0
+  mkdir -p "$dir"
+  (
+    cd "$dir"
+    spin -a "$@" "$spec/$model.pml" >spin.log && gcc "$optimize" -w -DSAFETY -DCOLLAPSE -DMEMLIM=2000 -o pan pan.c
+    # A limit on depth or memory that is hit shows in the output and fails the check below.
+    timeout 60 ./pan -m20000 >pan.log 2>&1 || true
+  ) || { cat "$dir/spin.log"; verdict="does not compile"; }
+  touch "$dir/pan.log"
+  states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$dir/pan.log")
+  errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$dir/pan.log")
+  if [ "$verdict" = ok ]; then
+    case $expect in
+    holds)
+      [ "$errors" = 0 ] && ! grep -qE 'max search depth|Search not completed|out of memory' "$dir/pan.log" ||
+        verdict="must hold"
+      ;;
+    fails) [ "$errors" = 1 ] && grep -q 'assertion violated' "$dir/pan.log" || verdict="must fail an assertion" ;;
+    esac
+  fi
+  printf '%-32s %-6s %10s states  %s  %s\n' "$name" "$expect" "${states:-none}" "$verdict" \
+    "$(sed -n 's/^pan:1: assertion violated *\(.*\) (at depth.*/\1/p' "$dir/pan.log")"
+  if [ "$verdict" != ok ]; then
+    tail -n 20 "$dir/pan.log"
+    failed=1
+  fi
+  rm -rf "$dir"
+}
+
+# The last runs of each model are of properties that the design does not have. They are checked so that a change of the
+# design or of the model shows.
+ledger() {
+  run ledger ledger holds
+  for mutant in NO_EPOCH_CONDITION ARRIVAL_ORDER READ_BEFORE_RAISE ATTEMPT_BEFORE_CLAIM GRANT_ON_UNKNOWN \
+    RELEASE_UNPROVEN RELEASE_ANY_CALL REGRANT_EXPIRED REACH_REPLAY REACH_RERUN REACH_FENCED; do
+    run "ledger-$mutant" ledger fails "-D$mutant"
+  done
+  run ledger-STRICT_REPEAT ledger fails -DSTRICT_REPEAT
+  return "$failed"
+}
+
+settings() {
+  local handout=(-DHANDOUT -DREPLACEABLE=3 -DREPLACEMENTS=2)
+  run settings-commit settings holds
+  for mutant in BLIND_HEAD NO_CHANGE_ID GIVE_UP_ON_ABSENT REACH_MERGED REACH_LATE; do
+    run "settings-$mutant" settings fails "-D$mutant"
+  done
+  run settings-handout settings holds "${handout[@]}"
+  for mutant in TAKE_ANY SERVE_AT_ONCE REACH_PEERS; do
+    run "settings-$mutant" settings fails "${handout[@]}" "-D$mutant"
+  done
+  run settings-STRICT_BOOTSTRAP settings fails "${handout[@]}" -DSTRICT_BOOTSTRAP
+  run settings-SPREAD_FIRST settings holds "${handout[@]}" -DSTRICT_BOOTSTRAP -DSPREAD_FIRST -DONE_AT_A_TIME
+  return "$failed"
+}
+
+ledger &
+first=$!
+settings &
+second=$!
+status=0
+wait "$first" || status=1
+wait "$second" || status=1
+exit "$status"
--- /dev/null
+++ b/spec/settings.pml
@@ -0,0 +1,314 @@
+/*
+ * Settings (design 4.3): commit by one conditional transaction, hand-out by head readers and peers, replacement of nodes.
+ *
+ * A version is its number; its content is the change that made it. Version 1 is in force everywhere at the start. The
+ * table may be down at any time; a commit may be applied with its answer lost, or be applied later, or never. Pushes
+ * between nodes may be lost or late. A node may pause between reading a version and taking it.
+ *
+ * HANDOUT checks the hand-out alone: nodes see nothing of a commit but the head, so one process that raises the head
+ * takes the place of the editors. Without it the commit is checked alone.
+ *
+ * Each guard of the protocol is removed by a switch, which must lead to a violation:
+ *   BLIND_HEAD         a commit does not require that the head is its base
+ *   NO_CHANGE_ID       a commit does not require that its change id is new
+ *   GIVE_UP_ON_ABSENT  a change id that is not found after a lost answer counts as refused
+ *   TAKE_ANY           a node takes a version that is lower than its own
+ *   SERVE_AT_ONCE      a replaced node serves before it has learned a version
+ * STRICT_BOOTSTRAP demands that a replaced node, also one that asked only peers, does not go below the version that its
+ * predecessor had in force. The design does not give this: the predecessor may have been the only one that knew it.
+ * SPREAD_FIRST adds the rule that a node puts a version in force only when another node has stored it, and ONE_AT_A_TIME
+ * assumes that no second node is replaced before the first has learned a version.
+ * REACH_MERGED, REACH_PEERS and REACH_LATE claim that a part of the model is never reached.
+ */
+
+#ifndef NODES
+#define NODES 3
+#endif
+#ifndef REPLACEMENTS
+#define REPLACEMENTS 1
+#endif
+#define EDITORS 2
+#ifdef HANDOUT
+#define VERSIONS 3    /* highest version */
+#else
+#define VERSIONS 4    /* leaves room for the version too many of a mutant */
+#endif
+
+#ifndef READERS
+#define READERS 2     /* nodes that read the head */
+#endif
+#ifndef REPLACEABLE
+#define REPLACEABLE 1 /* nodes that may be replaced */
+#endif
+#define READS_HEAD(n) ((n) < READERS)
+#define MAY_BE_REPLACED(n) ((n) < REPLACEABLE)
+
+#define STORED_ELSEWHERE(n) (current[(n + 1) % NODES] >= current[n] || current[(n + 2) % NODES] >= current[n])
+#ifdef ONE_AT_A_TIME
+#define REPLACEMENT_ALLOWED (serving[0] && serving[1] && serving[2])
+#else
+#define REPLACEMENT_ALLOWED (true)
+#endif
+
+/* The table. */
+bool up = true;
+byte head = 1;
+byte content[VERSIONS + 1];           /* change of each version, 0 for none */
+byte versionOf[EDITORS + 1];          /* change id row: version of a change, 0 for none */
+byte outages = 1;
+
+/* One commit on its way that may still take effect. */
+bool inFlight = false;
+byte lateBase, lateChange;
+byte lateLeft = 2;
+
+/* The nodes. */
+byte current[NODES];                  /* version that the node has, 0 for none */
+bool serving[NODES];
+byte highest[NODES];                  /* highest version that was in force at this host */
+byte replacements = REPLACEMENTS;
+chan pushed = [1] of { byte, byte };  /* the push on its way: node and version */
+
+/* What operators were told. */
+byte accepted[VERSIONS + 1];          /* change that was reported accepted as this version, 0 for none */
+bool refusedChange[EDITORS + 1];
+
+#ifdef BLIND_HEAD
+#define HEAD_IS(b) (true)
+#else
+#define HEAD_IS(b) (head == (b))
+#endif
+#ifdef NO_CHANGE_ID
+#define IS_NEW(c) (true)
+#else
+#define IS_NEW(c) (versionOf[c] == 0)
+#endif
+
+/* apply is the conditional transaction: head row, version row and change id row. */
+inline apply(b, c, ok) {
+	if
+	:: HEAD_IS(b) && IS_NEW(c) ->
+		assert(accepted[b + 1] == 0 || accepted[b + 1] == c);   /* an accepted version is never lost */
+		assert(!refusedChange[c]);                              /* a refused change is never applied */
+		assert(versionOf[c] == 0);                              /* one change is one version */
+		head = b + 1; content[b + 1] = c; versionOf[c] = b + 1; ok = true
+	:: else -> ok = false
+	fi
+}
+
+/* The table goes down and comes back. */
+active proctype Outage() {
+end:	do
+	:: atomic { up && outages > 0 -> up = false; outages-- }
+	:: !up -> up = true
+	od
+}
+
+proctype Later() {
+	bool ok = false;
+end:	do
+	:: atomic { inFlight ->
+		inFlight = false;
+		if
+		:: apply(lateBase, lateChange, ok);
+#ifdef REACH_LATE
+			assert(!ok);
+#endif
+		:: true
+		fi;
+		ok = false; lateBase = 0; lateChange = 0 }
+	od
+}
+
+mtype = { none, accept, conflict, unknown, down };
+
+/* An operator's edit, with its change id, at any node that reaches the table. Edits here are of different keys. */
+proctype Editor(byte change) {
+	byte base = 0;
+	bool ok = false;
+	mtype result = none;
+
+again:
+	if
+	:: atomic { up -> base = head }
+	:: goto finished                                        /* the operator is told: unavailable or unknown */
+	fi;
+	atomic {
+		if
+		:: up ->
+			apply(base, change, ok);
+			if
+			:: ok -> result = accept
+			:: ok -> result = unknown
+			:: !ok -> result = conflict
+			fi
+		:: !inFlight && lateLeft > 0 ->
+			inFlight = true; lateLeft--; lateBase = base; lateChange = change;
+			result = unknown
+		:: !up -> result = down
+		fi;
+		ok = false
+	};
+	if
+	:: result == accept -> atomic {
+		accepted[base + 1] = change;
+		assert(content[base + 1] == change) }
+	:: result == conflict || result == unknown ->
+		/* Read back by the change id. A change that is not there is merged onto the new head and tried again. */
+		atomic {
+			if
+			:: up && versionOf[change] != 0 ->
+				accepted[versionOf[change]] = change;
+				assert(content[versionOf[change]] == change);
+				result = accept
+			:: up && versionOf[change] == 0 ->
+#ifdef GIVE_UP_ON_ABSENT
+				refusedChange[change] = true; result = accept
+#endif
+			:: !up
+			fi
+		};
+		if
+		:: result != accept -> goto again
+		:: else
+		fi
+	:: result == down -> goto again
+	fi;
+#ifdef REACH_MERGED
+	assert(accepted[3] == 0);
+#endif
+finished:
+	atomic { base = 0; result = none }
+}
+
+/* learn puts version v in force at node n, or stores it while n does not serve. */
+inline learn(n, v) {
+	if
+#ifdef TAKE_ANY
+	:: v != 0 && v != current[n] ->
+#else
+	:: v > current[n] ->
+#endif
+		assert(!serving[n] || v > current[n]);          /* a node never goes back */
+		current[n] = v
+	:: else
+	fi;
+#ifndef SPREAD_FIRST
+	inForce(n)
+#endif
+}
+
+inline inForce(n) {
+	if
+	:: serving[n] ->
+		assert(current[n] > 0);                         /* a node without a version does not serve */
+#ifdef STRICT_BOOTSTRAP
+		assert(current[n] >= highest[n]);               /* a replaced node does not go below its predecessor */
+#endif
+		if
+		:: current[n] > highest[n] && MAY_BE_REPLACED(n) -> highest[n] = current[n]
+		:: else
+		fi
+	:: else
+	fi
+}
+
+proctype Node(byte n) {
+	byte read = 0;                                          /* version that was read and is not taken yet */
+	byte peer = 0, asked = 0, answers = 0;
+
+end:	do
+	/* Read the head of the table, and take it later. */
+	:: atomic { READS_HEAD(n) && serving[n] && up && read == 0 && head != current[n] -> read = head }
+	:: atomic { serving[n] && read != 0 -> learn(n, read); read = 0 }
+
+	/* Push to a peer, and take what a peer pushed or lose it. */
+	:: atomic { serving[n] && empty(pushed) ->
+		if
+		:: peer = 0
+		:: peer = 1
+		:: peer = 2
+		fi;
+		if
+		:: peer != n && current[peer] != current[n] -> pushed!peer, current[n]
+		:: else
+		fi;
+		peer = 0 }
+	:: atomic { pushed??[eval(n), _] -> pushed??eval(n), peer;
+		if
+		:: learn(n, peer)
+		:: true
+		fi;
+		peer = 0 }
+
+#ifdef SPREAD_FIRST
+	:: atomic { serving[n] && current[n] > highest[n] && STORED_ELSEWHERE(n) -> inForce(n) }
+#endif
+
+	/* The host is replaced. */
+	:: atomic { MAY_BE_REPLACED(n) && serving[n] && replacements > 0 && REPLACEMENT_ALLOWED ->
+		replacements--; current[n] = 0; serving[n] = false; read = 0;
+#ifdef SERVE_AT_ONCE
+		serving[n] = true; inForce(n)
+#endif
+	}
+
+	/* Bootstrap from the table. */
+	:: atomic { !serving[n] && up && read == 0 -> read = head; asked = 0; answers = 0 }
+	:: atomic { !serving[n] && read != 0 ->
+		serving[n] = true; learn(n, read); read = 0;
+		assert(current[n] >= highest[n]) }              /* the table knows all that was ever in force */
+
+	/* Bootstrap from several peers while the table is down: the highest version of two. */
+	:: atomic { !serving[n] && !up && read == 0 && asked < NODES ->
+		if
+		:: asked != n && current[asked] > 0 ->
+			answers++;
+			if
+			:: current[asked] > current[n] -> current[n] = current[asked]
+			:: else
+			fi
+		:: true                                         /* not asked, or no answer */
+		fi;
+		asked++ }
+	:: atomic { !serving[n] && asked == NODES ->
+		asked = 0;
+		if
+		:: answers >= 2 ->
+			serving[n] = true;
+#ifdef REACH_PEERS
+			assert(false);
+#endif
+			inForce(n)
+		:: else
+		fi;
+		answers = 0 }
+	od
+}
+
+/* All editors of the hand-out. */
+proctype Committer() {
+end:	do
+	:: atomic { up && head < VERSIONS -> head++ }
+	od
+}
+
+init {
+	byte i = 0;
+	atomic {
+#ifdef HANDOUT
+		run Committer();
+		do
+		:: i < NODES -> current[i] = 1; serving[i] = true; highest[i] = 1; run Node(i); i++
+		:: else -> break
+		od;
+#else
+		run Later();
+		do
+		:: i < EDITORS -> i++; run Editor(i)
+		:: else -> break
+		od;
+#endif
+		i = 0
+	}
+}
