awsclient: hand request bodies to net/http as plain memory

The SDK closes its request body as soon as the answer starts, and its WriteTo then returns io.EOF as an error. A transport that still looks for the end of the body takes that for a failed write and closes the connection. A write could end as ErrUnknown in the same way. Change: the HTTP client reads the body of the SDK first and gives the transport a bytes.Reader. Headers and body also leave in one write. Tests: answers read by many clients at once, and a guarded client through an outage on sockets.

--- a/node/connection/platform/awsclient/client.go
+++ b/node/connection/platform/awsclient/client.go
@@ -1,7 +1,9 @@
 package awsclient
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -34,11 +36,11 @@
 		return nil, err
 	}
 	transport := newTransport(config)
-	client := &http.Client{
+	client := &sender{http.Client{
 		Transport: transport,
 		// A redirect would send a write a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	}}
 	keys := credentials.NewStaticCredentialsProvider(config.AccessKey, config.SecretKey, config.SessionToken)
 	return &Client{
 		config:    config,
@@ -72,6 +74,28 @@
 	}
 }
 
+// sender hands bodies to net/http as plain memory. The SDK's own body reports io.EOF from WriteTo once the SDK has closed
+// it, which it does when the answer arrives. A transport that then still looks for the end of the body takes this for a
+// failed write and closes the connection while the answer is being read. Plain memory also goes out in one write with
+// the headers.
+type sender struct {
+	client http.Client
+}
+
+// Do implements the HTTPClient interface of the SDK.
+func (s *sender) Do(request *http.Request) (*http.Response, error) {
+	if request.Body != nil && request.ContentLength > 0 {
+		body := make([]byte, request.ContentLength)
+		if _, err := io.ReadFull(request.Body, body); err != nil {
+			return nil, err
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		// Lets the transport use another connection when one turns out closed before a byte was written.
+		request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+	}
+	return s.client.Do(request)
+}
+
 func optional(s string) *string {
 	if s == "" {
 		return nil
--- a/node/connection/platform/awsclient/client_test.go
+++ b/node/connection/platform/awsclient/client_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/radishstand/radishstand/node/connection/platform"
 )
@@ -104,6 +108,30 @@
 	}
 }
 
+// Guards against the SDK closing a request body under the transport, which broke connections while answers were read.
+func TestAnswersAreReadWholeOnABusyMachine(t *testing.T) {
+	answer := []byte(`{"Items":[],"Padding":"` + strings.Repeat("x", 32<<10) + `"}`)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = w.Write(answer)
+	}))
+	defer server.Close()
+	client, err := New(testConfig(server.URL))
+	require.NoError(t, err)
+	var group errgroup.Group
+	for range 4 * runtime.GOMAXPROCS(0) {
+		group.Go(func() error {
+			for range 50 {
+				if _, err := client.Query(context.Background(), "p", "", 1); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+}
+
 func TestConfigNamesTheWrongField(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/node/platformtest/contract_test.go
+++ b/node/platformtest/contract_test.go
@@ -342,3 +342,26 @@
 	}
 	return true
 }
+
+// Guards the node's whole path to the store: the guard over the client over sockets, through an outage.
+func TestAGuardedClientRecoversFromAnOutage(t *testing.T) {
+	server := platformtest.NewServer(platformtest.NewMemory())
+	c := client(t, server)
+	limits := platform.DefaultLimits()
+	limits.ProbeMs = 50
+	guard := platform.NewGuard(c, c, platform.Options{Limits: limits})
+	ctx := context.Background()
+	require.NoError(t, guard.Transact(ctx, platform.Write{Item: item("a", 1, "")}))
+	server.Stop()
+	require.Eventually(t, func() bool {
+		_, err := guard.Get(ctx, platform.Key{Partition: "p", Sort: "a"})
+		return isUnavailable(err) && guard.State().Table.Breaker != "closed"
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, "closed", guard.State().Objects.Breaker)
+	require.NoError(t, server.Start(server.Addr()))
+	require.Eventually(t, func() bool {
+		got, err := guard.Get(ctx, platform.Key{Partition: "p", Sort: "a"})
+		return err == nil && got.Numbers["version"] == 1
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, "closed", guard.State().Table.Breaker)
+}
