load: count the reasons of the nodes' own answers

A count of refusals did not tell why nodes refused. The report now counts the answers that nodes made themselves by their reason.

--- a/ctl/demo/steps.go
+++ b/ctl/demo/steps.go
@@ -124,7 +124,8 @@
 	return nil
 }
 
-// drain lets a server leave as the contract says: it announces that it drains and finishes its calls.
+// drain lets a server leave as the contract says: it announces that it drains and finishes its calls. It does not renew
+// the announcement, so that its node measures it, which puts the measuring budget to the test.
 func (r *run) drain(ctx context.Context) error {
 	m := r.fleet.of(r.deployment.drains, 0)
 	r.drained = &drained{member: m}
--- a/ctl/demo/verdict.go
+++ b/ctl/demo/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -132,6 +133,15 @@
 	return r.failure
 }
 
+// early counts the answers that a request with the same key is in progress.
+func (r *report) early() int64 {
+	var n int64
+	for _, s := range r.Steps {
+		n += s.Status[strconv.Itoa(http.StatusConflict)]
+	}
+	return n
+}
+
 func (r *report) print(env *cli.Env) error {
 	if env.JSON {
 		return env.PrintJSON(r)
@@ -149,6 +159,7 @@
 	if err := env.Table(head, rows); err != nil {
 		return err
 	}
+	env.Printf("Unknown includes %d repeats of keyed calls that came before the first answer was recorded.", r.early())
 	rows = nil
 	for _, i := range r.Invariants {
 		rows = append(rows, []string{i.ID, map[bool]string{true: "holds", false: "BROKEN"}[i.Holds], i.What, i.Found})
--- a/ctl/load/command.go
+++ b/ctl/load/command.go
@@ -112,14 +112,15 @@
 	if r.FirstFailure != "" {
 		env.Printf("first failure: %s", r.FirstFailure)
 	}
-	var rows [][]string
-	for _, status := range slices.Sorted(maps.Keys(r.Status)) {
-		rows = append(rows, []string{status, strconv.FormatInt(r.Status[status], 10)})
-	}
-	if err := env.Table([]string{"STATUS", "CALLS"}, rows); err != nil {
+	if err := env.Table([]string{"STATUS", "CALLS"}, countRows(r.Status)); err != nil {
 		return err
 	}
-	rows = nil
+	if len(r.Reasons) > 0 {
+		if err := env.Table([]string{"REASON OF A NODE", "CALLS"}, countRows(r.Reasons)); err != nil {
+			return err
+		}
+	}
+	var rows [][]string
 	for _, name := range slices.Sorted(maps.Keys(r.ByWork)) {
 		var counts []string
 		for _, outcome := range slices.Sorted(maps.Keys(r.ByWork[name])) {
@@ -129,3 +130,11 @@
 	}
 	return env.Table([]string{"WORK", "OUTCOMES"}, rows)
 }
+
+func countRows(counts map[string]int64) [][]string {
+	var rows [][]string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		rows = append(rows, []string{name, strconv.FormatInt(counts[name], 10)})
+	}
+	return rows
+}
--- a/ctl/load/generator.go
+++ b/ctl/load/generator.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"errors"
 	"io"
 	"math"
@@ -31,6 +32,8 @@
 	Outcome contract.Outcome
 	// Answer is the body of an answer with outcome run.
 	Answer []byte
+	// Reason is what a node says in an answer of its own.
+	Reason string
 	// Wrong says that the answer does not carry the call's token.
 	Wrong bool
 	// Replayed says that the node gave a recorded answer again.
@@ -171,6 +174,10 @@
 		r.Answer = body
 		r.Wrong = g.plan.TokenHeader != "" && r.Status < http.StatusBadRequest && response.Header.Get(g.plan.TokenHeader) != token
 	}
+	var own contract.Body
+	if r.Outcome != contract.OutcomeRun && json.Unmarshal(body, &own) == nil {
+		r.Reason = own.Reason
+	}
 	if r.Outcome == "" {
 		r.Err = errNoOutcome
 	}
--- a/ctl/load/load_test.go
+++ b/ctl/load/load_test.go
@@ -70,6 +70,7 @@
 			case 2:
 				w.Header().Set(contract.HeaderOutcome, string(contract.OutcomeNotRun))
 				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = w.Write([]byte(`{"outcome":"not-run","reason":"queue full"}`))
 			case 3:
 				w.Header().Set(contract.HeaderOutcome, string(contract.OutcomeUnknown))
 				w.WriteHeader(http.StatusBadGateway)
@@ -82,6 +83,7 @@
 	require.Equal(t, []int64{1, 1, 1, 1}, []int64{report.Wrong, report.NotRun, report.Unknown, report.Failed})
 	require.Equal(t, report.Calls-3, report.Run)
 	require.Equal(t, int64(1), report.Status["503"])
+	require.Equal(t, map[string]int64{"queue full": 1}, report.Reasons)
 }
 
 // Guards repeats with a fresh key or token, which would test nothing.
--- a/ctl/load/report.go
+++ b/ctl/load/report.go
@@ -35,6 +35,8 @@
 	Wrong        int64 `json:"wrong"`
 	// Status counts the answers by status.
 	Status map[string]int64 `json:"status"`
+	// Reasons counts the answers that nodes made themselves by their reason.
+	Reasons map[string]int64 `json:"reasons"`
 	// ByWork counts outcomes by kind of call.
 	ByWork map[string]map[string]int64 `json:"byWork"`
 	// FirstFailure is the error of one failed call.
@@ -65,7 +67,7 @@
 // NewRecorder returns an empty Recorder, whose time starts now.
 func NewRecorder() *Recorder {
 	return &Recorder{
-		report:    Report{Status: map[string]int64{}, ByWork: map[string]map[string]int64{}},
+		report:    Report{Status: map[string]int64{}, Reasons: map[string]int64{}, ByWork: map[string]map[string]int64{}},
 		histogram: hdrhistogram.New(1, maxLatency.Microseconds(), significantDigits),
 		started:   time.Now(),
 	}
@@ -106,6 +108,9 @@
 	if result.Outcome == contract.OutcomeRun && result.Status >= http.StatusInternalServerError {
 		r.report.ServerErrors++
 	}
+	if result.Reason != "" {
+		r.report.Reasons[result.Reason]++
+	}
 	if result.Replayed {
 		r.report.Replayed++
 	}
@@ -133,7 +138,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := r.report
-	report.Status = maps.Clone(report.Status)
+	report.Status, report.Reasons = maps.Clone(report.Status), maps.Clone(report.Reasons)
 	report.ByWork = map[string]map[string]int64{}
 	for name, counts := range r.report.ByWork {
 		report.ByWork[name] = maps.Clone(counts)
