--- a/ctl/cmd/radishctl/main.go
+++ b/ctl/cmd/radishctl/main.go
@@ -20,6 +20,8 @@
 	"github.com/radishstand/radishstand/ctl/trial"
 )
 
+//go:generate go run . settings reference --update ../../../docs/operators.md
+
 // envPrefix starts the names of environment variables: RADISHCTL_NODE sets --node.
 const envPrefix = "RADISHCTL"
 
--- a/ctl/cmd/radishctl/main_test.go
+++ b/ctl/cmd/radishctl/main_test.go
@@ -165,7 +165,7 @@
 	require.True(t, ok)
 	code, stdout, _ := ctl(t, "", "settings", "reference")
 	require.Equal(t, cli.ExitOK, code)
-	require.Equal(t, stdout, reference, "run: radishctl settings reference, and replace the text between the markers")
+	require.Equal(t, stdout, reference, "run: go generate ./ctl/cmd/radishctl")
 }
 
 // Guards the example of the README being refused by the program that it explains.
--- a/ctl/settingscmd/settingscmd.go
+++ b/ctl/settingscmd/settingscmd.go
@@ -28,8 +28,8 @@
 		Flags: env.Flags("settings"),
 		Subcommands: []*ffcli.Command{
 			get(env), set(env), unset(env), diff(env), history(env), explain(env), check(env), rollback(env),
-			offline(env, "schema", "print the JSON Schema of the settings tree", settings.JSONSchema),
-			offline(env, "reference", "print the reference of all settings as Markdown", settings.Reference),
+			schema(env),
+			reference(env),
 		},
 	}.Build()
 }
@@ -267,13 +267,51 @@
 	return os.ReadFile(file)
 }
 
-func offline(env *cli.Env, name, short string, text func() []byte) *ffcli.Command {
+func schema(env *cli.Env) *ffcli.Command {
 	return cli.Command{
-		Name: name, Usage: "radishctl settings " + name, Short: short, Long: "Needs no node.",
-		Examples: []string{"radishctl settings " + name}, Flags: env.Flags(name),
+		Name: "schema", Usage: "radishctl settings schema", Short: "print the JSON Schema of the settings tree",
+		Long: "Needs no node.", Examples: []string{"radishctl settings schema > settings.schema.json"}, Flags: env.Flags("schema"),
 		Run: func(context.Context, []string) error {
-			_, err := env.Stdout.Write(text())
+			_, err := env.Stdout.Write(settings.JSONSchema())
 			return err
 		},
 	}.Build()
 }
+
+// Markers of the reference in a page.
+const (
+	beginReference = "<!-- begin: radishctl settings reference -->\n"
+	endReference   = "<!-- end: radishctl settings reference -->\n"
+)
+
+func reference(env *cli.Env) *ffcli.Command {
+	fs := env.Flags("reference")
+	page := fs.String("update", "", "Markdown page whose text between the markers is replaced, instead of printing")
+	return cli.Command{
+		Name: "reference", Usage: "radishctl settings reference [options]", Short: "print the reference of all settings as Markdown",
+		Long: "Needs no node.", Examples: []string{"radishctl settings reference", "radishctl settings reference --update docs/operators.md"},
+		Flags: fs,
+		Run: func(context.Context, []string) error {
+			if *page == "" {
+				_, err := env.Stdout.Write(settings.Reference())
+				return err
+			}
+			return updatePage(*page)
+		},
+	}.Build()
+}
+
+// updatePage replaces the text between the markers of a page.
+func updatePage(file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	before, rest, begins := strings.Cut(string(data), beginReference)
+	_, after, ends := strings.Cut(rest, endReference)
+	if !begins || !ends {
+		return cli.Fail(cli.ExitFailed, "%s lacks the lines %q and %q", file, strings.TrimSpace(beginReference), strings.TrimSpace(endReference))
+	}
+	page := before + beginReference + string(settings.Reference()) + endReference + after
+	return os.WriteFile(file, []byte(page), 0o644)
+}
