--- a/node/process/ledger/limits.go
+++ b/node/process/ledger/limits.go
@@ -18,7 +18,8 @@
 	MaxRows int
 }
 
-// DefaultMaxEntries keeps a holder's entries below about half of the 32 MB that a node may use.
+// DefaultMaxEntries takes 12 MB at the measured 186 bytes per entry (BenchmarkTakeOver), of the 32 MB that a node may
+// use. With a retention of 24 h and a holder for each range, it allows 12 claims/s for the whole fleet on average.
 const DefaultMaxEntries = 65536
 
 const (
@@ -47,7 +48,8 @@
 	maxBackoff    = time.Second
 	maxCoolDown   = 5 * time.Second
 	sweepInterval = time.Minute
-	// takeOverTimeout bounds raising the epoch and loading; 100,000 entries load in a few seconds.
+	// takeOverTimeout bounds raising the epoch and loading. 65,536 entries load in 0.3 s at 5 ms per read; the rest is for
+	// a slow store.
 	takeOverTimeout = 30 * time.Second
 	// raiseTimeout bounds raising the epoch alone, so that callers are refused promptly while the store is down.
 	raiseTimeout = time.Second
--- a/node/process/ledger/server.go
+++ b/node/process/ledger/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,7 +130,7 @@
 		timeout := time.Duration(min(max(r.GetTimeoutUs(), 0), maxTimeout.Microseconds())) * time.Microsecond
 		reply = t.claim(ctx, key, Hash(r.GetBodyHash()), r.GetCallId(), timeout)
 	}
-	s.count(reply.GetState().String())
+	s.count(counterOf(reply.GetState()))
 	return reply, nil
 }
 
@@ -296,6 +297,12 @@
 	}
 }
 
+// counterOf turns CLAIM_STATE_NOT_HOLDER into claims-not-holder.
+func counterOf(state peerpb.ClaimState) string {
+	name := strings.TrimPrefix(state.String(), "CLAIM_STATE_")
+	return "claims-" + strings.ReplaceAll(strings.ToLower(name), "_", "-")
+}
+
 func (s *Server) nowMs() int64 { return s.now().UnixMilli() }
 
 func (s *Server) log(msg string, keyvals ...any) {
