--- a/node/process/balance/balance_test.go
+++ b/node/process/balance/balance_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -350,6 +351,43 @@
 	require.Less(t, referred, 4)
 }
 
+// Guards against data races, and against attempts that are lost count of, while the servers change.
+func TestBalancerIsSafeForConcurrentUse(t *testing.T) {
+	b := newBench(6, nil)
+	servers := make([]Server, 6)
+	for i, d := range b.Dump()[testService] {
+		servers[i] = Server{ID: d.ID, Service: testService, Place: d.Place, NodeID: d.NodeID, Slots: d.Slots}
+	}
+	v := settings.Default()
+	var group sync.WaitGroup
+	for g := range 8 {
+		group.Go(func() {
+			for i := range 300 {
+				s, err := b.Pick(testService, nil)
+				if err != nil {
+					continue
+				}
+				b.Started(s)
+				b.Observe(s.NodeID, []Load{{ServerID: s.ID, Sequence: uint64(i), Limit: 10, ServiceTime: time.Millisecond}})
+				b.Freshest(testService, 2)
+				b.Sibling(testService, s.ID, time.Second)
+				if _, err := b.Hedge(s, []string{s.ID}); err == nil && g == 0 {
+					b.Dump()
+				}
+				b.Finished(s, Result{Latency: time.Millisecond})
+				if g == 0 && i%10 == 0 {
+					b.SetServers(testService, servers)
+					b.Configure(testService, &v)
+				}
+			}
+		})
+	}
+	group.Wait()
+	for _, s := range b.Dump()[testService] {
+		require.Zero(t, s.Own, s.ID)
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{3, 20, 200} {
 		b.Run(fmt.Sprint(n, " servers"), func(b *testing.B) {
