ledger: tell a refusal that is certain from one that is not, and refuse promptly

Claims in a failing write also waited the full 2 s. Change: a holder that refuses says whether it knows of another call under the key; entry answers not-run only then, and unknown otherwise. Waiting claims are refused once writes have failed for 250 ms.

--- a/node/process/ledger/client.go
+++ b/node/process/ledger/client.go
@@ -12,8 +12,12 @@
 
 // Errors of a Client.
 var (
-	// ErrUnavailable means that the claim was not granted and that no attempt may be sent under this call id.
+	// ErrUnavailable means that the claim was not granted, that no attempt may be sent under this call id, and that the
+	// holder knows of no earlier call that may have run under the key.
 	ErrUnavailable = errors.New("ledger: claim not granted, no attempt may be sent")
+	// ErrUncertain means that the claim was not granted and that no attempt may be sent under this call id, and that an
+	// earlier call with the key may have run.
+	ErrUncertain = errors.New("ledger: claim not granted, and the key may have been used before")
 	// ErrPending means that the outcome or release is not acknowledged yet and is tried further in the background.
 	ErrPending = errors.New("ledger: not acknowledged yet")
 	// ErrBacklog means that too many outcomes and releases wait already and that this one was not taken.
@@ -69,7 +73,7 @@
 
 // Ledger is what an entry node uses. Client implements it.
 type Ledger interface {
-	// Claim returns an error, usually ErrUnavailable, when no attempt may be sent.
+	// Claim returns an error, usually ErrUnavailable or ErrUncertain, when no attempt may be sent.
 	Claim(ctx context.Context, c Claim) (ClaimResult, error)
 	// Complete records the outcome of granted work. It waits for the acknowledgement until ctx is done, and goes on in
 	// the background after that; then it returns ErrPending.
@@ -143,7 +147,7 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, min(c.maxClaim, claim.Timeout))
 	defer cancel()
-	sent, hint := false, ""
+	sent, refused, hint := false, false, ""
 	for backoff := minRetry; ctx.Err() == nil; backoff = min(2*backoff, maxRetry) {
 		reply, err := c.sendClaim(ctx, hint, &peerpb.ClaimRequest{
 			Key: claim.Key[:], BodyHash: claim.Body[:], CallId: claim.CallID,
@@ -156,6 +160,7 @@
 			if result, ok := resultOf(reply); ok {
 				return result, nil
 			}
+			refused = reply.GetState() == peerpb.ClaimState_CLAIM_STATE_REFUSED
 			break
 		}
 		hint = nextHint(hint, reply.GetHolderNodeId())
@@ -165,7 +170,10 @@
 	if sent {
 		c.releaseGivenUp(claim)
 	}
-	return ClaimResult{}, ErrUnavailable
+	if refused {
+		return ClaimResult{}, ErrUnavailable
+	}
+	return ClaimResult{}, ErrUncertain
 }
 
 // nextHint follows a hint of a member that does not hold the range, but not twice in a row, so that members with
--- a/node/process/ledger/server.go
+++ b/node/process/ledger/server.go
@@ -129,6 +129,9 @@
 	if t != nil {
 		timeout := time.Duration(min(max(r.GetTimeoutUs(), 0), maxTimeout.Microseconds())) * time.Microsecond
 		reply = t.claim(ctx, key, Hash(r.GetBodyHash()), r.GetCallId(), timeout)
+		if reply.State == peerpb.ClaimState_CLAIM_STATE_UNAVAILABLE {
+			reply.State = t.refused(key, r.GetCallId())
+		}
 	}
 	s.count(counterOf(reply.GetState()))
 	return reply, nil
--- a/node/process/ledger/tenure.go
+++ b/node/process/ledger/tenure.go
@@ -328,13 +328,7 @@
 
 // wait returns true when the batch is durable. With e it also ends a wait that tryClaim counted.
 func (t *tenure) wait(ctx context.Context, key Key, e *entry, b *batch) bool {
-	ok := false
-	select {
-	case <-b.done:
-		ok = ctx.Err() == nil
-	case <-t.lost:
-	case <-ctx.Done():
-	}
+	ok := t.waitDone(ctx, b, e != nil)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e != nil {
@@ -346,6 +340,30 @@
 	return ok
 }
 
+// waitDone waits for the batch. With whileWriting it gives up soon after writes began to fail, so that claims are refused
+// promptly during an outage of the store.
+func (t *tenure) waitDone(ctx context.Context, b *batch, whileWriting bool) bool {
+	check := time.NewTicker(stallLimit)
+	defer check.Stop()
+	for {
+		select {
+		case <-b.done:
+			return ctx.Err() == nil
+		case <-t.lost:
+			return false
+		case <-ctx.Done():
+			return false
+		case <-check.C:
+			t.mu.Lock()
+			stalled := t.stalled()
+			t.mu.Unlock()
+			if whileWriting && stalled {
+				return false
+			}
+		}
+	}
+}
+
 // refusal is the state to report when a wait failed.
 func (t *tenure) refusal() peerpb.ClaimState {
 	select {
@@ -356,6 +374,25 @@
 	}
 }
 
+// refused says what is known of a key whose claim was not granted. A caller whose earlier request may have run must not
+// hear that the work did not run, even while the store is down.
+func (t *tenure) refused(key Key, call string) peerpb.ClaimState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended {
+		return peerpb.ClaimState_CLAIM_STATE_NOT_HOLDER
+	}
+	e := t.find(key, t.server.nowMs())
+	switch {
+	case e == nil, e.call == call, e.state == released:
+		return peerpb.ClaimState_CLAIM_STATE_REFUSED
+	case e.state == completed:
+		// The work ran, but its answer cannot be read now.
+		return peerpb.ClaimState_CLAIM_STATE_REPLAY
+	}
+	return peerpb.ClaimState_CLAIM_STATE_UNKNOWN
+}
+
 // releaseUngranted releases the key if e is a durable claim that nobody waits for and that was never granted. Without it,
 // the keys of callers that were refused during an outage would read as unknown for the whole retention.
 func (t *tenure) releaseUngranted(key Key, e *entry) {
--- a/node/process/node/operators_test.go
+++ b/node/process/node/operators_test.go
@@ -120,6 +120,8 @@
 // Guards against a store outage that stops calls, evicts nodes, or lets keyed work run unrecorded.
 func TestStoreOutageStopsOnlyKeyedWorkAndEdits(t *testing.T) {
 	f := newTestFleet(t, "crews", "quotes", "crews")
+	known := f.call(0, http.MethodPost, "crews", "/book", key("known"), "keyed")
+	require.Equal(t, contract.OutcomeRun, known.outcome, known.body)
 	f.store.SetFault(func(platformtest.Operation) platformtest.Fault { return platformtest.Fault{Down: true} })
 	for i := range 10 {
 		r := f.call(i%3, http.MethodGet, "quotes", "/offer", nil, "")
@@ -129,6 +131,9 @@
 		r = f.call(i%3, http.MethodPost, "crews", "/book", key(fmt.Sprint("down", i)), "keyed")
 		require.Equal(t, contract.OutcomeNotRun, r.outcome, r.body)
 		require.Zero(t, f.runs(r.token))
+		r = f.call(i%3, http.MethodPost, "crews", "/book", key("known"), "keyed")
+		require.NotEqual(t, contract.OutcomeNotRun, r.outcome, "work that ran was reported as not run: %s", r.body)
+		require.Zero(t, f.runs(r.token))
 	}
 	status, _, _ := f.edit(0, "down", f.version(0), "defaults.call.timeoutMs", "900")
 	require.NotEqual(t, http.StatusOK, status)
--- a/node/request/entry/keyed.go
+++ b/node/request/entry/keyed.go
@@ -48,7 +48,7 @@
 // claim returns a result in state Granted or Replay, or a refusal.
 func (h *Handler) claim(ctx context.Context, c *call) (ledger.ClaimResult, *refusal) {
 	if h.Ledger == nil {
-		return ledger.ClaimResult{}, ledgerRefusal()
+		return ledger.ClaimResult{}, ledgerRefusal(ledger.ErrUncertain)
 	}
 	claim := ledger.Claim{
 		Key: c.ledgerKey(), Body: ledger.HashOf([]byte(c.method), []byte(c.target), c.body),
@@ -58,7 +58,7 @@
 	for wait := firstRepeat; ; wait *= 2 {
 		result, err := h.Ledger.Claim(ctx, claim)
 		if err != nil {
-			return result, ledgerRefusal()
+			return result, ledgerRefusal(err)
 		}
 		if result.State != ledger.InProgress || patience < wait || sleep(ctx, wait) != nil {
 			return result, refusalOfClaim(result.State)
@@ -96,7 +96,7 @@
 	case ledger.ReplayWithoutAnswer:
 		return &refusal{
 			status: http.StatusConflict, outcome: contract.OutcomeRun,
-			reason: "an earlier request with this idempotency key ran; its answer was too large to be recorded",
+			reason: "an earlier request with this idempotency key ran; its answer is not available",
 		}
 	}
 	return &refusal{
@@ -105,9 +105,15 @@
 	}
 }
 
-func ledgerRefusal() *refusal {
+// ledgerRefusal answers a call whose claim was not granted. It says not-run only when the ledger knows of no earlier call
+// with the key: a caller who repeats a booking would otherwise take the booking for not made.
+func ledgerRefusal(err error) *refusal {
 	r := notRun(http.StatusServiceUnavailable, "the idempotency key could not be recorded, so the work was not started")
 	r.retryAfter = defaultRetryAfter
+	if !errors.Is(err, ledger.ErrUnavailable) {
+		r.outcome = contract.OutcomeUnknown
+		r.reason = "this request did not run, but whether an earlier one with this idempotency key ran cannot be told now"
+	}
 	return r
 }
 
