membership: judge a failure against fresh pings of the other peers

Change: a failed ping makes the pings of the other peers due at once and is judged only after their results.

--- a/node/process/membership/detector.go
+++ b/node/process/membership/detector.go
@@ -33,9 +33,9 @@
 	due    time.Time
 	// failing is set while the last direct ping failed.
 	failing bool
-	// waiting, denied and vouched count the helpers of the current round.
-	waiting, denied int
-	vouched         bool
+	// helpers were asked in the current round, waiting of them have not answered yet, denied could not reach the peer.
+	helpers, waiting, denied int
+	vouched                  bool
 	// deadline is when the suspicion becomes death; zero while there is none.
 	deadline time.Time
 	// deniedRounds counts confirmed failures in a row since the suspicion.
@@ -150,7 +150,8 @@
 		return d.alive(now, p, incarnation)
 	}
 	p.failing = true
-	p.phase, p.waiting, p.denied, p.vouched = asking, 0, 0, false
+	d.checkOthers(now)
+	p.phase, p.helpers, p.waiting, p.denied, p.vouched = asking, 0, 0, 0, false
 	return []action{{kind: actAsk, id: id, member: p.member}}
 }
 
@@ -160,7 +161,7 @@
 	if p == nil {
 		return nil
 	}
-	p.waiting += helpers
+	p.helpers, p.waiting = helpers, helpers
 	if helpers == 0 {
 		return d.conclude(now, p)
 	}
@@ -204,7 +205,11 @@
 	}
 	p.phase = idle
 	p.due = now.Add(d.timing.RetryEvery)
-	if p.denied < d.needed() {
+	if d.checking(p) {
+		p.due = now.Add(d.timing.RetryEvery / 2)
+		return nil
+	}
+	if p.denied < d.needed(p) {
 		return nil
 	}
 	if p.member.State == Suspect {
@@ -215,10 +220,31 @@
 	return []action{{kind: actSuspect, member: p.member}}
 }
 
+// checkOthers makes the pings of the other peers due at once, so that a failure is judged against fresh results. Without
+// that, a node cut off together with its helper accused the first peer before it knew that the others failed too.
+func (d *detector) checkOthers(now time.Time) {
+	for _, p := range d.probes {
+		if p.phase == idle && !p.failing {
+			p.due = now
+		}
+	}
+}
+
+// checking reports whether the ping of another peer, not known to fail, is due or under way.
+func (d *detector) checking(but *probe) bool {
+	for _, p := range d.probes {
+		if p != but && !p.failing && (p.phase == pinging || p.phase == idle && !p.due.After(d.last)) {
+			return true
+		}
+	}
+	return false
+}
+
 // needed is the number of helpers that must confirm a failure. When most monitored peers fail at once, the cause is
-// probably this node's own network, and one helper that happens to share the fault proves nothing.
-func (d *detector) needed() int {
-	if d.isolated() {
+// probably this node's own network, and one helper that happens to share the fault proves nothing, unless the fleet has
+// no other. Without any helper nothing is ever confirmed.
+func (d *detector) needed(p *probe) int {
+	if d.isolated() && p.helpers > 1 {
 		return 2
 	}
 	return 1
--- a/node/process/membership/failure_test.go
+++ b/node/process/membership/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -325,35 +326,50 @@
 	})
 }
 
-// Guards against an isolated node that declares everybody else dead.
-func TestAnIsolatedNodeAccusesNobody(t *testing.T) {
-	withCluster(t, func(t *testing.T, c *cluster) {
-		nodes := c.launch(8, "a", "b")
-		c.joined(nodes)
-		alone := nodes[4]
-		rest := without(nodes, alone)
-		v := watch(nodes)
-		c.setCut(func(x, y *testNode) bool { return x == alone || y == alone })
-		c.eventually(time.Minute, "others see it dead", func() bool { return sees(rest, alone.cfg.Address, Dead) })
-		time.Sleep(10 * time.Minute)
-		require.True(t, alone.Dump().Isolated)
-		require.Equal(t, []string{alone.cfg.Address}, v.of(Suspect))
-		c.setCut(nil)
-		t.Log("back after", c.eventually(2*time.Minute, "return", func() bool { return agree(nodes) }))
-	})
+// Guards against isolated nodes that declare everybody else dead, also when a helper shares their fault.
+func TestIsolatedNodesAccuseNobody(t *testing.T) {
+	for name, count := range map[string]int{"one node": 1, "two nodes of a rack": 2} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, func(t *testing.T, c *cluster) {
+				nodes := c.launch(8, "a", "b")
+				c.joined(nodes)
+				apart := map[*testNode]bool{}
+				var accused []string
+				for i := range count {
+					apart[nodes[2*i+4]] = true // even nodes are of place a
+					accused = append(accused, nodes[2*i+4].cfg.Address)
+				}
+				rest := slices.DeleteFunc(slices.Clone(nodes), func(n *testNode) bool { return apart[n] })
+				v := watch(nodes)
+				c.setCut(func(x, y *testNode) bool { return apart[x] != apart[y] })
+				for _, address := range accused {
+					c.eventually(time.Minute, "others see it dead", func() bool { return sees(rest, address, Dead) })
+				}
+				time.Sleep(10 * time.Minute)
+				require.True(t, nodes[4].Dump().Isolated)
+				require.ElementsMatch(t, accused, v.of(Suspect))
+				c.setCut(nil)
+				t.Log("back after", c.eventually(5*time.Minute, "return", func() bool { return agree(nodes) }))
+			})
+		})
+	}
 }
 
 // Guards against a rule for isolation that protects a dead node: the only neighbour of a place's survivor is most of what
 // it monitors, and the members of another place must do as witnesses.
 func TestTheOnlyNeighbourInAPlaceIsFoundDead(t *testing.T) {
-	withCluster(t, func(t *testing.T, c *cluster) {
-		nodes := c.launch(2, "a", "b")
-		c.joined(nodes)
-		dead := nodes[0]
-		c.kill(dead)
-		rest := without(nodes, dead)
-		c.eventually(time.Minute, "death", func() bool { return sees(rest, dead.cfg.Address, Dead) })
-	})
+	for name, others := range map[string]int{"two members of another place": 2, "one member of another place": 1} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, func(t *testing.T, c *cluster) {
+				nodes := append(c.launch(2, "a"), c.launch(others, "b")...)
+				c.joined(nodes)
+				dead := nodes[0]
+				c.kill(dead)
+				rest := without(nodes, dead)
+				c.eventually(time.Minute, "death", func() bool { return sees(rest, dead.cfg.Address, Dead) })
+			})
+		})
+	}
 }
 
 // Guards against a burst of deaths that the limits on pushes spread too slowly.
