balance: keep reports to the same node apart

A report rode on every answer and refusal. With refusals by referral that was 8 % more bytes than the least-reported baseline sends (co-op stalls at 85 %: 15,218 and 14,133 B/s per node).

--- a/api/settings/values.go
+++ b/api/settings/values.go
@@ -54,6 +54,7 @@
 type Balance struct {
 	SpillMs      float64 `json:"spillMs" default:"1" min:"0" max:"1000" unit:"ms" doc:"Advantage of servers of the same place over those of other places."`
 	SlowStartMs  int     `json:"slowStartMs" default:"10000" min:"0" max:"600000" unit:"ms" doc:"Time over which a new server's share of calls rises."`
+	ReportMs     float64 `json:"reportMs" default:"2" min:"0" max:"1000" unit:"ms" doc:"Shortest time between two load reports of a server to the same node; 0 reports with every answer."`
 	ProbesPerSec float64 `json:"probesPerSec" default:"0" min:"0" max:"100" unit:"1/s" doc:"Load probes between nodes, per service and node."`
 	ProbeBytes   int     `json:"probeBytesPerSec" default:"512" min:"0" max:"65536" unit:"bytes/s" doc:"Bytes of load probes between nodes, per service and node."`
 }
--- a/node/process/balance/experiment/call.go
+++ b/node/process/balance/experiment/call.go
@@ -108,7 +108,10 @@
 // answer sends an answer or a refusal, with load reports, to the entry node.
 func (a *attempt) answer(r *admission.Refused) {
 	w := a.call.w
-	loads := append([]balance.Load{w.report(a.server)}, w.policy.piggyback(a.server)...)
+	var loads []balance.Load
+	if w.servers[a.server].pace.Due(strconv.Itoa(a.call.entry)) || !w.options.pace {
+		loads = append([]balance.Load{w.report(a.server)}, w.policy.piggyback(a.server)...)
+	}
 	if w.measuring && a.call.entry != a.server {
 		w.result.bytes += reportBytes * len(loads)
 	}
--- a/node/process/balance/experiment/experiment_test.go
+++ b/node/process/balance/experiment/experiment_test.go
@@ -31,7 +31,7 @@
 				require.Less(t, product.quantile(0.99), baseline.quantile(0.99), name)
 				require.Less(t, float64(product.refused), 0.005*float64(product.calls))
 				if name == "least reported" {
-					require.Less(t, product.bytes, baseline.bytes*115/100, "no more reports than one for each answer")
+					require.Less(t, product.bytes, baseline.bytes, "no more reports than one for each answer")
 				}
 			}
 		})
--- a/node/process/balance/experiment/policy.go
+++ b/node/process/balance/experiment/policy.go
@@ -19,6 +19,7 @@
 // options tell which corrections go with a policy.
 type options struct {
 	refer bool // admission refers calls to free siblings
+	pace  bool // reports to the same node keep their distance
 	hedge bool // idempotent calls are hedged
 }
 
--- a/node/process/balance/experiment/server.go
+++ b/node/process/balance/experiment/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/node/process/admission"
+	"github.com/radishstand/radishstand/node/process/balance"
 )
 
 // serviceMean is the mean service time at full speed.
@@ -66,6 +67,7 @@
 	slots     int
 	cores     int // calls that run at full speed at once; more share the speed
 	admission *admission.Admission
+	pace      *balance.Pace
 
 	speed      float64
 	work       float64 // progress of each call in progress since the start, in ns at full speed
--- a/node/process/balance/experiment/sweep_test.go
+++ b/node/process/balance/experiment/sweep_test.go
@@ -39,7 +39,8 @@
 	{name: "choice only", make: func(w *world) policy { return newProduct(w) }},
 	{name: "with referral", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true}},
 	{name: "with hedging", make: func(w *world) policy { return newProduct(w) }, options: options{hedge: true}},
-	{name: "product", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true}},
+	{name: "product", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true}},
+	{name: "all reports", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true}},
 	{name: "oracle", make: func(w *world) policy { return &oracle{w: w} }},
 	{name: "oracle hedging", make: func(w *world) policy { return &oracle{w: w} }, options: options{hedge: true}},
 }
