balance, admission: apply the order of classes and the spill advantage

In a large service whose servers are all new, slow start left out every sampled server and the last server of the list took the calls; the best of those left out is now chosen.

--- a/api/settings/values.go
+++ b/api/settings/values.go
@@ -44,15 +44,16 @@
 
 // Admission configures the queue in front of a backend server.
 type Admission struct {
-	QueueLength     int     `json:"queueLength" default:"96" min:"0" max:"10000" unit:"calls" doc:"Longest queue at a server, all classes together."`
-	MaxQueueMs      int     `json:"maxQueueMs" default:"1000" min:"0" max:"60000" unit:"ms" doc:"Longest time in the queue."`
-	DeferrableShare float64 `json:"deferrableShare" default:"0.05" min:"0" max:"0.5" doc:"Share of admissions kept for the lowest waiting class."`
-	ReferMarginMs   int     `json:"referMarginMs" default:"2" min:"0" max:"1000" unit:"ms" doc:"A call is referred to a faster sibling server when the expected wait is longer than this; 0 never refers."`
+	QueueLength     int      `json:"queueLength" default:"96" min:"0" max:"10000" unit:"calls" doc:"Longest queue at a server, all classes together."`
+	MaxQueueMs      int      `json:"maxQueueMs" default:"1000" min:"0" max:"60000" unit:"ms" doc:"Longest time in the queue."`
+	Order           []string `json:"order" default:"[\"check\",\"critical\",\"normal\",\"deferrable\"]" doc:"Priority classes, highest first; a class that is not listed ranks last."`
+	DeferrableShare float64  `json:"deferrableShare" default:"0.05" min:"0" max:"0.5" doc:"Share of admissions kept for the lowest waiting class, and of the queue kept for each class."`
+	ReferMarginMs   int      `json:"referMarginMs" default:"2" min:"0" max:"1000" unit:"ms" doc:"A call is referred to a faster sibling server when the expected wait is longer than this; 0 never refers."`
 }
 
 // Balance configures the choice of a backend server.
 type Balance struct {
-	SpillMs      float64 `json:"spillMs" default:"1" min:"0" max:"1000" unit:"ms" doc:"Advantage of servers of the same place over those of other places."`
+	SpillMs      float64 `json:"spillMs" default:"0" min:"0" max:"1000" unit:"ms" doc:"Advantage of servers of the same place over those of other places, beyond the time on the network."`
 	SlowStartMs  int     `json:"slowStartMs" default:"10000" min:"0" max:"600000" unit:"ms" doc:"Time over which a new server's share of calls rises."`
 	ReportMs     float64 `json:"reportMs" default:"2" min:"0" max:"1000" unit:"ms" doc:"Shortest time between two load reports of a server to the same node; 0 reports with every answer."`
 	ProbesPerSec float64 `json:"probesPerSec" default:"0" min:"0" max:"100" unit:"1/s" doc:"Load probes between nodes, per service and node."`
--- a/node/process/admission/admission.go
+++ b/node/process/admission/admission.go
@@ -121,7 +121,7 @@
 // Submit asks for a slot without blocking. The function decide is called exactly once, with a ticket or a *Refused,
 // before Submit returns or later.
 func (a *Admission) Submit(call Call, decide func(*Ticket, error)) *Waiter {
-	w := &Waiter{call: call, rank: call.Class.Rank(), decide: decide}
+	w := &Waiter{call: call, decide: decide}
 	defer a.announce()
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/node/process/admission/admission_test.go
+++ b/node/process/admission/admission_test.go
@@ -124,6 +124,19 @@
 	})
 }
 
+// Guards against an order of the settings that is ignored.
+func TestOrderOfClassesFollowsTheSettings(t *testing.T) {
+	b, n := newBench(1, nil), 0
+	b.values.Order, b.values.DeferrableShare = []string{"deferrable", "check"}, 0
+	b.ask(Call{Class: contract.ClassNormal}, &n)
+	normal, check, deferrable := b.ask(Call{}, &n), b.ask(Call{Class: contract.ClassCheck}, &n), b.ask(Call{Class: contract.ClassDeferrable}, &n)
+	for _, o := range []*outcome{deferrable, check} {
+		b.Resize(b.slots + 1)
+		require.NotNil(t, o.ticket)
+	}
+	require.Nil(t, normal.ticket)
+}
+
 // Guards against an overload in which internal checks wait behind other work or the lowest class gets nothing.
 func TestOverloadKeepsChecksFastAndTheLowestClassAlive(t *testing.T) {
 	b := newBench(1, nil)
--- a/node/process/admission/queue.go
+++ b/node/process/admission/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/radishstand/radishstand/api/contract"
 	"github.com/radishstand/radishstand/api/settings"
 )
 
@@ -110,8 +111,20 @@
 	return n
 }
 
+// rank returns the position of a class in the order of the settings.
+func rank(class contract.Class, order []string) int {
+	if !class.Valid() {
+		class = contract.ClassNormal
+	}
+	if i := slices.Index(order, string(class)); i >= 0 {
+		return min(i, len(contract.Classes)-1)
+	}
+	return len(contract.Classes) - 1
+}
+
 // submit decides on a new call at once or queues it.
 func (a *Admission) submit(w *Waiter, now time.Duration, v settings.Admission) {
+	w.rank = rank(w.call.Class, v.Order)
 	w.expires = now + time.Duration(v.MaxQueueMs)*time.Millisecond
 	if !w.call.Deadline.IsZero() {
 		w.deadline = max(w.call.Deadline.Sub(a.origin), 1)
--- a/node/process/balance/balance.go
+++ b/node/process/balance/balance.go
@@ -147,7 +147,8 @@
 		r.server = server
 		r.distance = b.config.Distance(server.Place)
 		r.firstSeen = server.FirstSeen.Sub(b.origin)
-		s.add(r, server.Place == b.config.Place)
+		r.away = server.Place != b.config.Place
+		s.add(r)
 		b.records.Store(server.ID, r)
 	}
 	for id := range known {
--- a/node/process/balance/balance_test.go
+++ b/node/process/balance/balance_test.go
@@ -289,6 +289,14 @@
 	b.share(t, 100, func(string) Result { return Result{Latency: 10 * time.Millisecond} })
 }
 
+// Guards against one server that takes all calls of a large service whose servers are all new, as after a restart.
+func TestNewServersOfALargeServiceShareTheCalls(t *testing.T) {
+	b := newBench(200, func(_ int, s *Server) { s.FirstSeen = time.Unix(1000, 0) })
+	for id, share := range b.share(t, 2000, func(string) Result { return Result{Latency: 10 * time.Millisecond} }) {
+		require.Less(t, share, 0.05, id)
+	}
+}
+
 // Guards against work for draining servers and against a choice where there is none.
 func TestPickSkipsDrainingServers(t *testing.T) {
 	b := newBench(2, func(i int, s *Server) { s.Draining = i == 0 })
@@ -302,6 +310,24 @@
 	require.ErrorIs(t, err, ErrNoServer)
 }
 
+// Guards against calls that stay at home whatever it costs, or leave it at once.
+func TestCallsSpillOverWhenTheHomePlaceIsWorse(t *testing.T) {
+	b := newBench(2, nil) // s1 is 2 ms away
+	v := settings.Default()
+	v.Balance.SpillMs = 5
+	b.Configure(testService, &v)
+	for i, c := range []struct {
+		home time.Duration
+		want string
+	}{{14 * time.Millisecond, "s0"}, {30 * time.Millisecond, "s1"}} {
+		b.Observe("n0", []Load{{ServerID: "s0", Sequence: uint64(i + 1), Limit: 10, ServiceTime: c.home}})
+		b.Observe("n1", []Load{{ServerID: "s1", Sequence: uint64(i + 1), Limit: 10, ServiceTime: 10 * time.Millisecond}})
+		s, err := b.Pick(testService, nil)
+		require.NoError(t, err)
+		require.Equal(t, c.want, s.ID)
+	}
+}
+
 // Guards against stale reports that replace newer ones, and against reports of an older incarnation.
 func TestObserveKeepsTheNewestReport(t *testing.T) {
 	b := newBench(1, nil)
--- a/node/process/balance/record.go
+++ b/node/process/balance/record.go
@@ -32,6 +32,7 @@
 	previous, next *record
 	server         Server
 	distance       time.Duration
+	away           bool // in another place
 	firstSeen      time.Duration
 
 	load     Load
@@ -173,6 +174,9 @@
 	n := r.outstanding()
 	serviceTime := r.serviceTime(now, n)
 	score := serviceTime*(1+waitFactor(n, r.limit)) + float64(r.distance)
+	if r.away {
+		score += s.balance.SpillMs * float64(time.Millisecond)
+	}
 	if r.errors > 0.01 {
 		score += r.errors * float64(s.slow(now))
 	}
--- a/node/process/balance/service.go
+++ b/node/process/balance/service.go
@@ -56,9 +56,9 @@
 }
 
 // add appends a record.
-func (s *service) add(r *record, local bool) {
+func (s *service) add(r *record) {
 	s.records = append(s.records, r)
-	if local {
+	if !r.away {
 		s.local = append(s.local, r)
 	}
 	if r.reported {
@@ -127,17 +127,14 @@
 	if len(s.records) > scanUpTo {
 		c.sample(s.local, sampleLocal)
 		c.sample(s.records, sampleAny)
-		if c.best != nil {
-			return c.best
+		if r := c.result(); r != nil {
+			return r
 		}
 	}
 	for _, r := range s.records {
 		c.consider(r)
 	}
-	if c.best == nil {
-		return c.cold
-	}
-	return c.best
+	return c.result()
 }
 
 // choice is one pass over candidates.
@@ -147,9 +144,29 @@
 	excluded []string
 	ejected  bool
 	warmest  float64
-	best     *record
-	score    float64
-	cold     *record // a candidate that slow start left out, for want of a better one
+	best     scored
+	cold     scored // the best candidate that slow start left out, for want of another one
+}
+
+// scored is a candidate with its score.
+type scored struct {
+	record *record
+	score  float64
+}
+
+// offer keeps the candidate with the lower score.
+func (s *scored) offer(r *record, score float64) {
+	if s.record == nil || score < s.score {
+		s.record, s.score = r, score
+	}
+}
+
+// result returns the choice, or nil.
+func (c *choice) result() *record {
+	if c.best.record != nil {
+		return c.best.record
+	}
+	return c.cold.record
 }
 
 // sample considers n records drawn at random.
@@ -170,13 +187,12 @@
 	if !c.ejected && r.ejectedUntil > c.now {
 		return
 	}
+	score := c.service.score(r, c.now)
 	if warmth := r.warmth(c.now, c.service); warmth < c.warmest && c.service.rand.Float64()*c.warmest > warmth {
-		c.cold = r
+		c.cold.offer(r, score)
 		return
 	}
-	if score := c.service.score(r, c.now); c.best == nil || score < c.score {
-		c.best, c.score = r, score
-	}
+	c.best.offer(r, score)
 }
 
 // warmest returns the warmth of the server that was seen first. Slow start is relative to it, so that a service whose
