--- a/ctl/cmd/radishctl/main.go
+++ b/ctl/cmd/radishctl/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -44,7 +43,10 @@
 		return cli.ExitInvalid
 	}
 	err := root.Run(ctx)
-	if cli.ExitCode(err) != cli.ExitOK && !errors.Is(err, context.Canceled) {
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("interrupted by a signal: %w", err)
+	}
+	if cli.ExitCode(err) != cli.ExitOK {
 		fmt.Fprintln(env.Stderr, "radishctl:", err)
 	}
 	return cli.ExitCode(err)
--- a/ctl/demo/verdict.go
+++ b/ctl/demo/verdict.go
@@ -133,7 +133,7 @@
 	return r.failure
 }
 
-// early counts the answers that a request with the same key is in progress.
+// early counts the answers that a request with the same key is in progress or may have run.
 func (r *report) early() int64 {
 	var n int64
 	for _, s := range r.Steps {
@@ -159,7 +159,9 @@
 	if err := env.Table(head, rows); err != nil {
 		return err
 	}
-	env.Printf("Unknown includes %d repeats of keyed calls that came before the first answer was recorded.", r.early())
+	if early := r.early(); early > 0 {
+		env.Printf("Unknown includes %d repeats of keyed calls whose first call had no known outcome.", early)
+	}
 	rows = nil
 	for _, i := range r.Invariants {
 		rows = append(rows, []string{i.ID, map[bool]string{true: "holds", false: "BROKEN"}[i.Holds], i.What, i.Found})
