--- a/node/cmd/radishnode/options.go
+++ b/node/cmd/radishnode/options.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -70,14 +71,45 @@
 	return o, nil
 }
 
+// boolVar, intVar and durationVar add flags whose errors say what was found and what is allowed; those of package flag
+// say "parse error".
+func boolVar(fs *flag.FlagSet, to *bool, name, usage string) {
+	fs.BoolFunc(name, usage, func(text string) (err error) {
+		if *to, err = strconv.ParseBool(text); err != nil {
+			return fmt.Errorf("is %q; allowed are true and false", text)
+		}
+		return nil
+	})
+}
+
+func intVar(fs *flag.FlagSet, to *int, name string, otherwise int, usage string) {
+	*to = otherwise
+	fs.Func(name, usage, func(text string) (err error) {
+		if *to, err = strconv.Atoi(text); err != nil {
+			return fmt.Errorf("is %q; allowed are whole numbers", text)
+		}
+		return nil
+	})
+}
+
+func durationVar(fs *flag.FlagSet, to *time.Duration, name string, otherwise time.Duration, usage string) {
+	*to = otherwise
+	fs.Func(name, usage, func(text string) (err error) {
+		if *to, err = time.ParseDuration(text); err != nil {
+			return fmt.Errorf("is %q; allowed are durations such as 500ms or 2s", text)
+		}
+		return nil
+	})
+}
+
 func (o *options) flags(stderr io.Writer) (*flag.FlagSet, *string) {
 	fs := flag.NewFlagSet("radishnode", flag.ContinueOnError)
 	fs.SetOutput(stderr)
 	c := &o.config
 	fs.String("config", "", "JSON file with any of these settings, nested at the dots")
-	fs.BoolVar(&o.check, "check", false, "validate the configuration and exit")
+	boolVar(fs, &o.check, "check", "validate the configuration and exit")
 	level := fs.String("log.level", "info", "lowest level that is logged: debug, info, warn, error")
-	fs.IntVar(&o.memoryLimitMB, "memoryLimitMB", defaultMemoryLimitMB, "soft memory limit in MB")
+	intVar(fs, &o.memoryLimitMB, "memoryLimitMB", defaultMemoryLimitMB, "soft memory limit in MB")
 	fs.StringVar(&c.Place, "place", "", "place of this host, as named in the settings tree")
 	fs.StringVar(&c.ListenCallers, "listen.callers", "", "IP:port for callers")
 	fs.StringVar(&c.ListenPeers, "listen.peers", "", "IP:port for other nodes")
@@ -86,14 +118,14 @@
 	fs.StringVar(&c.Advertise, "advertise", "", "IP:port at which other nodes reach listen.peers; listen.peers when empty")
 	fs.Var(addressList{&c.Peers}, "peers", "peer addresses to try while the table service is down")
 	fs.StringVar(&c.OperatorToken, "operators.token", "", "bearer token of operators")
-	fs.BoolVar(&c.OperatorOpen, "operators.open", false, "let operators in without a token")
+	boolVar(fs, &c.OperatorOpen, "operators.open", "let operators in without a token")
 	fs.StringVar(&c.TLS.CertFile, "tls.certFile", "", "PEM file with this node's certificate")
 	fs.StringVar(&c.TLS.KeyFile, "tls.keyFile", "", "PEM file with this node's key")
 	fs.StringVar(&c.TLS.CAFile, "tls.caFile", "", "PEM file with the CA of all nodes")
-	fs.BoolVar(&c.TLS.Insecure, "tls.insecure", false, "run without TLS between nodes")
-	fs.IntVar(&c.MaxInProgress, "maxInProgress", 0, "most calls in progress (default 4096)")
-	fs.IntVar(&c.MaxConnections, "maxConnections", 0, "most connections of callers (default 4096)")
-	fs.DurationVar(&c.StopGrace, "stopGrace", time.Second, "time that peers are given to hear of a planned stop")
+	boolVar(fs, &c.TLS.Insecure, "tls.insecure", "run without TLS between nodes")
+	intVar(fs, &c.MaxInProgress, "maxInProgress", 0, "most calls in progress (default 4096)")
+	intVar(fs, &c.MaxConnections, "maxConnections", 0, "most connections of callers (default 4096)")
+	durationVar(fs, &c.StopGrace, "stopGrace", time.Second, "time that peers are given to hear of a planned stop")
 	p := &c.Platform
 	fs.StringVar(&p.TableEndpoint, "platform.tableEndpoint", p.TableEndpoint, "URL of the table service")
 	fs.StringVar(&p.ObjectsEndpoint, "platform.objectsEndpoint", p.ObjectsEndpoint, "URL of the object store")
