--- a/api/contract/contract.go
+++ b/api/contract/contract.go
@@ -17,7 +17,7 @@
 	HeaderDepth = "Radish-Depth"
 	// HeaderClass is the priority class of a call between services.
 	HeaderClass = "Radish-Class"
-	// HeaderService names the service when neither Host nor path does.
+	// HeaderService names the service when the Host does not; it goes before the path.
 	HeaderService = "Radish-Service"
 	// HeaderIdempotencyKey is the caller's key for repeating non-idempotent work.
 	HeaderIdempotencyKey = "Idempotency-Key"
--- a/node/process/node/fleet_test.go
+++ b/node/process/node/fleet_test.go
@@ -22,7 +22,7 @@
 
 // testFleet is a few real nodes with fake backend servers on loopback, around an in-memory platform.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	store   *platformtest.Memory
 	nodes   []*Node
 	stops   []func()
@@ -40,7 +40,7 @@
   }}`
 
 // newTestFleet starts the nodes of the services, one node for each name, at the two places in turn.
-func newTestFleet(t *testing.T, services ...string) *testFleet {
+func newTestFleet(t testing.TB, services ...string) *testFleet {
 	f := &testFleet{t: t, store: platformtest.NewMemory(), client: &http.Client{
 		Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 500},
 	}}
--- a/node/process/node/latency_bench_test.go
+++ b/node/process/node/latency_bench_test.go
@@ -10,21 +10,21 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/require"
-
-	"github.com/radishstand/radishstand/node/backendtest"
 )
 
 // BenchmarkAddedLatency compares direct calls with calls through one and through two nodes, open loop, in one run. Use
 // -benchtime 1x; each case takes measureFor.
 func BenchmarkAddedLatency(b *testing.B) {
 	const measureFor = 10 * time.Second
-	f := newTestFleet(&testing.T{}, "quotes", "crews")
-	b.Cleanup(f.close)
-	f.servers[0].Set(backendtest.Behaviour{})
+	// More slots than calls at a time, so that no call waits for a slot.
+	const slots = 64
+	f := newTestFleet(b, "crews")
+	f.startNode("hoian", "quotes", slots)
+	f.await("both nodes know both servers", func() bool { return f.knows([]string{"quotes", "crews"}) })
 	targets := []struct{ name, address string }{
-		{"direct", f.servers[0].Address()},
-		{"one node", f.nodes[0].config.ListenCallers},
-		{"two nodes", f.nodes[1].config.ListenCallers},
+		{"direct", f.servers[1].Address()},
+		{"one node", f.nodes[1].config.ListenCallers},
+		{"two nodes", f.nodes[0].config.ListenCallers},
 	}
 	for _, rate := range []int{65, 2000} {
 		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
