balance/experiment: measure a service with 100 servers

Sampling 4 + 4 servers was untested. The sample stays, since scoring all servers costs microseconds for each call.

--- a/node/process/balance/experiment/sweep_test.go
+++ b/node/process/balance/experiment/sweep_test.go
@@ -16,6 +16,7 @@
 var (
 	sweepFlag    = flag.Bool("sweep", false, "run the comparison of policies, which takes minutes")
 	sweepLoads   = flag.String("loads", "0.5,0.7,0.85,0.95", "loads of the comparison as shares of the mean capacity")
+	sweepWhere   = flag.String("deployments", "coop,yatai", "deployments of the comparison: coop, yatai or large")
 	sweepOnly    = flag.String("policies", "", "policies of the comparison; empty for all")
 	sweepSeeds   = flag.Int("seeds", 3, "number of seeds of the comparison, from 1")
 	sweepSeconds = flag.Int("seconds", 20, "virtual seconds of each run of the comparison")
@@ -94,7 +95,10 @@
 	if !*sweepFlag {
 		t.Skip("runs with -sweep only")
 	}
-	for _, d := range []deployment{coop, yatai} {
+	for _, d := range []deployment{coop, yatai, large} {
+		if !slices.Contains(strings.Split(*sweepWhere, ","), d.name) {
+			continue
+		}
 		d.cores = *sweepCores
 		d.scenario = map[string]scenario{"stalls": stalls, "mild": mild, "heavy": heavy, "lasting": lasting}[*sweepWorld]
 		for _, text := range strings.Split(*sweepLoads, ",") {
--- a/node/process/balance/experiment/world.go
+++ b/node/process/balance/experiment/world.go
@@ -38,9 +38,11 @@
 	scenario scenario
 }
 
-// Deployments of the two users.
+// Deployments of the two users, and a large service.
 var (
-	coop  = deployment{name: "coop", servers: 5, slots: 17, entries: 14, between: time.Millisecond, scenario: stalls}
+	coop = deployment{name: "coop", servers: 5, slots: 17, entries: 14, between: time.Millisecond, scenario: stalls}
+	// large has so many servers that an entry node hears of each only every 130 ms or so.
+	large = deployment{name: "large", servers: 100, slots: 17, entries: 140, between: time.Millisecond, scenario: stalls}
 	yatai = deployment{name: "yatai", servers: 4, slots: 9, entries: 13, between: 1500 * time.Microsecond, scenario: stalls}
 )
 
