serve: send load reports when an entry node is due one; drop unused settings

Cause: a report on every answer cost bytes without a shorter tail, and three settings (probes, load path) had no effect. Change: reports are paced by balance.reportMs; the local server's own load is read before each choice; balance.probesPerSec, balance.probeBytesPerSec and measure.loadPath are removed.

--- a/api/settings/values.go
+++ b/api/settings/values.go
@@ -11,7 +11,7 @@
 	Balance   Balance   `json:"balance" doc:"Choice among the backend servers of a service."`
 	Retry     Retry     `json:"retry" doc:"Retries and hedging."`
 	Ejection  Ejection  `json:"ejection" doc:"Outlier ejection at the choosing node."`
-	Measure   Measure   `json:"measure" doc:"Budget and paths for measuring a backend server."`
+	Measure   Measure   `json:"measure" doc:"Budget and path for measuring a backend server."`
 	Drain     Drain     `json:"drain" doc:"Leaving and stopping."`
 	Ledger    Ledger    `json:"ledger" doc:"Idempotency ledger."`
 }
@@ -56,8 +56,6 @@
 	SpillMs      float64 `json:"spillMs" default:"0" min:"0" max:"1000" unit:"ms" doc:"Advantage of servers of the same place over those of other places, beyond the time on the network."`
 	SlowStartMs  int     `json:"slowStartMs" default:"10000" min:"0" max:"600000" unit:"ms" doc:"Time over which a new server's share of calls rises."`
 	ReportMs     float64 `json:"reportMs" default:"2" min:"0" max:"1000" unit:"ms" doc:"Shortest time between two load reports of a server to the same node; 0 reports with every answer."`
-	ProbesPerSec float64 `json:"probesPerSec" default:"0" min:"0" max:"100" unit:"1/s" doc:"Load probes between nodes, per service and node."`
-	ProbeBytes   int     `json:"probeBytesPerSec" default:"512" min:"0" max:"65536" unit:"bytes/s" doc:"Bytes of load probes between nodes, per service and node."`
 }
 
 // Retry configures retries and hedging.
@@ -81,7 +79,6 @@
 	PerSecond      float64 `json:"perSecond" default:"1" min:"0" max:"100" unit:"1/s" doc:"Requests that measure a backend server."`
 	BytesPerSecond int     `json:"bytesPerSecond" default:"1024" min:"0" max:"1048576" unit:"bytes/s" doc:"Bytes of requests and answers that measure a backend server."`
 	HealthPath     string  `json:"healthPath" default:"/health" pattern:"^(/.*)?$" doc:"Path of the server's health endpoint; empty for none."`
-	LoadPath       string  `json:"loadPath" default:"" pattern:"^(/.*)?$" doc:"Path of the server's load endpoint; empty for none."`
 }
 
 // Drain configures leaving and stopping.
--- a/node/process/node/core.go
+++ b/node/process/node/core.go
@@ -58,11 +58,12 @@
 	})
 	parents, pools := attempt.NewTable(), retry.NewPools()
 	k.serve = &serve.Handler{
-		Registry: k.registry, Settings: k.settings, Parents: parents, Pools: pools, Now: time.Now,
+		Registry: k.registry, Settings: k.settings, Parents: parents, Pools: pools,
+		Pace: balance.NewPace(nil, k.reportEvery), Now: time.Now,
 	}
 	k.entry = entry.New(entry.Config{
 		NodeID: c.nodeID, Settings: k.settings, Balancer: k.balancer, Retrier: k.retrier, Parents: parents, Pools: pools,
-		Local: k.serve, Remote: &peer.Caller{Pool: c.pool}, Ledger: c.ledger, Observer: c.observer,
+		Local: k.serve, Remote: &peer.Caller{Pool: c.pool}, OwnLoad: k.ownLoad, Ledger: c.ledger, Observer: c.observer,
 		Now: time.Now, Log: c.log, MaxInProgress: c.limit,
 	})
 	return k
@@ -82,6 +83,23 @@
 	})
 }
 
+// ownLoad returns the present load of the local server if it belongs to the service.
+func (k *core) ownLoad(service string) []balance.Load {
+	if own := k.registry.Current(); own != nil && own.Announced.Service == service {
+		return k.serve.Loads(own)
+	}
+	return nil
+}
+
+// reportEvery is the shortest time between two load reports to the same node.
+func (k *core) reportEvery() time.Duration {
+	own := k.registry.Current()
+	if own == nil {
+		return 0
+	}
+	return time.Duration(k.values(own.Announced.Service).Balance.ReportMs * float64(time.Millisecond))
+}
+
 func (k *core) newMeter(service, address string) *measure.Meter {
 	return measure.New(address, k.values(service).Measure, time.Now)
 }
--- a/node/request/attempt/attempt.go
+++ b/node/request/attempt/attempt.go
@@ -16,7 +16,9 @@
 
 // Request is one attempt of a call.
 type Request struct {
-	AttemptID  string
+	AttemptID string
+	// From is the peer address of the entry node.
+	From       string
 	CallID     string
 	Service    string
 	ServerID   string
--- a/node/request/entry/attempts.go
+++ b/node/request/entry/attempts.go
@@ -96,6 +96,9 @@
 
 // pick chooses a server that was not tried yet or, when all were, any.
 func (r *run) pick() (balance.Server, error) {
+	if own := r.handler.OwnLoad(r.call.service); own != nil {
+		r.handler.Balancer.Observe(r.handler.NodeID, own)
+	}
 	server, err := r.handler.Balancer.Pick(r.call.service, r.tried)
 	if err != nil && len(r.tried) > 0 {
 		server, err = r.handler.Balancer.Pick(r.call.service, nil)
@@ -129,7 +132,7 @@
 	stay := !r.retries.MayRefer()
 	a := &attemptInProgress{server: server, passed: r.retries.Pass(), hedge: hedge, started: now}
 	request := r.call.request(server.ID, remaining, a.passed)
-	request.Stay = stay
+	request.Stay, request.From = stay, h.NodeID
 	ctx, a.cancel = context.WithCancel(ctx)
 	r.pending = append(r.pending, a)
 	h.Balancer.Started(server)
--- a/node/request/entry/handler.go
+++ b/node/request/entry/handler.go
@@ -66,6 +66,8 @@
 	Pools    *retry.Pools
 	Local    Local
 	Remote   attempt.Doer
+	// OwnLoad returns the present load of the server beside this node if it belongs to the service, else nil.
+	OwnLoad func(service string) []balance.Load
 	// Ledger may be nil; keyed work is refused then.
 	Ledger   ledger.Ledger
 	Observer Observer
--- a/node/request/serve/serve.go
+++ b/node/request/serve/serve.go
@@ -27,7 +27,9 @@
 	Settings *current.Holder
 	Parents  *attempt.Table
 	Pools    *retry.Pools
-	Now      func() time.Time
+	// Pace says when an entry node is due another load report.
+	Pace *balance.Pace
+	Now  func() time.Time
 }
 
 // Do carries out an attempt. Its errors are *attempt.NotRun or *attempt.Broken.
@@ -43,7 +45,7 @@
 	deadline := h.Now().Add(r.Timeout)
 	ticket, err := h.admit(ctx, server, r, deadline)
 	if err != nil {
-		return nil, h.refused(err, server)
+		return nil, h.refused(err, server, r.From)
 	}
 	ctx, cancel := sendContext(ctx, r, deadline)
 	e := &exchange{handler: h, server: server, request: r, values: values, ticket: ticket, cancel: cancel}
@@ -89,8 +91,8 @@
 	admission.ReasonCancelled:   attempt.ReasonDeadline,
 }
 
-func (h *Handler) refused(err error, server *registry.Server) *attempt.NotRun {
-	notRun := &attempt.NotRun{Reason: attempt.ReasonQueueFull, Loads: h.Loads(server)}
+func (h *Handler) refused(err error, server *registry.Server, from string) *attempt.NotRun {
+	notRun := &attempt.NotRun{Reason: attempt.ReasonQueueFull, Loads: h.loadsFor(from, server)}
 	var refused *admission.Refused
 	if errors.As(err, &refused) {
 		notRun.Reason, notRun.RetryAfter, notRun.Hint = reasonOf[refused.Reason], refused.RetryAfter, refused.Sibling
@@ -98,6 +100,14 @@
 	return notRun
 }
 
+// loadsFor returns the report of the server when the entry node is due one.
+func (h *Handler) loadsFor(from string, server *registry.Server) []balance.Load {
+	if !h.Pace.Due(from) {
+		return nil
+	}
+	return h.Loads(server)
+}
+
 // Loads returns the report of the server. Reports of its siblings are not sent along: they quadrupled the bytes and did
 // not shorten the tail (docs/measurements-policy.md).
 func (h *Handler) Loads(server *registry.Server) []balance.Load {
@@ -142,7 +152,7 @@
 		answer.RetriesUsed = h.Pools.Used(r.AttemptID)
 		answer.Rest = &held{ReadCloser: answer.Rest, exchange: e}
 	}
-	answer.Loads = h.Loads(e.server)
+	answer.Loads = h.loadsFor(r.From, e.server)
 	return answer, nil
 }
 
@@ -159,7 +169,7 @@
 	var notRun *attempt.NotRun
 	if errors.As(err, &notRun) {
 		notRun.RetriesUsed = e.end(admission.Error)
-		notRun.Loads = e.handler.Loads(e.server)
+		notRun.Loads = e.handler.loadsFor(e.request.From, e.server)
 		return notRun
 	}
 	var broken *attempt.Broken
@@ -171,7 +181,7 @@
 		result = admission.Cancelled
 	}
 	broken.RetriesUsed = e.end(result)
-	broken.Loads = e.handler.Loads(e.server)
+	broken.Loads = e.handler.loadsFor(e.request.From, e.server)
 	return broken
 }
 
