--- a/node/process/node/node.go
+++ b/node/process/node/node.go
@@ -184,11 +184,11 @@
 	if server == nil {
 		return
 	}
-	_, err := server.Meter.Ask(ctx, n.core.values(server.Announced.Service).Measure.HealthPath)
+	report, err := server.Meter.Ask(ctx, n.core.values(server.Announced.Service).Measure.HealthPath)
 	if eris.Is(err, measure.ErrBudget) {
 		return
 	}
-	n.core.registry.Checked(server, err == nil)
+	n.core.registry.Checked(server, err == nil && report.Healthy)
 }
 
 // watchSettings puts each new version into force.
--- a/node/process/node/operators_test.go
+++ b/node/process/node/operators_test.go
@@ -202,3 +202,17 @@
 	}
 	require.Equal(t, 1, runs)
 }
+
+// Guards against a count of nodes in force that stays wrong where each place has one node, whose news nobody spreads.
+func TestInForceIsKnownWithOneNodeAPlace(t *testing.T) {
+	for range 3 {
+		f := newTestFleet(t, "quotes", "crews")
+		status, accepted, _ := f.edit(0, "edit", f.version(0), "defaults.call.timeoutMs", "900")
+		require.Equal(t, http.StatusOK, status)
+		f.await("in force in both places", func() bool {
+			var in operator.InForce
+			f.operate(0, http.MethodGet, fmt.Sprintf("%s?version=%d", operator.PathInForce, accepted.Version), "secret", nil, &in)
+			return in.Places["hue"].InForce == 1 && in.Places["hoian"].InForce == 1
+		})
+	}
+}
--- a/node/process/operator/operator.go
+++ b/node/process/operator/operator.go
@@ -37,7 +37,7 @@
 	Current() (version int64, tree *settings.Tree)
 	// Accepted puts a version in force that this node committed.
 	Accepted(commit.Result)
-	InForce(version int64) map[string]operator.InPlace
+	InForce(ctx context.Context, version int64) map[string]operator.InPlace
 	Status() operator.Status
 	Members() []operator.Member
 	Servers() []operator.Server
@@ -158,7 +158,7 @@
 	if !ok {
 		return
 	}
-	write(w, http.StatusOK, operator.InForce{Version: version, Places: h.view.InForce(version)})
+	write(w, http.StatusOK, operator.InForce{Version: version, Places: h.view.InForce(r.Context(), version)})
 }
 
 func (h *Handler) change(w http.ResponseWriter, r *http.Request) {
