--- a/api/settings/values.go
+++ b/api/settings/values.go
@@ -53,9 +53,9 @@
 
 // Balance configures the choice of a backend server.
 type Balance struct {
-	SpillMs      float64 `json:"spillMs" default:"0" min:"0" max:"1000" unit:"ms" doc:"Advantage of servers of the same place over those of other places, beyond the time on the network."`
-	SlowStartMs  int     `json:"slowStartMs" default:"10000" min:"0" max:"600000" unit:"ms" doc:"Time over which a new server's share of calls rises."`
-	ReportMs     float64 `json:"reportMs" default:"2" min:"0" max:"1000" unit:"ms" doc:"Shortest time between two load reports of a server to the same node; 0 reports with every answer."`
+	SpillMs     float64 `json:"spillMs" default:"0" min:"0" max:"1000" unit:"ms" doc:"Advantage of servers of the same place over those of other places, beyond the time on the network."`
+	SlowStartMs int     `json:"slowStartMs" default:"10000" min:"0" max:"600000" unit:"ms" doc:"Time over which a new server's share of calls rises."`
+	ReportMs    float64 `json:"reportMs" default:"2" min:"0" max:"1000" unit:"ms" doc:"Shortest time between two load reports of a server to the same node; 0 reports with every answer."`
 }
 
 // Retry configures retries and hedging.
