settings: test the wrong type with a setting that exists

Cause: TestParseRefuses named admission.adaptive, which was removed. Change: the case uses admission.queueLength; the expected message is as exact as before.

--- a/api/settings/settings_test.go
+++ b/api/settings/settings_test.go
@@ -31,7 +31,7 @@
 		{"an unknown setting", `{"defaults": {"call": {"timeout": 1}}}`, "defaults.call.timeout", "unknown key", "timeoutMs"},
 		{"a value out of range", `{"places": {"hue": {"values": {"call": {"timeoutMs": 0}}}}}`, "places.hue.values.call.timeoutMs", "0", "integer from 1 to 600000 ms"},
 		{"a fraction for an integer", `{"defaults": {"call": {"timeoutMs": 1.5}}}`, "defaults.call.timeoutMs", "1.5", "integer"},
-		{"a wrong type", `{"defaults": {"admission": {"adaptive": "yes"}}}`, "defaults.admission.adaptive", `"yes"`, "true or false"},
+		{"a wrong type", `{"defaults": {"admission": {"queueLength": "yes"}}}`, "defaults.admission.queueLength", `"yes"`, "integer from 0 to 10000"},
 		{"null", `{"defaults": {"retry": {"budgetRatio": null}}}`, "defaults.retry.budgetRatio", "null", "number from 0 to 1"},
 		{"a class outside the list", `{"defaults": {"call": {"class": "high"}}}`, "defaults.call.class", `"high"`, "one of check, critical"},
 		{"a rule without class", `{"defaults": {"call": {"rules": [{"method": "GET"}]}}}`, "defaults.call.rules[0].class", "no value", "one of"},
