node: keep records only of the services that are called

Cause: a chooser's record takes about 825 bytes; for 13,000 servers that is 10 MB of the 32 MB a node may use.

--- a/node/process/node/core.go
+++ b/node/process/node/core.go
@@ -39,6 +39,8 @@
 	observer entry.Observer
 	log      *log.Logger
 	limit    int64
+	// want is told of every service that is called.
+	want func(service string)
 	// distance is the round trip to a place.
 	distance func(place string) time.Duration
 	// changed hears of changes of the local server; nil when there is none.
@@ -63,7 +65,7 @@
 	}
 	k.entry = entry.New(entry.Config{
 		NodeID: c.nodeID, Settings: k.settings, Balancer: k.balancer, Retrier: k.retrier, Parents: parents, Pools: pools,
-		Local: k.serve, Remote: &peer.Caller{Pool: c.pool}, OwnLoad: k.ownLoad, Ledger: c.ledger, Observer: c.observer,
+		Local: k.serve, Remote: &peer.Caller{Pool: c.pool}, OwnLoad: k.ownLoad, Want: c.want, Ledger: c.ledger, Observer: c.observer,
 		Now: time.Now, Log: c.log, MaxInProgress: c.limit,
 	})
 	return k
--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -44,6 +44,9 @@
 	changed chan struct{}
 	mu      sync.Mutex
 	dirty   map[string]bool
+
+	// wanted holds a *sync.Once for each service whose servers the chooser keeps records of, by name.
+	wanted sync.Map
 }
 
 // holders are the members that hold the ledger's ranges.
@@ -203,10 +206,22 @@
 		f.members.SetSelf(membership.Server{}, false)
 		return
 	}
+	f.want(s.Announced.Service)
 	draining := s.State() == registry.StateDraining
 	f.members.SetSelf(membership.Server{ID: s.ID, Service: s.Announced.Service, Slots: s.Announced.Slots}, draining)
 }
 
+// want makes the chooser keep records of a service's servers. Only the services that this node calls, and that of its own
+// server, are kept: a record takes about 800 bytes, which for all servers of a large fleet would be 10 MB.
+func (f *fleet) want(service string) {
+	once, known := f.wanted.Load(service)
+	if !known {
+		once, _ = f.wanted.LoadOrStore(service, &sync.Once{})
+	}
+	// The service is marked before its servers are read, so that no change is missed; other calls wait meanwhile.
+	once.(*sync.Once).Do(func() { f.node.core.balancer.SetServers(service, f.servers(service)) })
+}
+
 // memberChanged marks what a change of the membership touches. It must not block.
 func (f *fleet) memberChanged(change membership.Change) {
 	f.mu.Lock()
@@ -258,7 +273,7 @@
 		}
 	}
 	for service := range dirty {
-		if service != "" && service != allServices {
+		if _, wanted := f.wanted.Load(service); wanted {
 			f.node.core.balancer.SetServers(service, f.servers(service))
 		}
 	}
--- a/node/request/entry/handler.go
+++ b/node/request/entry/handler.go
@@ -66,6 +66,8 @@
 	Pools    *retry.Pools
 	Local    Local
 	Remote   attempt.Doer
+	// Want is told of every service that is called; it must be fast.
+	Want func(service string)
 	// OwnLoad returns the present load of the server beside this node if it belongs to the service, else nil.
 	OwnLoad func(service string) []balance.Load
 	// Ledger may be nil; keyed work is refused then.
