membership: find a peer dead that refuses connections at once

Cause: a failed ping made the other peers' pings due at once, and a round was judged only when none was due. Change: the others are made due once, when the failure is first seen, and a round waits for their answers since then.

--- a/node/process/membership/detector.go
+++ b/node/process/membership/detector.go
@@ -31,8 +31,11 @@
 	phase  phase
 	id     uint64
 	due    time.Time
-	// failing is set while the last direct ping failed.
-	failing bool
+	// failing is set while the last direct ping failed; failedAt is when the first of these failures was seen.
+	failing  bool
+	failedAt time.Time
+	// answeredAt is when the last direct ping was answered.
+	answeredAt time.Time
 	// helpers were asked in the current round, waiting of them have not answered yet, denied could not reach the peer.
 	helpers, waiting, denied int
 	vouched                  bool
@@ -147,10 +150,13 @@
 		return nil
 	}
 	if answered {
+		p.answeredAt = now
 		return d.alive(now, p, incarnation)
 	}
-	p.failing = true
-	d.checkOthers(now)
+	if !p.failing {
+		p.failing, p.failedAt = true, now
+		d.checkOthers(now)
+	}
 	p.phase, p.helpers, p.waiting, p.denied, p.vouched = asking, 0, 0, 0, false
 	return []action{{kind: actAsk, id: id, member: p.member}}
 }
@@ -230,10 +236,11 @@
 	}
 }
 
-// checking reports whether the ping of another peer, not known to fail, is due or under way.
+// checking reports whether another peer, not known to fail, has not been pinged since the failure of this one. The
+// failure of a peer that refuses connections is known at once, while the other pings wait for the next tick.
 func (d *detector) checking(but *probe) bool {
 	for _, p := range d.probes {
-		if p != but && !p.failing && (p.phase == pinging || p.phase == idle && !p.due.After(d.last)) {
+		if p != but && !p.failing && p.answeredAt.Before(but.failedAt) {
 			return true
 		}
 	}
