--- a/api/announce/announce.go
+++ b/api/announce/announce.go
@@ -1,4 +1,4 @@
-// Package announce holds what a backend server tells the node beside it.
+// Package announce holds the messages between a backend server and the node beside it.
 package announce
 
 // Path is where a backend server announces (PUT) and withdraws (DELETE) itself.
--- a/api/operator/operator.go
+++ b/api/operator/operator.go
@@ -133,7 +133,7 @@
 	MembersByState  map[string]int     `json:"membersByState"`
 	Places          map[string]InPlace `json:"places"`
 	Unreachable     []string           `json:"unreachable,omitempty"`
-	// Store tells how the table service and the object store do.
+	// Store is the state of the circuit breaker of the table service and of the object store.
 	Store      map[string]string `json:"store"`
 	InProgress int64             `json:"inProgress"`
 }
--- a/ctl/load/command.go
+++ b/ctl/load/command.go
@@ -33,7 +33,7 @@
 	})
 	fs.Float64Var(&plan.Rate, "rate", 100, "calls per second")
 	fs.DurationVar(&plan.Duration, "duration", 10*time.Second, "length of the load; 0 goes on until interrupted")
-	fs.DurationVar(&plan.Timeout, "timeout", 2*time.Second, "time limit that the node is told in Radish-Timeout-Ms")
+	fs.DurationVar(&plan.Timeout, "timeout", 2*time.Second, "time limit that is sent to the node in Radish-Timeout-Ms")
 	fs.StringVar(&plan.TokenHeader, "token-header", "", "header that the server echoes, such as X-Token; answers are checked against it")
 	fs.Float64Var(&plan.RepeatShare, "repeat", 0, "share of keyed calls that are sent again with the same key")
 	fs.IntVar(&plan.MaxInProgress, "max-in-progress", DefaultMaxInProgress, "calls in progress beyond which calls are skipped")
--- a/ctl/load/plan.go
+++ b/ctl/load/plan.go
@@ -68,7 +68,7 @@
 	// Duration of the load; 0 goes on until the context ends.
 	Duration time.Duration
 	Mix      []Work
-	// Timeout is told to the node in Radish-Timeout-Ms.
+	// Timeout is sent to the node in Radish-Timeout-Ms.
 	Timeout time.Duration
 	// TokenHeader names the header whose value the server echoes; empty switches the check off.
 	TokenHeader string
@@ -83,7 +83,7 @@
 // DefaultMaxInProgress keeps the sockets of the generator below the usual limit of open files.
 const DefaultMaxInProgress = 4000
 
-// answerGrace is the time that an answer may take beyond the timeout that the node was told.
+// answerGrace is the time that an answer may take beyond the timeout that was sent to the node.
 const answerGrace = 2 * time.Second
 
 // Validate fills in defaults and returns the faults of the plan.
--- a/ctl/load/report.go
+++ b/ctl/load/report.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// maxLatency is the largest latency that the histogram tells apart.
+	// maxLatency is the largest latency that the histogram records.
 	maxLatency        = 20 * time.Minute
 	significantDigits = 3
 )
--- a/ctl/trial/trial.go
+++ b/ctl/trial/trial.go
@@ -59,7 +59,7 @@
 const (
 	drainPoll = 20 * time.Millisecond
 	drainMax  = 30 * time.Second
-	// drainSpread is the time for which a leaving server still takes calls, so that every node has heard of the drain.
+	// drainSpread is the time for which a leaving server still takes calls, so that every node has received the drain.
 	drainSpread = 2 * time.Second
 )
 
--- a/node/backendtest/server.go
+++ b/node/backendtest/server.go
@@ -204,7 +204,7 @@
 	_, _ = w.Write(answer)
 }
 
-// Announce tells the node whose server listener is at nodeAddress once; draining asks for no new work.
+// Announce sends one announcement to the node whose server listener is at nodeAddress; draining asks for no new work.
 func (s *Server) Announce(nodeAddress string, draining bool) error {
 	body, err := json.Marshal(announce.Server{
 		Service: s.Service, Address: s.Address(), Slots: s.Slots, Connections: s.Connections, Draining: draining,
@@ -215,7 +215,7 @@
 	return s.send(http.MethodPut, nodeAddress, body)
 }
 
-// Withdraw tells the node that the server is gone.
+// Withdraw withdraws the server at the node.
 func (s *Server) Withdraw(nodeAddress string) error {
 	return s.send(http.MethodDelete, nodeAddress, nil)
 }
--- a/node/cmd/radishnode/options.go
+++ b/node/cmd/radishnode/options.go
@@ -136,7 +136,7 @@
 	boolVar(fs, &c.TLS.Insecure, "tls.insecure", "run without TLS between nodes")
 	intVar(fs, &c.MaxInProgress, "maxInProgress", 0, "most calls in progress (default 4096)")
 	intVar(fs, &c.MaxConnections, "maxConnections", 0, "most connections of callers (default 4096)")
-	durationVar(fs, &c.StopGrace, "stopGrace", time.Second, "time that peers are given to hear of a planned stop")
+	durationVar(fs, &c.StopGrace, "stopGrace", time.Second, "time between the announcement of a planned stop and the closing of the listeners")
 	p := &c.Platform
 	fs.StringVar(&p.TableEndpoint, "platform.tableEndpoint", p.TableEndpoint, "URL of the table service")
 	fs.StringVar(&p.ObjectsEndpoint, "platform.objectsEndpoint", p.ObjectsEndpoint, "URL of the object store")
--- a/node/connection/backend/client.go
+++ b/node/connection/backend/client.go
@@ -26,8 +26,8 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// ErrUnframed means that an answer had neither a length nor chunks, so that its end cannot be told from a broken
-// connection.
+// ErrUnframed means that an answer had neither a length nor chunks, so that its end cannot be distinguished
+// from a broken connection.
 var ErrUnframed = errors.New("backend: answer has neither Content-Length nor chunked encoding")
 
 // Client sends calls to one backend server. It is safe for concurrent use.
--- a/node/connection/peer/calls.go
+++ b/node/connection/peer/calls.go
@@ -15,7 +15,7 @@
 // fetched on a stream of their own, so that a slow reader of one holds up no other call.
 const firstPartBytes = 32 << 10
 
-// stopSignal tells the streams of a service that the node is stopping.
+// stopSignal notifies the streams of a service that the node is stopping.
 type stopSignal struct {
 	once sync.Once
 	ch   chan struct{}
--- a/node/platformtest/memory.go
+++ b/node/platformtest/memory.go
@@ -26,7 +26,7 @@
 	LateEffect time.Duration
 }
 
-// Operation tells a fault function what is about to be done.
+// Operation describes to a fault function what is about to be done.
 type Operation struct {
 	// Name is Transact, Get, Query, PutObject or GetObject.
 	Name string
--- a/node/platformtest/server.go
+++ b/node/platformtest/server.go
@@ -11,9 +11,9 @@
 	"time"
 )
 
-// Server speaks the part of the DynamoDB and S3 protocols that the node uses, over a Memory. It serves any table and
+// Server implements the part of the DynamoDB and S3 protocols that the node uses, over a Memory. It serves any table and
 // bucket name from that one store and checks no signatures. The faults of the Memory take the form that they have on
-// a network: a lost answer closes the connection, and a write that is delayed past the patience of its client still
+// a network: a lost answer closes the connection, and a write that is delayed past its client's timeout still
 // takes effect. For refused connections call Stop.
 type Server struct {
 	memory *Memory
--- a/node/process/admission/admission.go
+++ b/node/process/admission/admission.go
@@ -1,5 +1,5 @@
 // Package admission decides which calls run at the local backend server and when. It knows the calls in progress
-// exactly, so its word is final: a call that it refuses did not run.
+// exactly, so its decision is final: a call that it refuses did not run.
 package admission
 
 import (
--- a/node/process/balance/balance.go
+++ b/node/process/balance/balance.go
@@ -44,7 +44,7 @@
 	Draining bool
 }
 
-// Kind tells how an attempt ended.
+// Kind is how an attempt ended.
 type Kind int
 
 // Kinds of results.
@@ -237,7 +237,7 @@
 	return server, ok
 }
 
-// Sibling names the best server of a service, other than self, that was heard of a short time ago and is expected to
+// Sibling names the best server of a service, other than self, whose last report is recent and is expected to
 // complete a call within the given time. Each answer counts as a call to that server, so that a queue is not referred to
 // one slot.
 func (b *Balancer) Sibling(name, self string, within time.Duration) (id string, ok bool) {
--- a/node/process/balance/balance_test.go
+++ b/node/process/balance/balance_test.go
@@ -377,20 +377,20 @@
 	require.Less(t, referred, 4)
 }
 
-// Guards against a node that is told nothing, or with every answer, and against a table of nodes that only grows.
-func TestPaceKeepsReportsApart(t *testing.T) {
+// Guards against a node that is sent no report, or one with every answer, and against a table of nodes that only grows.
+func TestReportLimiterKeepsReportsApart(t *testing.T) {
 	at := time.Unix(1000, 0)
-	p := NewPace(func() time.Time { return at }, func() time.Duration { return 2 * time.Millisecond })
+	p := NewReportLimiter(func() time.Time { return at }, func() time.Duration { return 2 * time.Millisecond })
 	require.True(t, p.Due("a"))
 	require.False(t, p.Due("a"))
 	require.True(t, p.Due("b"))
 	at = at.Add(2 * time.Millisecond)
 	require.True(t, p.Due("a"))
-	for i := range 3 * maxPaced {
+	for i := range 3 * maxTracked {
 		at = at.Add(time.Millisecond)
 		p.Due(fmt.Sprint(i))
 	}
-	require.LessOrEqual(t, len(p.told), maxPaced)
+	require.LessOrEqual(t, len(p.sentAt), maxTracked)
 }
 
 // Guards against data races, and against attempts that are lost count of, while the servers change.
--- a/node/process/balance/experiment/server.go
+++ b/node/process/balance/experiment/server.go
@@ -67,7 +67,7 @@
 	slots     int
 	cores     int // calls that run at full speed at once; more share the speed
 	admission *admission.Admission
-	pace      *balance.Pace
+	pace      *balance.ReportLimiter
 
 	speed      float64
 	work       float64 // progress of each call in progress since the start, in ns at full speed
--- a/node/process/balance/experiment/world.go
+++ b/node/process/balance/experiment/world.go
@@ -94,7 +94,7 @@
 		s.admission = admission.New(admission.Config{
 			Slots: d.slots, Now: w.clock, Values: func() settings.Admission { return w.values.Admission }, Sibling: w.sibling(i),
 		})
-		s.pace = balance.NewPace(w.clock, func() time.Duration { return time.Duration(w.values.Balance.ReportMs * float64(time.Millisecond)) })
+		s.pace = balance.NewReportLimiter(w.clock, func() time.Duration { return time.Duration(w.values.Balance.ReportMs * float64(time.Millisecond)) })
 		w.servers = append(w.servers, s)
 		s.shift()
 	}
--- a/node/process/balance/record.go
+++ b/node/process/balance/record.go
@@ -7,7 +7,7 @@
 
 const (
 	// agingSpan is the time over which a reported service time loses its weight to the typical one of the service. A server
-	// that recovered would be avoided for good if nobody called it and so nobody heard of it.
+	// that recovered would be avoided for good if nobody called it and so nobody received a report of it.
 	agingSpan = 30 * time.Millisecond
 	// ringSize is the number of own starts whose times are kept to count those that a report does not include.
 	ringSize = 16
@@ -62,7 +62,7 @@
 	r.hint(now)
 }
 
-// hint counts a call that another node was told to send, until the next report.
+// hint counts a call that another node was referred to send, until the next report.
 func (r *record) hint(now time.Duration) {
 	r.starts[r.started%ringSize] = now
 	r.started++
--- a/node/process/ledger/client.go
+++ b/node/process/ledger/client.go
@@ -64,7 +64,7 @@
 	Timeout time.Duration
 }
 
-// ClaimResult tells what the ledger knows of the key.
+// ClaimResult is what the ledger knows of the key.
 type ClaimResult struct {
 	State ClaimState
 	// Answer is set for Replay.
--- a/node/process/ledger/doc.go
+++ b/node/process/ledger/doc.go
@@ -3,7 +3,7 @@
 // The key space is split into RangeCount ranges, each held by one node. The holder keeps the entries of its ranges in
 // memory and groups changes into segment rows of the platform's table. Every segment is written in one transaction with
 // a check of the range row's epoch, and taking over a range raises that epoch before it reads the segments. A node that
-// was paused, or that wrongly believes that it holds a range, therefore fails its next write and grants nothing.
+// was paused, or whose view of the membership is stale, therefore fails its next write and grants nothing.
 //
 // A record in a segment is the whole state of its key, and the last record of a key by (epoch, sequence) decides. Only
 // the oldest rows are ever removed, after the records in them that still decide were written again.
--- a/node/process/ledger/server.go
+++ b/node/process/ledger/server.go
@@ -270,7 +270,7 @@
 	slot.coolUntil, slot.coolState = time.Now().Add(slot.coolDown), state
 }
 
-// lostTenure takes note that a tenure ended. Two nodes that both believe to hold a range would take it from each other
+// lostTenure takes note that a tenure ended. Two nodes that each are the holder in their own view would take the range from each other
 // forever; the cool-down slows them.
 func (s *Server) lostTenure(t *tenure) {
 	slot := &s.slots[t.index]
--- a/node/process/ledger/tenure.go
+++ b/node/process/ledger/tenure.go
@@ -375,7 +375,7 @@
 }
 
 // refused says what is known of a key whose claim was not granted. A caller whose earlier request may have run must not
-// hear that the work did not run, even while the store is down.
+// be answered that the work did not run, even while the store is down.
 func (t *tenure) refused(key Key, call string) peerpb.ClaimState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/node/process/membership/config.go
+++ b/node/process/membership/config.go
@@ -15,7 +15,7 @@
 var (
 	// ErrSuperseded means that another process has taken over this node's address. The node must stop.
 	ErrSuperseded = errors.New("membership: another process has registered this address")
-	// ErrNotRegistered means that the table has not confirmed the leave; peers were told.
+	// ErrNotRegistered means that the table has not confirmed the leave; peers were notified.
 	ErrNotRegistered = errors.New("membership: the leave is not recorded in the table")
 )
 
--- a/node/process/membership/membership.go
+++ b/node/process/membership/membership.go
@@ -26,7 +26,7 @@
 	Slots   int
 }
 
-// Change tells a subscriber about one record or, if Place is set, about the reachability of a place.
+// Change notifies a subscriber of a change of one record or, if Place is set, about the reachability of a place.
 type Change struct {
 	// Before is nil for a new member, After for a removed one.
 	Before, After *Member
--- a/node/process/membership/owner.go
+++ b/node/process/membership/owner.go
@@ -33,18 +33,18 @@
 	// registered is set once the table has confirmed the incarnation; until then it is provisional.
 	registered bool
 	left       bool
-	// heard is the highest incarnation of this address that others know.
-	heard    uint64
+	// highest is the highest incarnation of this address that others know.
+	highest  uint64
 	server   Server
 	draining bool
-	// version is in force here; published is what others were told.
+	// version is in force here; published is the version sent to others.
 	version, published int64
 	publishAt          time.Time
-	// changes are told to subscribers once the lock is released.
+	// changes are sent to subscribers once the lock is released.
 	changes []Change
 }
 
-// withSelf runs f under the owner's lock and then tells subscribers what it changed.
+// withSelf runs f under the owner's lock and then notifies subscribers of what it changed.
 func (m *Membership) withSelf(f func(o *owner)) {
 	m.self.mu.Lock()
 	f(&m.self)
@@ -88,7 +88,7 @@
 	o.changes = append(o.changes, Change{Before: before, After: after})
 }
 
-// publishVersion tells others of a settings version that is in force, at a random time within the spread of the fleet.
+// publishVersion sends others a settings version that is in force, at a random time within the spread of the fleet.
 func (m *Membership) publishVersion(now time.Time) {
 	m.self.mu.Lock()
 	defer m.self.mu.Unlock()
@@ -136,13 +136,13 @@
 }
 
 func (m *Membership) heardHigher(o *owner, incarnation uint64) {
-	o.heard = max(o.heard, incarnation)
+	o.highest = max(o.highest, incarnation)
 	switch {
 	case o.registered:
 		m.wakeRegistration()
 	case o.incarnation > 0:
-		m.log.Info("provisional incarnation raised above a predecessor's", "incarnation", o.heard+1)
-		o.incarnation, o.sequence = o.heard+1, 0
+		m.log.Info("provisional incarnation raised above a predecessor's", "incarnation", o.highest+1)
+		o.incarnation, o.sequence = o.highest+1, 0
 		m.raise(o)
 	}
 }
--- a/node/process/membership/ping.go
+++ b/node/process/membership/ping.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// nearHelpers and farHelpers are asked to ping a peer that did not answer. The one in another place tells a fault
-	// of the own place's network from the loss of the peer.
+	// nearHelpers and farHelpers are asked to ping a peer that did not answer. The one in another place
+	// distinguishes a fault of the own place's network from the loss of the peer.
 	nearHelpers = 2
 	farHelpers  = 1
 )
--- a/node/process/membership/register.go
+++ b/node/process/membership/register.go
@@ -145,15 +145,15 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
-	case found.Registration == m.registrar.id && stored >= o.incarnation && stored > o.heard:
+	case found.Registration == m.registrar.id && stored >= o.incarnation && stored > o.highest:
 		return stored, true, nil
 	case found.Registration != "" && found.Registration != m.registrar.id && o.registered:
 		return 0, false, ErrSuperseded
-	case o.registered && o.heard <= o.incarnation && stored < o.incarnation:
+	case o.registered && o.highest <= o.incarnation && stored < o.incarnation:
 		// The row has expired or was deleted; nobody has outranked this node.
 		return o.incarnation, false, nil
 	}
-	return max(stored+1, o.heard+1, o.incarnation), false, nil
+	return max(stored+1, o.highest+1, o.incarnation), false, nil
 }
 
 func (m *Membership) readRow(ctx context.Context) (platform.Item, row, error) {
@@ -195,7 +195,7 @@
 // for its address. Only a node that reached a peer does so; the registration later confirms or raises the incarnation.
 func (m *Membership) takeProvisional() {
 	m.self.mu.Lock()
-	needed, incarnation := m.self.incarnation == 0, m.self.heard+1
+	needed, incarnation := m.self.incarnation == 0, m.self.highest+1
 	m.self.mu.Unlock()
 	if needed {
 		m.adopt(incarnation, false)
--- a/node/process/node/config.go
+++ b/node/process/node/config.go
@@ -10,7 +10,7 @@
 	"github.com/radishstand/radishstand/node/connection/platform/awsclient"
 )
 
-// Config is what a process is told at its start. Everything else comes from the settings tree.
+// Config is the configuration of a process at its start. Everything else comes from the settings tree.
 type Config struct {
 	// Place of the host, as named in the settings tree.
 	Place string
@@ -39,7 +39,8 @@
 	MaxInProgress int
 	// MaxConnections bounds the open connections of callers, default 4096.
 	MaxConnections int
-	// StopGrace is how long peers are given to hear that the node is stopping, default 1 s.
+	// StopGrace is the time between the announcement of a planned stop to peers and the closing of the listeners, default
+	// 1 s.
 	StopGrace time.Duration
 }
 
--- a/node/process/node/core.go
+++ b/node/process/node/core.go
@@ -39,11 +39,11 @@
 	observer entry.Observer
 	log      *log.Logger
 	limit    int64
-	// want is told of every service that is called.
-	want func(service string)
+	// track is called for every service that is called.
+	track func(service string)
 	// distance is the round trip to a place.
 	distance func(place string) time.Duration
-	// changed hears of changes of the local server; nil when there is none.
+	// changed is called after each change of the local server; nil when there is none.
 	changed func(*registry.Server)
 }
 
@@ -61,11 +61,11 @@
 	parents, pools := attempt.NewTable(), retry.NewPools()
 	k.serve = &serve.Handler{
 		Registry: k.registry, Settings: k.settings, Parents: parents, Pools: pools,
-		Pace: balance.NewPace(nil, k.reportEvery), Now: time.Now,
+		ReportLimiter: balance.NewReportLimiter(nil, k.reportEvery), Now: time.Now,
 	}
 	k.entry = entry.New(entry.Config{
 		NodeID: c.nodeID, Settings: k.settings, Balancer: k.balancer, Retrier: k.retrier, Parents: parents, Pools: pools,
-		Local: k.serve, Remote: &peer.Caller{Pool: c.pool}, OwnLoad: k.ownLoad, Want: c.want, Ledger: c.ledger, Observer: c.observer,
+		Local: k.serve, Remote: &peer.Caller{Pool: c.pool}, OwnLoad: k.ownLoad, Track: c.track, Ledger: c.ledger, Observer: c.observer,
 		Now: time.Now, Log: c.log, MaxInProgress: c.limit,
 	})
 	return k
--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -9,10 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/radishstand/radishstand/api/peerpb"
 	"github.com/radishstand/radishstand/node/connection/peer"
 	"github.com/radishstand/radishstand/node/connection/platform"
-	"github.com/radishstand/radishstand/node/process/balance"
 	"github.com/radishstand/radishstand/node/process/ledger"
 	"github.com/radishstand/radishstand/node/process/membership"
 	"github.com/radishstand/radishstand/node/process/registry"
@@ -45,8 +43,8 @@
 	mu      sync.Mutex
 	dirty   map[string]bool
 
-	// wanted holds a *sync.Once for each service whose servers the chooser keeps records of, by name.
-	wanted sync.Map
+	// tracked holds a *sync.Once for each service whose servers the chooser keeps records of, by name.
+	tracked sync.Map
 }
 
 // holders are the members that hold the ledger's ranges.
@@ -104,7 +102,7 @@
 	}
 }
 
-// leave tells the fleet that the node is gone and waits for what the ledger still has to record.
+// leave announces to the fleet that the node has left and waits for what the ledger still has to record.
 func (f *fleet) leave(ctx context.Context) {
 	f.ledger.Close(ctx)
 	f.editor.Close()
@@ -206,166 +204,12 @@
 		f.members.SetSelf(membership.Server{}, false)
 		return
 	}
-	f.want(s.Announced.Service)
+	f.track(s.Announced.Service)
 	draining := s.State() == registry.StateDraining
 	f.members.SetSelf(membership.Server{ID: s.ID, Service: s.Announced.Service, Slots: s.Announced.Slots}, draining)
 }
 
-// want makes the chooser keep records of a service's servers. Only the services that this node calls, and that of its own
-// server, are kept: a record takes about 800 bytes, which for all servers of a large fleet would be 10 MB.
-func (f *fleet) want(service string) {
-	once, known := f.wanted.Load(service)
-	if !known {
-		once, _ = f.wanted.LoadOrStore(service, &sync.Once{})
-	}
-	// The service is marked before its servers are read, so that no change is missed; other calls wait meanwhile.
-	once.(*sync.Once).Do(func() { f.node.core.balancer.SetServers(service, f.servers(service)) })
-}
-
-// memberChanged marks what a change of the membership touches. It must not block.
-func (f *fleet) memberChanged(change membership.Change) {
-	f.mu.Lock()
-	if change.Place != "" {
-		f.dirty[allServices] = true
-	}
-	for _, m := range []*membership.Member{change.Before, change.After} {
-		if m != nil && m.Service != "" {
-			f.dirty[m.Service] = true
-		}
-	}
-	f.mu.Unlock()
-	select {
-	case f.changed <- struct{}{}:
-	default:
-	}
-}
-
-// allServices marks every service as changed; it is not a valid service name.
-const allServices = "*"
-
-// refresh hands changes of the membership to the chooser, the ledger and the connection pool.
-func (f *fleet) refresh(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.changed:
-		}
-		f.applyMembers()
-		f.holder.Refresh()
-		f.node.pool.Forget(f.isMember)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(refreshEvery):
-		}
-	}
-}
-
-func (f *fleet) applyMembers() {
-	f.mu.Lock()
-	dirty := f.dirty
-	f.dirty = map[string]bool{}
-	f.mu.Unlock()
-	if dirty[allServices] {
-		for m := range f.members.Members() {
-			dirty[m.Service] = true
-		}
-	}
-	for service := range dirty {
-		if _, wanted := f.wanted.Load(service); wanted {
-			f.node.core.balancer.SetServers(service, f.servers(service))
-		}
-	}
-}
-
-// servers returns the servers of a service that may be chosen. Those of unreachable places are left out unless there are
-// no others, since the verdict on a place may be wrong.
-func (f *fleet) servers(service string) []balance.Server {
-	var reachable, all []balance.Server
-	for _, m := range f.members.ByService(service) {
-		server := balance.Server{
-			ID: m.ServerID, Service: m.Service, Place: m.Place, NodeID: m.Address, Address: m.Address,
-			Slots: int(m.Slots), Incarnation: m.Incarnation, Draining: m.Draining,
-		}
-		all = append(all, server)
-		if f.members.Alive(m.Place) {
-			reachable = append(reachable, server)
-		}
-	}
-	if len(reachable) > 0 {
-		return reachable
-	}
-	return all
-}
-
-// isMember keeps the connections to members that may still be alive and to the configured peers.
-func (f *fleet) isMember(address string) bool {
-	for _, p := range f.node.config.Peers {
-		if p == address {
-			return true
-		}
-	}
-	for m := range f.members.Members() {
-		if m.Address == address {
-			return m.State.Live()
-		}
-	}
-	return false
-}
-
-// transport sends the messages of the membership.
-type transport struct{ pool *peer.Pool }
-
-// Ping implements membership.Transport.
-func (t transport) Ping(ctx context.Context, address string, r *peerpb.PingRequest) (*peerpb.PingReply, error) {
-	client, err := t.pool.Client(address)
-	if err != nil {
-		return nil, err
-	}
-	return client.Ping(ctx, r)
-}
-
-// Sync implements membership.Transport.
-func (t transport) Sync(ctx context.Context, address string, r *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
-	client, err := t.pool.Client(address)
-	if err != nil {
-		return nil, err
-	}
-	return client.Sync(ctx, r)
-}
-
-// ledgerPeers sends the messages of the ledger.
-type ledgerPeers struct{ pool *peer.Pool }
-
-// Claim implements ledger.Peers.
-func (p ledgerPeers) Claim(ctx context.Context, member string, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
-	client, err := p.pool.Client(member)
-	if err != nil {
-		return nil, err
-	}
-	return client.Claim(ctx, r)
-}
-
-// Complete implements ledger.Peers.
-func (p ledgerPeers) Complete(ctx context.Context, member string, r *peerpb.CompleteRequest) (*peerpb.LedgerReply, error) {
-	client, err := p.pool.Client(member)
-	if err != nil {
-		return nil, err
-	}
-	return client.Complete(ctx, r)
-}
-
-// Release implements ledger.Peers.
-func (p ledgerPeers) Release(ctx context.Context, member string, r *peerpb.ReleaseRequest) (*peerpb.LedgerReply, error) {
-	client, err := p.pool.Client(member)
-	if err != nil {
-		return nil, err
-	}
-	return client.Release(ctx, r)
-}
-
-// accepted puts a version into force that this node committed, and tells peers.
+// accepted puts a version into force that this node committed, and announces it to peers.
 func (f *fleet) accepted(r commit.Result) {
 	if r.Accepted != nil {
 		f.handout.Accept(*r.Accepted)
--- a/node/process/node/fleet_test.go
+++ b/node/process/node/fleet_test.go
@@ -143,7 +143,7 @@
 			if service == "" {
 				continue
 			}
-			n.fleet.want(service)
+			n.fleet.track(service)
 			if len(n.core.balancer.Dump()[service]) != count {
 				return false
 			}
--- /dev/null
+++ b/node/process/node/members.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/radishstand/radishstand/node/process/balance"
+	"github.com/radishstand/radishstand/node/process/membership"
+)
+
+// track makes the chooser keep records of a service's servers. Only the services that this node calls, and that of its own
+// server, are kept: a record takes about 800 bytes, which for all servers of a large fleet would be 10 MB.
+func (f *fleet) track(service string) {
+	once, known := f.tracked.Load(service)
+	if !known {
+		once, _ = f.tracked.LoadOrStore(service, &sync.Once{})
+	}
+	// The service is marked before its servers are read, so that no change is missed; other calls wait meanwhile.
+	once.(*sync.Once).Do(func() { f.node.core.balancer.SetServers(service, f.servers(service)) })
+}
+
+// memberChanged marks what a change of the membership touches. It must not block.
+func (f *fleet) memberChanged(change membership.Change) {
+	f.mu.Lock()
+	if change.Place != "" {
+		f.dirty[allServices] = true
+	}
+	for _, m := range []*membership.Member{change.Before, change.After} {
+		if m != nil && m.Service != "" {
+			f.dirty[m.Service] = true
+		}
+	}
+	f.mu.Unlock()
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+// allServices marks every service as changed; it is not a valid service name.
+const allServices = "*"
+
+// refresh hands changes of the membership to the chooser, the ledger and the connection pool.
+func (f *fleet) refresh(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.changed:
+		}
+		f.applyMembers()
+		f.holder.Refresh()
+		f.node.pool.Forget(f.isMember)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(refreshEvery):
+		}
+	}
+}
+
+func (f *fleet) applyMembers() {
+	f.mu.Lock()
+	dirty := f.dirty
+	f.dirty = map[string]bool{}
+	f.mu.Unlock()
+	if dirty[allServices] {
+		for m := range f.members.Members() {
+			dirty[m.Service] = true
+		}
+	}
+	for service := range dirty {
+		if _, tracked := f.tracked.Load(service); tracked {
+			f.node.core.balancer.SetServers(service, f.servers(service))
+		}
+	}
+}
+
+// servers returns the servers of a service that may be chosen. Those of unreachable places are left out unless there are
+// no others, since the verdict on a place may be wrong.
+func (f *fleet) servers(service string) []balance.Server {
+	var reachable, all []balance.Server
+	for _, m := range f.members.ByService(service) {
+		server := balance.Server{
+			ID: m.ServerID, Service: m.Service, Place: m.Place, NodeID: m.Address, Address: m.Address,
+			Slots: int(m.Slots), Incarnation: m.Incarnation, Draining: m.Draining,
+		}
+		all = append(all, server)
+		if f.members.Alive(m.Place) {
+			reachable = append(reachable, server)
+		}
+	}
+	if len(reachable) > 0 {
+		return reachable
+	}
+	return all
+}
+
+// isMember keeps the connections to members that may still be alive and to the configured peers.
+func (f *fleet) isMember(address string) bool {
+	for _, p := range f.node.config.Peers {
+		if p == address {
+			return true
+		}
+	}
+	for m := range f.members.Members() {
+		if m.Address == address {
+			return m.State.Live()
+		}
+	}
+	return false
+}
--- a/node/process/node/node.go
+++ b/node/process/node/node.go
@@ -93,7 +93,7 @@
 	n.fleet = newFleet(n, store)
 	n.core = newCore(coreConfig{
 		nodeID: n.id, place: n.config.Place, pool: n.pool, ledger: n.fleet.ledger, observer: n.recent,
-		log: n.log, limit: int64(n.config.MaxInProgress), changed: n.serverChanged, want: n.fleet.want,
+		log: n.log, limit: int64(n.config.MaxInProgress), changed: n.serverChanged, track: n.fleet.track,
 	})
 	n.fleet.assemble(n.core)
 	n.registerGauges()
@@ -124,7 +124,7 @@
 	return err
 }
 
-// shutdown lets peers hear that the node is leaving, finishes the calls in progress and ends the process's loops.
+// shutdown announces to peers that the node is leaving, finishes the calls in progress and ends the process's loops.
 func (n *Node) shutdown() {
 	_ = n.life.Event(context.Background(), eventStop)
 	n.log.Info("draining", "component", "node")
@@ -153,7 +153,7 @@
 	return time.Duration(n.core.values(service).Drain.MaxMs) * time.Millisecond
 }
 
-// serverChanged tells the fleet about the local server.
+// serverChanged publishes the local server to the fleet.
 func (n *Node) serverChanged(server *registry.Server) {
 	if server == nil {
 		n.log.Info("backend server gone", "component", "registry")
--- a/node/process/node/operators_test.go
+++ b/node/process/node/operators_test.go
@@ -156,7 +156,7 @@
 	status, accepted, _ := f.edit(1, "before", f.version(1), "defaults.call.timeoutMs", "1500")
 	require.Equal(t, http.StatusOK, status)
 	for _, i := range []int{0, 2} {
-		// The host dies: no drain, no farewell.
+		// The host dies: no drain and no leave.
 		f.kill(i)
 	}
 	added := f.startNode("hue", "quotes", 4)
--- a/node/process/recent/recent.go
+++ b/node/process/recent/recent.go
@@ -12,7 +12,7 @@
 	window = 2 * time.Second
 	// refresh is the time for which a computed percentile is reused, since merging costs microseconds.
 	refresh = 50 * time.Millisecond
-	// highest is the longest latency that is told apart from longer ones.
+	// highest is the longest latency that is recorded as it is; longer ones count as this one.
 	highest = 10 * time.Minute
 	// figures is the precision of the histogram; one significant figure keeps it at a few kilobytes a service.
 	figures = 1
--- a/node/process/registry/registry.go
+++ b/node/process/registry/registry.go
@@ -211,7 +211,7 @@
 	}
 }
 
-// sameServer reports whether both announcements come from the same server process, as far as can be told.
+// sameServer reports whether both announcements come from the same server process, as far as they show.
 func sameServer(a, b announce.Server) bool {
 	if a.Draining && !b.Draining {
 		return false
--- a/node/request/attempt/attempt.go
+++ b/node/request/attempt/attempt.go
@@ -63,7 +63,7 @@
 	Do(ctx context.Context, server balance.Server, r *Request) (*Answer, error)
 }
 
-// Reason tells why an attempt was refused.
+// Reason is why an attempt was refused.
 type Reason string
 
 // Reasons of refusals.
@@ -90,7 +90,7 @@
 // Error implements error.
 func (e *NotRun) Error() string { return "attempt not run: " + string(e.Reason) }
 
-// Kind tells how an attempt broke.
+// Kind is how an attempt broke.
 type Kind int
 
 // Kinds of broken attempts.
--- a/node/request/attempt/table.go
+++ b/node/request/attempt/table.go
@@ -20,7 +20,7 @@
 }
 
 // Table holds the attempts in progress at the backend server beside the node, so that a call that the server makes for
-// one of them can be told from its Radish-Context header. It is safe for concurrent use.
+// one of them can be recognized by its Radish-Context header. It is safe for concurrent use.
 type Table struct {
 	shards [tableShards]tableShard
 }
--- a/node/request/entry/attempts.go
+++ b/node/request/entry/attempts.go
@@ -51,7 +51,7 @@
 }
 
 func (h *Handler) newRun(c *call) *run {
-	h.Want(c.service)
+	h.Track(c.service)
 	r := &run{handler: h, call: c}
 	allowance := -1
 	if c.depth > 0 || c.parent != "" {
--- a/node/request/entry/handler.go
+++ b/node/request/entry/handler.go
@@ -27,7 +27,7 @@
 	Do(ctx context.Context, r *attempt.Request) (*attempt.Answer, error)
 }
 
-// Observer hears of every call that ended.
+// Observer is notified of every call that ended.
 type Observer interface {
 	CallEnded(Record)
 }
@@ -66,8 +66,8 @@
 	Pools    *retry.Pools
 	Local    Local
 	Remote   attempt.Doer
-	// Want is told of every service that is called; it must be fast.
-	Want func(service string)
+	// Track is called for every service that is called; it must be fast.
+	Track func(service string)
 	// OwnLoad returns the present load of the server beside this node if it belongs to the service, else nil.
 	OwnLoad func(service string) []balance.Load
 	// Ledger may be nil; keyed work is refused then.
--- a/node/request/serve/serve.go
+++ b/node/request/serve/serve.go
@@ -27,9 +27,9 @@
 	Settings *current.Holder
 	Parents  *attempt.Table
 	Pools    *retry.Pools
-	// Pace says when an entry node is due another load report.
-	Pace *balance.Pace
-	Now  func() time.Time
+	// ReportLimiter says when an entry node is due another load report.
+	ReportLimiter *balance.ReportLimiter
+	Now           func() time.Time
 }
 
 // Do carries out an attempt. Its errors are *attempt.NotRun or *attempt.Broken.
@@ -102,7 +102,7 @@
 
 // loadsFor returns the report of the server when the entry node is due one.
 func (h *Handler) loadsFor(from string, server *registry.Server) []balance.Load {
-	if !h.Pace.Due(from) {
+	if !h.ReportLimiter.Due(from) {
 		return nil
 	}
 	return h.Loads(server)
