ledger, node: bound two waits; operator: list all servers

Cause: a repeat whose recorded answer was not durable yet waited for the whole deadline when the store went down; nodes that stopped together waited for each other's ranges for the 30 s of the drain time; since records are kept only of called services, the list of servers was short and radishctl demo did not start. Change: waiting claims of every kind are refused once writes fail; closing the ledger's client takes at most 3 s; the list comes from the membership.

--- a/ctl/show/show.go
+++ b/ctl/show/show.go
@@ -27,7 +27,8 @@
 		command(env, "members", "list the nodes of the fleet", operator.PathMembers,
 			"Lists the members as the node knows them, with the settings version that each of them last reported.", members),
 		command(env, "servers", "list the backend servers with their load", operator.PathServers,
-			"Lists the backend servers as this node sees them. Load comes from the last report; the column age says how old it is.", servers),
+			"Lists the backend servers of the fleet. Load is shown for the services that this node calls; it comes from the last\n"+
+				"report, and the column age says how old that is.", servers),
 		command(env, "dump", "print the whole state of the node as JSON", operator.PathDump,
 			"Prints the node's state: calls in progress and the last calls, balancer, admission, members, ledger, store.\n"+
 				"The form may change between releases.", dump),
--- a/node/process/ledger/failure_test.go
+++ b/node/process/ledger/failure_test.go
@@ -62,7 +62,7 @@
 		held := f.servers["a"].slots[0].tenure
 		_, e, pending := held.tryClaim(KeyOf("pay", keys[2]), testBody, "first", time.Minute)
 		time.Sleep(time.Second)
-		require.False(t, held.wait(ctx, KeyOf("pay", keys[2]), e, pending), "durable, but the caller has left")
+		require.False(t, held.wait(ctx, KeyOf("pay", keys[2]), e, pending, true), "durable, but the caller has left")
 		for _, k := range keys[1:] {
 			require.Equal(t, "granted", f.claim("a", k, "second"))
 		}
--- a/node/process/ledger/tenure.go
+++ b/node/process/ledger/tenure.go
@@ -96,7 +96,7 @@
 	for read := 0; ; {
 		state, e, pending := t.tryClaim(key, body, call, timeout)
 		if pending != nil {
-			if !t.wait(ctx, key, e, pending) {
+			if !t.wait(ctx, key, e, pending, true) {
 				return &peerpb.ClaimReply{State: t.refusal()}
 			}
 			continue
@@ -274,7 +274,7 @@
 	now := t.server.nowMs()
 	state, pending := decide(t.find(key, now), now)
 	t.mu.Unlock()
-	if pending == nil || t.wait(ctx, key, nil, pending) {
+	if pending == nil || t.wait(ctx, key, nil, pending, false) {
 		return state
 	}
 	return t.refusal()
@@ -327,8 +327,8 @@
 }
 
 // wait returns true when the batch is durable. With e it also ends a wait that tryClaim counted.
-func (t *tenure) wait(ctx context.Context, key Key, e *entry, b *batch) bool {
-	ok := t.waitDone(ctx, b, e != nil)
+func (t *tenure) wait(ctx context.Context, key Key, e *entry, b *batch, claiming bool) bool {
+	ok := t.waitDone(ctx, b, claiming)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e != nil {
@@ -340,9 +340,9 @@
 	return ok
 }
 
-// waitDone waits for the batch. With whileWriting it gives up soon after writes began to fail, so that claims are refused
+// waitDone waits for the batch. When claiming, it gives up soon after writes began to fail, so that claims are refused
 // promptly during an outage of the store.
-func (t *tenure) waitDone(ctx context.Context, b *batch, whileWriting bool) bool {
+func (t *tenure) waitDone(ctx context.Context, b *batch, claiming bool) bool {
 	check := time.NewTicker(stallLimit)
 	defer check.Stop()
 	for {
@@ -357,7 +357,7 @@
 			t.mu.Lock()
 			stalled := t.stalled()
 			t.mu.Unlock()
-			if whileWriting && stalled {
+			if claiming && stalled {
 				return false
 			}
 		}
--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -26,6 +26,10 @@
 // one delays no change until the loss is noticed.
 const readersPerPlace = 2
 
+// ledgerCloseTimeout bounds the wait for outcomes and releases that are not recorded yet. Without the bound, nodes that
+// stop together wait for each other's ranges until the end of the drain time. What is lost reads as unknown.
+const ledgerCloseTimeout = 3 * time.Second
+
 // fleet is what the node shares with others: membership, settings versions and the idempotency ledger.
 type fleet struct {
 	node    *Node
@@ -104,7 +108,9 @@
 
 // leave announces to the fleet that the node has left and waits for what the ledger still has to record.
 func (f *fleet) leave(ctx context.Context) {
-	f.ledger.Close(ctx)
+	closing, cancel := context.WithTimeout(ctx, ledgerCloseTimeout)
+	defer cancel()
+	f.ledger.Close(closing)
 	f.editor.Close()
 	f.holder.Close()
 	if err := f.members.Leave(ctx); err != nil {
--- a/node/process/node/view.go
+++ b/node/process/node/view.go
@@ -168,18 +168,27 @@
 	return list
 }
 
-// Servers implements operator.View.
+// Servers implements operator.View. Every server of the fleet is listed; load is known of the services that this node
+// calls.
 func (v view) Servers() []apioperator.Server {
-	list := []apioperator.Server{}
-	for service, servers := range v.node.core.balancer.Dump() {
+	loads := map[string]balance.ServerDump{}
+	for _, servers := range v.node.core.balancer.Dump() {
 		for _, s := range servers {
-			list = append(list, apioperator.Server{
-				ID: s.ID, Service: service, Place: s.Place, Node: s.NodeID, Slots: s.Slots, Draining: s.Draining,
-				InProgress: s.InProgress, Queued: s.Queued, Limit: s.Limit, ServiceMs: s.ServiceMs, AgeMs: s.AgeMs,
-				EjectedForMs: s.EjectedForMs,
-			})
+			loads[s.ID] = s
 		}
 	}
+	list := []apioperator.Server{}
+	for m := range v.node.fleet.members.Members() {
+		if m.ServerID == "" || !m.State.Live() {
+			continue
+		}
+		load := loads[m.ServerID]
+		list = append(list, apioperator.Server{
+			ID: m.ServerID, Service: m.Service, Place: m.Place, Node: m.Address, Slots: int(m.Slots), Draining: m.Draining,
+			InProgress: load.InProgress, Queued: load.Queued, Limit: load.Limit, ServiceMs: load.ServiceMs, AgeMs: load.AgeMs,
+			EjectedForMs: load.EjectedForMs,
+		})
+	}
 	return list
 }
 
