node: measure the distance of places and start new servers slowly

Cause: the chooser was given neither distances nor the time when servers appeared, so calls left the place for no gain and cold servers got their full share at once (found while reading; no test had noticed). Change: the shortest recent round trip of membership messages to each place, given to the chooser every 10 s; the time when a server appeared that is new to the fleet. Figures: TestDistanceIsTheShortestRecentRoundTrip and TestOnlyServersNewToTheFleet StartSlowly pass; no measurement of the effect on latency was made.

--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -42,10 +42,16 @@
 	handout *handout.Handout
 
 	// holders caches the holder of each ledger range for one generation of the membership.
-	holders atomic.Pointer[holders]
-	changed chan struct{}
+	holders   atomic.Pointer[holders]
+	changed   chan struct{}
+	distances *distances
+	// places caches the place of each member for one generation of the membership.
+	places  atomic.Pointer[memberPlaces]
+	started time.Time
 	mu      sync.Mutex
 	dirty   map[string]bool
+	// firstSeen is when servers appeared that are new to the fleet, by server id.
+	firstSeen map[string]time.Time
 
 	// tracked holds a *sync.Once for each service whose servers the chooser keeps records of, by name.
 	tracked sync.Map
@@ -58,14 +64,17 @@
 }
 
 func newFleet(n *Node, store Store) *fleet {
-	f := &fleet{node: n, changed: make(chan struct{}, 1), dirty: map[string]bool{}}
+	f := &fleet{
+		node: n, changed: make(chan struct{}, 1), dirty: map[string]bool{}, firstSeen: map[string]time.Time{}, started: time.Now(),
+		distances: newDistances(n.config.Place, time.Now),
+	}
 	f.guard = platform.NewGuard(store.Table, store.Objects, platform.Options{
 		Limits: platform.DefaultLimits(), Nodes: f.liveNodes, Share: f.storeShare, Metrics: n.metrics,
 	})
 	f.members = membership.New(membership.Config{
 		Address: n.config.Advertise, Place: n.config.Place, Peers: n.config.Peers, Table: f.guard, Log: n.log,
 		PeerVersion: func(address string, version int64) { f.handout.Mention(address, version) },
-	}, transport{n.pool}, membership.SystemClock{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	}, transport{pool: n.pool, answered: f.answered}, membership.SystemClock{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	f.holder = ledger.NewServer(ledger.Config{
 		Table: f.guard, Locate: f.locate,
 		Retention:      func() time.Duration { return time.Duration(n.core.values("").Ledger.RetentionS) * time.Second },
@@ -155,13 +164,13 @@
 	holder := float64(held) / ledger.RangeCount
 	reads = (1-holderReads-readerReads)*equal + holderReads*holder
 	if f.isReader() {
-		reads += readerReads / float64(readersPerPlace*max(1, f.places()))
+		reads += readerReads / float64(readersPerPlace*max(1, f.placeCount()))
 	}
 	return reads, (1-holderWrites)*equal + holderWrites*holder
 }
 
-// places returns the number of places with live members.
-func (f *fleet) places() int {
+// placeCount returns the number of places with live members.
+func (f *fleet) placeCount() int {
 	places := map[string]bool{}
 	for m := range f.members.Members() {
 		if m.State.Live() {
--- a/node/process/node/fleetpeers.go
+++ b/node/process/node/fleetpeers.go
@@ -2,21 +2,31 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/radishstand/radishstand/api/peerpb"
 	"github.com/radishstand/radishstand/node/connection/peer"
 )
 
-// transport sends the messages of the membership.
-type transport struct{ pool *peer.Pool }
+// transport sends the messages of the membership and measures the distance of places by them.
+type transport struct {
+	pool *peer.Pool
+	// answered is called with the round trip of each message that was answered by the node it was sent to.
+	answered func(address string, roundTrip time.Duration)
+}
 
-// Ping implements membership.Transport.
+// Ping implements membership.Transport. A ping on behalf of another node takes longer than the round trip.
 func (t transport) Ping(ctx context.Context, address string, r *peerpb.PingRequest) (*peerpb.PingReply, error) {
 	client, err := t.pool.Client(address)
 	if err != nil {
 		return nil, err
 	}
-	return client.Ping(ctx, r)
+	start := time.Now()
+	reply, err := client.Ping(ctx, r)
+	if err == nil && r.Target == "" {
+		t.answered(address, time.Since(start))
+	}
+	return reply, err
 }
 
 // Sync implements membership.Transport.
@@ -25,7 +35,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.Sync(ctx, r)
+	start := time.Now()
+	reply, err := client.Sync(ctx, r)
+	if err == nil {
+		t.answered(address, time.Since(start))
+	}
+	return reply, err
 }
 
 // ledgerPeers sends the messages of the ledger.
--- a/node/process/node/members.go
+++ b/node/process/node/members.go
@@ -31,6 +31,7 @@
 			f.dirty[m.Service] = true
 		}
 	}
+	f.noteFirstSeen(change.Before, change.After)
 	f.mu.Unlock()
 	select {
 	case f.changed <- struct{}{}:
@@ -38,16 +39,40 @@
 	}
 }
 
+// joinTime is the time after the start of this node in which servers that it first sees are taken to be warm: they are new to
+// this node only.
+const joinTime = 10 * time.Second
+
+// noteFirstSeen notes when a server appeared, for its slow start. The caller holds mu.
+func (f *fleet) noteFirstSeen(before, after *membership.Member) {
+	if before != nil && (after == nil || after.ServerID != before.ServerID) {
+		delete(f.firstSeen, before.ServerID)
+	}
+	if after == nil || after.ServerID == "" || time.Since(f.started) < joinTime {
+		return
+	}
+	if _, known := f.firstSeen[after.ServerID]; !known && (before == nil || before.ServerID != after.ServerID) {
+		f.firstSeen[after.ServerID] = time.Now()
+	}
+}
+
 // allServices marks every service as changed; it is not a valid service name.
 const allServices = "*"
 
 // refresh hands changes of the membership to the chooser, the ledger and the connection pool.
 func (f *fleet) refresh(ctx context.Context) {
+	// Distances change without any change of the members.
+	distances := time.NewTicker(distanceEvery)
+	defer distances.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.changed:
+		case <-distances.C:
+			f.mu.Lock()
+			f.dirty[allServices] = true
+			f.mu.Unlock()
 		}
 		f.applyMembers()
 		f.holder.Refresh()
@@ -66,9 +91,10 @@
 	f.dirty = map[string]bool{}
 	f.mu.Unlock()
 	if dirty[allServices] {
-		for m := range f.members.Members() {
-			dirty[m.Service] = true
-		}
+		f.tracked.Range(func(service, _ any) bool {
+			dirty[service.(string)] = true
+			return true
+		})
 	}
 	for service := range dirty {
 		if _, tracked := f.tracked.Load(service); tracked {
@@ -81,10 +107,12 @@
 // no others, since the verdict on a place may be wrong.
 func (f *fleet) servers(service string) []balance.Server {
 	var reachable, all []balance.Server
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, m := range f.members.ByService(service) {
 		server := balance.Server{
 			ID: m.ServerID, Service: m.Service, Place: m.Place, NodeID: m.Address, Address: m.Address,
-			Slots: int(m.Slots), Incarnation: m.Incarnation, Draining: m.Draining,
+			Slots: int(m.Slots), Incarnation: m.Incarnation, Draining: m.Draining, FirstSeen: f.firstSeen[m.ServerID],
 		}
 		all = append(all, server)
 		if f.members.Alive(m.Place) {
@@ -111,3 +139,33 @@
 	}
 	return false
 }
+
+// distanceEvery is how often the chooser is given the present distances.
+const distanceEvery = 10 * time.Second
+
+// memberPlaces is the place of each member by its address.
+type memberPlaces struct {
+	generation uint64
+	place      map[string]string
+}
+
+// answered measures the distance of a place by a round trip to one of its nodes.
+func (f *fleet) answered(address string, roundTrip time.Duration) {
+	if place, known := f.placeOf(address); known {
+		f.distances.observe(place, roundTrip)
+	}
+}
+
+func (f *fleet) placeOf(address string) (string, bool) {
+	generation := f.members.Generation()
+	cached := f.places.Load()
+	if cached == nil || cached.generation != generation {
+		cached = &memberPlaces{generation: generation, place: map[string]string{}}
+		for m := range f.members.Members() {
+			cached.place[m.Address] = m.Place
+		}
+		f.places.Store(cached)
+	}
+	place, known := cached.place[address]
+	return place, known
+}
--- a/node/process/node/node.go
+++ b/node/process/node/node.go
@@ -93,7 +93,7 @@
 	n.fleet = newFleet(n, store)
 	n.core = newCore(coreConfig{
 		nodeID: n.id, place: n.config.Place, pool: n.pool, ledger: n.fleet.ledger, observer: n.recent,
-		log: n.log, limit: int64(n.config.MaxInProgress), changed: n.serverChanged, track: n.fleet.track,
+		log: n.log, limit: int64(n.config.MaxInProgress), changed: n.serverChanged, track: n.fleet.track, distance: n.fleet.distances.to,
 	})
 	n.fleet.assemble(n.core)
 	n.registerGauges()
