peer: deliver large answers during a planned stop

Cause: an answer above 32 KB is fetched by a call of its own, which a stopping node already refused, and its context ended with the stream of calls (found while reading). Change: a stopping node serves until its calls are answered and its large answers fetched; calls do not end with the stream's context, except when the peer is gone.

--- a/node/connection/peer/calls.go
+++ b/node/connection/peer/calls.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -33,6 +35,24 @@
 	s.stopping.end.Do(func() { close(ch) })
 }
 
+// drainPoll is how often Drain looks whether calls are left.
+const drainPoll = 10 * time.Millisecond
+
+// Drain stops the service and waits until all calls are answered and all large answers are fetched, or until ctx ends. The
+// server must go on serving meanwhile, since large answers are fetched by calls of their own.
+func (s *Service) Drain(ctx context.Context) {
+	s.Stop()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.active.Load() > 0 || s.parked.len() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // callStream is the serving side of one stream of calls.
 type callStream struct {
 	service *Service
@@ -54,8 +74,10 @@
 	done := make(chan struct{})
 	defer close(done)
 	go c.announceStop(done)
-	c.receive()
-	// The peer has half-closed the stream or is gone; the calls in progress are still answered.
+	if err := c.receive(); !errors.Is(err, io.EOF) {
+		// The peer is gone. After a half-close, the calls in progress are still answered.
+		c.cancelAll()
+	}
 	c.calls.Wait()
 	return nil
 }
@@ -68,11 +90,11 @@
 	}
 }
 
-func (c *callStream) receive() {
+func (c *callStream) receive() error {
 	for {
 		frame, err := c.stream.Recv()
 		if err != nil {
-			return
+			return err
 		}
 		switch f := frame.Frame.(type) {
 		case *peerpb.CallFrame_Call:
@@ -84,11 +106,14 @@
 }
 
 func (c *callStream) start(wire *peerpb.CallRequest) {
-	ctx, cancel := context.WithCancel(c.stream.Context())
+	// A large answer is fetched after the stream may have ended, so the call does not end with the stream's context.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(c.stream.Context()))
+	c.service.active.Add(1)
 	c.mu.Lock()
 	c.cancels[wire.AttemptId] = cancel
 	c.mu.Unlock()
 	c.calls.Go(func() {
+		defer c.service.active.Add(-1)
 		defer c.cancel(wire.AttemptId)
 		c.serve(ctx, requestFromWire(wire))
 	})
@@ -104,6 +129,14 @@
 	}
 }
 
+func (c *callStream) cancelAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cancel := range c.cancels {
+		cancel()
+	}
+}
+
 func (c *callStream) serve(ctx context.Context, r *attempt.Request) {
 	deadline := time.Now().Add(r.Timeout)
 	answer, err := c.service.Local.Do(ctx, r)
@@ -175,6 +208,12 @@
 	})}
 }
 
+func (p *parked) len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.answers)
+}
+
 func (p *parked) take(attemptID string) *attempt.Answer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/connection/peer/server.go
+++ b/node/connection/peer/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -46,6 +47,8 @@
 	Settings   Settings
 	Ledger     Ledger
 
+	// active counts the calls in progress on all streams.
+	active   atomic.Int64
 	parked   parked
 	stopping stopSignal
 }
--- a/node/process/node/faults_test.go
+++ b/node/process/node/faults_test.go
@@ -201,6 +201,25 @@
 	}
 }
 
+// Guards against a planned stop that cuts off a large answer, which is fetched after its call has ended.
+func TestPlannedStopDeliversLargeAnswers(t *testing.T) {
+	const size = 4 << 20
+	f := newTestFleet(t, "quotes", "crews")
+	f.servers[0].Set(backendtest.Behaviour{ServiceTime: 400 * time.Millisecond, AnswerBytes: size})
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			r := f.call(1, http.MethodGet, "quotes", "/offer", nil, "")
+			assert.NoError(t, r.err)
+			assert.Equal(t, http.StatusOK, r.status, r.outcome)
+			assert.Len(t, r.body, size)
+		})
+	}
+	f.await("the calls are in progress", func() bool { return f.servers[0].InProgress() == 4 })
+	f.stops[0]()
+	callers.Wait()
+}
+
 // Guards against measuring a server more than its budget allows, whatever happens around it.
 func TestMeasuringStaysWithinItsBudget(t *testing.T) {
 	f := newTestFleet(t, "quotes", "crews", "crews", "crews")
--- a/node/process/node/listen.go
+++ b/node/process/node/listen.go
@@ -144,7 +144,7 @@
 // its listener for calls of its own until its last call is done.
 func (s *servers) stop(ctx context.Context) {
 	_ = s.callers.Shutdown(ctx)
-	s.service.Stop()
+	s.service.Drain(ctx)
 	done := make(chan struct{})
 	go func() {
 		s.peers.GracefulStop()
