tests: name the failure that each test guards against

Cause: twelve tests of the platform and the membership had no such comment. Change: comments only. Conclusion: every test names its failure.

--- a/node/connection/platform/awsclient/client_test.go
+++ b/node/connection/platform/awsclient/client_test.go
@@ -132,6 +132,7 @@
 	require.NoError(t, group.Wait())
 }
 
+// Guards against a wrong setting of the platform that is accepted, or refused without its path.
 func TestConfigNamesTheWrongField(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -151,6 +152,7 @@
 	}
 }
 
+// Guards against keys from the environment that are ignored.
 func TestTheEnvironmentOverridesFields(t *testing.T) {
 	environment := map[string]string{"AWS_ENDPOINT_URL": "http://all", "AWS_ENDPOINT_URL_S3": "http://s3", "RADISH_PLATFORM_TABLE": "t"}
 	config := testConfig("http://file")
--- a/node/connection/platform/guard_test.go
+++ b/node/connection/platform/guard_test.go
@@ -36,6 +36,7 @@
 	})
 }
 
+// Guards against a node that reads or writes more than its share, and against callers who wait past their deadline for it.
 func TestBudget(t *testing.T) {
 	inVirtualTime(t, "a node writes no more than its share and the burst", func(t *testing.T, m *platformtest.Memory) {
 		g := guard(m, 10, nil)
@@ -91,6 +92,8 @@
 	})
 }
 
+// Guards against reads that give up after one failure, reads without end, and writes that are repeated although they may have
+// taken effect.
 func TestRetries(t *testing.T) {
 	inVirtualTime(t, "a read is tried again after a failure", func(t *testing.T, m *platformtest.Memory) {
 		g := guard(m, 1, nil)
@@ -156,6 +159,7 @@
 	require.NotEqual(t, "closed", g.State().Table.Breaker)
 }
 
+// Guards against calls that load a store that is down, and against a breaker that does not close again.
 func TestBreaker(t *testing.T) {
 	inVirtualTime(t, "an open breaker fails fast and spares the store", func(t *testing.T, m *platformtest.Memory) {
 		g := guard(m, 1, nil)
@@ -273,6 +277,7 @@
 	})
 }
 
+// Guards against limits out of range that are accepted, or refused without their path.
 func TestLimitsNameTheWrongField(t *testing.T) {
 	limits := platform.DefaultLimits()
 	require.NoError(t, limits.Validate())
@@ -280,6 +285,7 @@
 	require.EqualError(t, limits.Validate(), "platform.probeShare: 2 is out of range 0.001 to 1")
 }
 
+// Guards against counters that the node's metrics do not show.
 func TestCountersAreRegistered(t *testing.T) {
 	registry := metrics.NewRegistry()
 	m := platformtest.NewMemory()
--- a/node/platformtest/contract_test.go
+++ b/node/platformtest/contract_test.go
@@ -53,6 +53,7 @@
 	}
 }
 
+// Guards against a transaction that is applied in part or against its conditions, in memory and over sockets.
 func TestTransactionsFollowTheirConditions(t *testing.T) {
 	one := map[string]int64{"version": 1}
 	for _, c := range []struct {
@@ -135,6 +136,7 @@
 	})
 }
 
+// Guards against objects that are changed or cut off on the way, and keys that are not escaped.
 func TestObjectsComeBackWhole(t *testing.T) {
 	both(t, func(t *testing.T, s store, _ *platformtest.Memory) {
 		ctx := context.Background()
@@ -203,6 +205,7 @@
 	return client(t, server), server
 }
 
+// Guards against a write of unknown fate that is reported as failed, and a failed one that is reported as unknown.
 func TestSocketFaultsGiveTheirErrors(t *testing.T) {
 	write := platform.Write{Item: item("a", 1, "")}
 	t.Run("a timeout after sending a write is unknown and the write may still take effect", func(t *testing.T) {
--- a/node/process/membership/cluster_test.go
+++ b/node/process/membership/cluster_test.go
@@ -247,6 +247,7 @@
 	})
 }
 
+// Guards against nodes that never agree on the members, and against a stopped node that stays alive for the others.
 func TestAFleetFindsItselfAndNoticesAStoppedNode(t *testing.T) {
 	withCluster(t, func(t *testing.T, c *cluster) {
 		nodes := c.launch(7, "a", "b")
--- a/node/process/membership/failure_test.go
+++ b/node/process/membership/failure_test.go
@@ -447,6 +447,7 @@
 	})
 }
 
+// Guards against a leave that is reported as recorded although the store is down.
 func TestLeaveWithoutStoreIsReported(t *testing.T) {
 	withCluster(t, func(t *testing.T, c *cluster) {
 		nodes := c.launch(2, "a")
