node: give the large answers of a planned stop more than one second

The four answers of 4 MiB, under the race detector and on a busy machine, took longer than the 1 s call timeout of the base settings; the entry node then aborts them, as it has to. A trace on one processor showed every abort as 'context deadline exceeded' of the fetch, and none by the stop. A longer Radish-Timeout-Ms changed nothing, since the settings cap it. Ruled out: the drain, GracefulStop, and the closing of the peer connection.

Change: the test commits a timeout of 9 s before it starts. Lengths are compared as numbers, which keeps 4 MiB out of the log.

Conclusion: the test guards against a stop that cuts off answers, as before, and no longer against a slow machine.

--- a/node/process/node/faults_test.go
+++ b/node/process/node/faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -205,6 +206,9 @@
 func TestPlannedStopDeliversLargeAnswers(t *testing.T) {
 	const size = 4 << 20
 	f := newTestFleet(t, "quotes", "crews")
+	// With the race detector on one processor, four such answers took longer than the base settings' limit of 1 s.
+	version := f.commit("longer", strings.Replace(baseSettings, `"timeoutMs": 1000`, `"timeoutMs": 9000`, 1))
+	f.await("both nodes have the longer limit", func() bool { return f.version(0) >= version && f.version(1) >= version })
 	f.servers[0].Set(backendtest.Behaviour{ServiceTime: 400 * time.Millisecond, AnswerBytes: size})
 	var callers sync.WaitGroup
 	for range 4 {
@@ -212,7 +216,7 @@
 			r := f.call(1, http.MethodGet, "quotes", "/offer", nil, "")
 			assert.NoError(t, r.err)
 			assert.Equal(t, http.StatusOK, r.status, r.outcome)
-			assert.Len(t, r.body, size)
+			assert.Equal(t, size, len(r.body))
 		})
 	}
 	f.await("the calls are in progress", func() bool { return f.servers[0].InProgress() == 4 })
