balance: limit the servers of a service that a node calls

Cause: each link takes about 50 KB at both of its nodes, so a node that calls 30 services of 18.6 servers needed 54 MB.

The limit is applied anew when the settings or the members change. Connections to members are looked up by address instead of scanning all members for each of them.

--- a/node/process/balance/experiment/call.go
+++ b/node/process/balance/experiment/call.go
@@ -137,7 +137,7 @@
 	failure, hint := retry.NotRun, -1
 	if r.Reason == admission.ReasonSiblingFree {
 		failure, c.referred = retry.Referred, true
-		hint, _ = strconv.Atoi(r.Sibling)
+		hint = w.policy.(*product).lookup(c.entry, r.Sibling)
 		if c.measured {
 			w.result.referrals++
 		}
--- a/node/process/balance/experiment/policy.go
+++ b/node/process/balance/experiment/policy.go
@@ -21,6 +21,7 @@
 	refer bool // admission refers calls to free siblings
 	pace  bool // reports to the same node keep their distance
 	hedge bool // idempotent calls are hedged
+	limit int  // servers that an entry node sends calls to; zero for all
 }
 
 // contains reports whether a server is excluded.
--- a/node/process/balance/experiment/policy_product.go
+++ b/node/process/balance/experiment/policy_product.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/node/process/balance"
+	"github.com/radishstand/radishstand/node/process/balance/subset"
 )
 
 // siblings is the number of reports of other servers that ride on an answer.
@@ -30,7 +31,8 @@
 		for i, s := range w.servers {
 			servers[i] = balance.Server{ID: serverID(i), Service: serviceName, Place: placeName(s.place), NodeID: serverID(i), Slots: s.slots}
 		}
-		b.SetServers(serviceName, servers)
+		node := subset.Node{ID: serverID(entry), Place: placeName(w.entries[entry])}
+		b.SetServers(serviceName, node.Choose(servers, w.options.limit))
 		p.balancers = append(p.balancers, b)
 	}
 	return p
@@ -44,6 +46,15 @@
 	return index(b.Pick(serviceName, serverIDs(excluded)))
 }
 
+// lookup returns the index of a server that the entry node was referred to, or -1 when it sends no calls there.
+func (p *product) lookup(entry int, id string) int {
+	server, known := p.balancers[entry].Lookup(id)
+	if !known {
+		return -1
+	}
+	return index(server, nil)
+}
+
 func (p *product) hedge(entry, server int, tried []int) int {
 	return index(p.balancers[entry].Hedge(balance.Server{ID: serverID(server), Service: serviceName}, serverIDs(tried)))
 }
--- a/node/process/balance/experiment/sweep_test.go
+++ b/node/process/balance/experiment/sweep_test.go
@@ -16,7 +16,7 @@
 var (
 	sweepFlag    = flag.Bool("sweep", false, "run the comparison of policies, which takes minutes")
 	sweepLoads   = flag.String("loads", "0.5,0.7,0.85,0.95", "loads of the comparison as shares of the mean capacity")
-	sweepWhere   = flag.String("deployments", "coop,yatai", "deployments of the comparison: coop, yatai or large")
+	sweepWhere   = flag.String("deployments", "coop,yatai", "deployments of the comparison: coop, yatai, medium or large")
 	sweepOnly    = flag.String("policies", "", "policies of the comparison; empty for all")
 	sweepSeeds   = flag.Int("seeds", 3, "number of seeds of the comparison, from 1")
 	sweepSeconds = flag.Int("seconds", 20, "virtual seconds of each run of the comparison")
@@ -41,6 +41,10 @@
 	{name: "with referral", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true}},
 	{name: "with hedging", make: func(w *world) policy { return newProduct(w) }, options: options{hedge: true}},
 	{name: "product", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true}},
+	{name: "12 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 12}},
+	{name: "8 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 8}},
+	{name: "6 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 6}},
+	{name: "4 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 4}},
 	{name: "all reports", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true}},
 	{name: "oracle", make: func(w *world) policy { return &oracle{w: w} }},
 	{name: "oracle hedging", make: func(w *world) policy { return &oracle{w: w} }, options: options{hedge: true}},
@@ -95,7 +99,7 @@
 	if !*sweepFlag {
 		t.Skip("runs with -sweep only")
 	}
-	for _, d := range []deployment{coop, yatai, large} {
+	for _, d := range []deployment{coop, yatai, medium, large} {
 		if !slices.Contains(strings.Split(*sweepWhere, ","), d.name) {
 			continue
 		}
--- a/node/process/balance/experiment/world.go
+++ b/node/process/balance/experiment/world.go
@@ -38,12 +38,14 @@
 	scenario scenario
 }
 
-// Deployments of the two users, and a large service.
+// Deployments of the two users, a service of the average size of a large fleet, and a large service.
 var (
 	coop = deployment{name: "coop", servers: 5, slots: 17, entries: 14, between: time.Millisecond, scenario: stalls}
 	// large has so many servers that an entry node hears of each only every 130 ms or so.
 	large = deployment{name: "large", servers: 100, slots: 17, entries: 140, between: time.Millisecond, scenario: stalls}
-	yatai = deployment{name: "yatai", servers: 4, slots: 9, entries: 13, between: 1500 * time.Microsecond, scenario: stalls}
+	// medium has 18.6 servers rounded up, and callers at many nodes.
+	medium = deployment{name: "medium", servers: 19, slots: 17, entries: 140, between: time.Millisecond, scenario: stalls}
+	yatai  = deployment{name: "yatai", servers: 4, slots: 9, entries: 13, between: 1500 * time.Microsecond, scenario: stalls}
 )
 
 // world is one run.
--- a/node/process/membership/membership.go
+++ b/node/process/membership/membership.go
@@ -102,6 +102,9 @@
 // Self returns the record of this node, or nil while it has no incarnation.
 func (m *Membership) Self() *Member { return m.table.get(m.cfg.Address) }
 
+// Member returns the record of a member, or nil when there is none.
+func (m *Membership) Member(address string) *Member { return m.table.get(address) }
+
 // Members iterates over all records of members, dead and left ones included.
 func (m *Membership) Members() iter.Seq[*Member] {
 	return func(yield func(*Member) bool) {
--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -45,11 +45,9 @@
 	holders   atomic.Pointer[holders]
 	changed   chan struct{}
 	distances *distances
-	// places caches the place of each member for one generation of the membership.
-	places  atomic.Pointer[memberPlaces]
-	started time.Time
-	mu      sync.Mutex
-	dirty   map[string]bool
+	started   time.Time
+	mu        sync.Mutex
+	dirty     map[string]bool
 	// firstSeen is when servers appeared that are new to the fleet, by server id.
 	firstSeen map[string]time.Time
 
--- a/node/process/node/members.go
+++ b/node/process/node/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/node/process/balance"
+	"github.com/radishstand/radishstand/node/process/balance/subset"
 	"github.com/radishstand/radishstand/node/process/membership"
 )
 
@@ -17,7 +18,28 @@
 		once, _ = f.tracked.LoadOrStore(service, &sync.Once{})
 	}
 	// The service is marked before its servers are read, so that no change is missed; other calls wait meanwhile.
-	once.(*sync.Once).Do(func() { f.node.core.balancer.SetServers(service, f.servers(service)) })
+	once.(*sync.Once).Do(func() { f.node.core.balancer.SetServers(service, f.chosen(service)) })
+}
+
+// chosen returns the servers of a service that this node sends calls to.
+func (f *fleet) chosen(service string) []balance.Server {
+	node := subset.Node{ID: f.node.id, Place: f.node.config.Place}
+	return node.Choose(f.servers(service), f.node.core.values(service).Balance.MaxServers)
+}
+
+// settingsChanged marks all services, since the settings bound their servers.
+func (f *fleet) settingsChanged() {
+	f.mu.Lock()
+	f.dirty[allServices] = true
+	f.mu.Unlock()
+	f.wake()
+}
+
+func (f *fleet) wake() {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
 }
 
 // memberChanged marks what a change of the membership touches. It must not block.
@@ -33,10 +55,7 @@
 	}
 	f.noteFirstSeen(change.Before, change.After)
 	f.mu.Unlock()
-	select {
-	case f.changed <- struct{}{}:
-	default:
-	}
+	f.wake()
 }
 
 // joinTime is the time after the start of this node in which servers that it first sees are taken to be warm: they are new to
@@ -98,7 +117,7 @@
 	}
 	for service := range dirty {
 		if _, tracked := f.tracked.Load(service); tracked {
-			f.node.core.balancer.SetServers(service, f.servers(service))
+			f.node.core.balancer.SetServers(service, f.chosen(service))
 		}
 	}
 }
@@ -132,40 +151,16 @@
 			return true
 		}
 	}
-	for m := range f.members.Members() {
-		if m.Address == address {
-			return m.State.Live()
-		}
-	}
-	return false
+	m := f.members.Member(address)
+	return m != nil && m.State.Live()
 }
 
 // distanceEvery is how often the chooser is given the present distances.
 const distanceEvery = 10 * time.Second
 
-// memberPlaces is the place of each member by its address.
-type memberPlaces struct {
-	generation uint64
-	place      map[string]string
-}
-
 // answered measures the distance of a place by a round trip to one of its nodes.
 func (f *fleet) answered(address string, roundTrip time.Duration) {
-	if place, known := f.placeOf(address); known {
-		f.distances.observe(place, roundTrip)
-	}
-}
-
-func (f *fleet) placeOf(address string) (string, bool) {
-	generation := f.members.Generation()
-	cached := f.places.Load()
-	if cached == nil || cached.generation != generation {
-		cached = &memberPlaces{generation: generation, place: map[string]string{}}
-		for m := range f.members.Members() {
-			cached.place[m.Address] = m.Place
-		}
-		f.places.Store(cached)
+	if m := f.members.Member(address); m != nil {
+		f.distances.observe(m.Place, roundTrip)
 	}
-	place, known := cached.place[address]
-	return place, known
 }
--- a/node/process/node/node.go
+++ b/node/process/node/node.go
@@ -202,6 +202,7 @@
 			return
 		case <-changed:
 			n.core.applySettings()
+			n.fleet.settingsChanged()
 			version := n.core.settings.Current().Version
 			n.fleet.members.SetSettingsVersion(version)
 			n.log.Info("settings in force", "component", "settings", "version", version)
--- a/node/process/node/operators_test.go
+++ b/node/process/node/operators_test.go
@@ -216,3 +216,28 @@
 		})
 	}
 }
+
+// Guards against a limit of servers that an edit does not change, and against calls that fail because of it.
+func TestServersThatANodeCallsAreLimited(t *testing.T) {
+	f := newTestFleet(t, "quotes", "quotes", "quotes", "quotes", "quotes", "crews")
+	count := func(want int) func() bool {
+		return func() bool {
+			for _, n := range f.nodes {
+				if len(n.core.balancer.Dump()["quotes"]) != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	require.True(t, count(5)())
+	for _, limit := range []int{2, 0} {
+		status, _, _ := f.edit(0, fmt.Sprint("limit", limit), f.version(0), "defaults.balance.maxServers", fmt.Sprint(limit))
+		require.Equal(t, http.StatusOK, status)
+		f.await("the limit holds at all nodes", count(map[int]int{2: 2, 0: 5}[limit]))
+		for node := range f.nodes {
+			r := f.call(node, http.MethodPost, "quotes", "/offer", nil, "")
+			require.Equal(t, contract.OutcomeRun, r.outcome, r.body)
+		}
+	}
+}
