balance: start new servers over 5 s instead of 10

Cause: the span of the slow start had never been measured.

Change: the experiment replaces servers that are cold for a time or for a number of calls, and passes the settings to the chooser; the default of balance.slowStartMs is 5000. The test of the slow start sets its span of 10 s itself, which was the default, so its bound stays as it was.

It stays, shorter.

--- a/api/settings/values.go
+++ b/api/settings/values.go
@@ -54,7 +54,7 @@
 // Balance configures the choice of a backend server.
 type Balance struct {
 	SpillMs     float64 `json:"spillMs" default:"0" min:"0" max:"1000" unit:"ms" doc:"Advantage of servers of the same place over those of other places, beyond the time on the network."`
-	SlowStartMs int     `json:"slowStartMs" default:"10000" min:"0" max:"600000" unit:"ms" doc:"Time over which a new server's share of calls rises."`
+	SlowStartMs int     `json:"slowStartMs" default:"5000" min:"0" max:"600000" unit:"ms" doc:"Time over which a new server's share of calls rises."`
 	MaxServers  int     `json:"maxServers" default:"8" min:"0" max:"10000" unit:"servers" doc:"Most servers of the service that a node sends calls to, three quarters of them in its own place where there are as many; 0 sets no limit. Each takes a connection to the server's node."`
 	ReportMs    float64 `json:"reportMs" default:"2" min:"0" max:"1000" unit:"ms" doc:"Shortest time between two load reports of a server to the same node; 0 reports with every answer."`
 }
--- a/node/process/balance/balance_test.go
+++ b/node/process/balance/balance_test.go
@@ -282,6 +282,9 @@
 			s.FirstSeen = first
 		}
 	})
+	values := settings.Default()
+	values.Balance.SlowStartMs = 10_000
+	b.Configure(testService, &values)
 	share := b.share(t, 2000, func(string) Result { return Result{Latency: 10 * time.Millisecond} })
 	require.Less(t, share["s0"], 0.15)
 	require.Greater(t, share["s0"], 0.01)
--- a/node/process/balance/experiment/policy_product.go
+++ b/node/process/balance/experiment/policy_product.go
@@ -15,6 +15,7 @@
 // product is the product's chooser, one for each entry node.
 type product struct {
 	w         *world
+	servers   []balance.Server
 	balancers []*balance.Balancer
 }
 
@@ -22,22 +23,36 @@
 
 func newProduct(w *world) *product {
 	p := &product{w: w}
+	for i, s := range w.servers {
+		p.servers = append(p.servers, balance.Server{ID: serverID(i), Service: serviceName, Place: placeName(s.place), NodeID: serverID(i), Slots: s.slots})
+	}
 	for entry := range w.entries {
 		b := balance.New(balance.Config{
 			Place: placeName(w.entries[entry]), Now: w.clock, Rand: rand.New(rand.NewPCG(w.rand.Uint64(), w.rand.Uint64())),
 			Distance: func(place string) time.Duration { return 2 * w.between(placeName(w.entries[entry]), place) },
 		})
-		servers := make([]balance.Server, len(w.servers))
-		for i, s := range w.servers {
-			servers[i] = balance.Server{ID: serverID(i), Service: serviceName, Place: placeName(s.place), NodeID: serverID(i), Slots: s.slots}
-		}
-		node := subset.Node{ID: serverID(entry), Place: placeName(w.entries[entry])}
-		b.SetServers(serviceName, node.Choose(servers, w.options.limit))
+		b.Configure(serviceName, &w.values)
 		p.balancers = append(p.balancers, b)
+		p.setServers(entry)
 	}
 	return p
 }
 
+// setServers hands the servers to the chooser of an entry node.
+func (p *product) setServers(entry int) {
+	node := subset.Node{ID: serverID(entry), Place: placeName(p.w.entries[entry])}
+	p.balancers[entry].SetServers(serviceName, node.Choose(p.servers, p.w.options.limit))
+}
+
+// replaced makes all entry nodes take a server for a new one.
+func (p *product) replaced(server int) {
+	p.servers[server].Incarnation++
+	p.servers[server].FirstSeen = p.w.clock()
+	for entry := range p.balancers {
+		p.setServers(entry)
+	}
+}
+
 func (p *product) pick(entry int, excluded []int) int {
 	b := p.balancers[entry]
 	if entry < len(p.w.servers) { // the node knows its own server exactly
--- a/node/process/balance/experiment/server.go
+++ b/node/process/balance/experiment/server.go
@@ -23,22 +23,34 @@
 	sigma             float64 // of the log-normal service times
 	shortest, longest time.Duration
 	phases            []phase
+	cold              cold
+}
+
+// cold describes servers that are replaced and slow at first. The zero value replaces none.
+type cold struct {
+	every  time.Duration // time between two replacements in the service
+	factor float64       // by which a new server is slowed; falls evenly to 1
+	span   time.Duration // time after which a new server is warm
+	calls  int           // calls after which it is warm, instead of span
 }
 
 // Scenarios of noisy neighbours.
 var (
 	// stalls has mostly full speed, often somewhat less, and at times almost a stop.
 	stalls = scenario{"stalls", 0.5, 3 * time.Millisecond, 100 * time.Millisecond,
-		[]phase{{0.60, 1, 1}, {0.25, 1.2, 3}, {0.10, 3, 10}, {0.04, 50, 50}, {0.01, 1000, 1000}}}
+		[]phase{{0.60, 1, 1}, {0.25, 1.2, 3}, {0.10, 3, 10}, {0.04, 50, 50}, {0.01, 1000, 1000}}, cold{}}
 	// mild has no stops, so that the tail is made by the choice rather than by calls that are caught in a stop.
 	mild = scenario{"mild", 0.5, 3 * time.Millisecond, 100 * time.Millisecond,
-		[]phase{{0.55, 1, 1}, {0.30, 1.2, 3}, {0.15, 3, 6}}}
+		[]phase{{0.55, 1, 1}, {0.30, 1.2, 3}, {0.15, 3, 6}}, cold{}}
 	// heavy has a heavier tail of service times.
 	heavy = scenario{"heavy", 1.2, 3 * time.Millisecond, 100 * time.Millisecond,
-		[]phase{{0.60, 1, 1}, {0.25, 1.2, 3}, {0.10, 3, 10}, {0.04, 50, 50}, {0.01, 1000, 1000}}}
+		[]phase{{0.60, 1, 1}, {0.25, 1.2, 3}, {0.10, 3, 10}, {0.04, 50, 50}, {0.01, 1000, 1000}}, cold{}}
+	// coldTime and coldCalls replace a server every 12 s. It is slow until it has run for 2 s, or has served 500 calls.
+	coldTime  = scenario{"coldTime", stalls.sigma, stalls.shortest, stalls.longest, stalls.phases, cold{every: 12 * time.Second, factor: 10, span: 2 * time.Second}}
+	coldCalls = scenario{"coldCalls", stalls.sigma, stalls.shortest, stalls.longest, stalls.phases, cold{every: 12 * time.Second, factor: 10, calls: 500}}
 	// lasting has longer phases.
 	lasting = scenario{"lasting", 0.5, 30 * time.Millisecond, 1000 * time.Millisecond,
-		[]phase{{0.70, 1, 1}, {0.20, 1.2, 3}, {0.09, 3, 10}, {0.01, 50, 50}}}
+		[]phase{{0.70, 1, 1}, {0.20, 1.2, 3}, {0.09, 3, 10}, {0.01, 50, 50}}, cold{}}
 )
 
 // meanSpeed returns the mean of the speed over time.
@@ -76,6 +88,9 @@
 	generation int
 	sweeping   bool
 	incoming   int // calls on their way, for the oracle
+	replaced   bool
+	bornAt     time.Duration
+	served     int // calls since the server was replaced
 }
 
 // job is a call in progress.
@@ -135,6 +150,7 @@
 		done = append(done, heap.Pop(&s.running).(*job).done)
 	}
 	s.schedule()
+	s.served += len(done)
 	for _, f := range done {
 		f()
 	}
@@ -164,6 +180,7 @@
 func (s *server) shift() {
 	s.settle()
 	s.speed = 1
+	defer func() { s.speed /= s.coldness() }()
 	draw := s.rand.Float64()
 	for _, p := range s.scenario.phases {
 		if draw -= p.probability; draw < 0 {
@@ -177,6 +194,24 @@
 	s.engine.after(time.Duration(span), s.shift)
 }
 
+// coldness is the factor by which the server is slowed because it is new.
+func (s *server) coldness() float64 {
+	c := s.scenario.cold
+	if !s.replaced {
+		return 1
+	}
+	warm := float64(s.engine.now-s.bornAt) / float64(max(c.span, 1))
+	if c.calls > 0 {
+		warm = float64(s.served) / float64(c.calls)
+	}
+	return 1 + (c.factor-1)*(1-min(warm, 1))
+}
+
+// replace starts a new life of the server.
+func (s *server) replace() {
+	s.replaced, s.bornAt, s.served = true, s.engine.now, 0
+}
+
 // sweep does for waiting calls what their goroutines do in a node.
 func (s *server) sweep() {
 	if s.sweeping {
--- a/node/process/balance/experiment/sweep_test.go
+++ b/node/process/balance/experiment/sweep_test.go
@@ -20,7 +20,7 @@
 	sweepOnly    = flag.String("policies", "", "policies of the comparison; empty for all")
 	sweepSeeds   = flag.Int("seeds", 3, "number of seeds of the comparison, from 1")
 	sweepSeconds = flag.Int("seconds", 20, "virtual seconds of each run of the comparison")
-	sweepWorld   = flag.String("scenario", "stalls", "how the speed of servers shifts: stalls, mild, heavy or lasting")
+	sweepWorld   = flag.String("scenario", "stalls", "how the speed of servers shifts: stalls, mild, heavy, lasting, coldTime or coldCalls")
 	sweepCores   = flag.Int("cores", 0, "calls that a server runs at full speed; zero for all slots")
 )
 
@@ -45,6 +45,9 @@
 	{name: "8 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 8}},
 	{name: "6 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 6}},
 	{name: "4 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 4}},
+	{name: "no slow start", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true}, tune: func(v *settings.Values) { v.Balance.SlowStartMs = 0 }},
+	{name: "slow start 2 s", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true}, tune: func(v *settings.Values) { v.Balance.SlowStartMs = 2000 }},
+	{name: "slow start 5 s", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true}, tune: func(v *settings.Values) { v.Balance.SlowStartMs = 5000 }},
 	{name: "all reports", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true}},
 	{name: "oracle", make: func(w *world) policy { return &oracle{w: w} }},
 	{name: "oracle hedging", make: func(w *world) policy { return &oracle{w: w} }, options: options{hedge: true}},
@@ -104,7 +107,7 @@
 			continue
 		}
 		d.cores = *sweepCores
-		d.scenario = map[string]scenario{"stalls": stalls, "mild": mild, "heavy": heavy, "lasting": lasting}[*sweepWorld]
+		d.scenario = map[string]scenario{"stalls": stalls, "mild": mild, "heavy": heavy, "lasting": lasting, "coldTime": coldTime, "coldCalls": coldCalls}[*sweepWorld]
 		for _, text := range strings.Split(*sweepLoads, ",") {
 			load, err := strconv.ParseFloat(text, 64)
 			if err != nil {
--- a/node/process/balance/experiment/world.go
+++ b/node/process/balance/experiment/world.go
@@ -151,6 +151,9 @@
 		}
 		w.after(time.Duration(arrivals.ExpFloat64()*gap*float64(time.Second)), arrive)
 	}
+	if every := w.deployment.scenario.cold.every; every > 0 {
+		w.after(every/2, func() { w.replaceNext(0, every) })
+	}
 	w.run(warmup)
 	w.measuring = true
 	w.run(warmup + span)
@@ -158,6 +161,15 @@
 	return w.result
 }
 
+// replaceNext replaces a server, and later the next one.
+func (w *world) replaceNext(server int, every time.Duration) {
+	w.servers[server].replace()
+	if p, ok := w.policy.(*product); ok {
+		p.replaced(server)
+	}
+	w.after(every, func() { w.replaceNext((server+1)%len(w.servers), every) })
+}
+
 // demand draws the time that a call needs at full speed.
 func (s scenario) demand(r *rand.Rand) time.Duration {
 	mu := math.Log(float64(serviceMean)) - s.sigma*s.sigma/2
