membership: declare a member dead when nobody is left to confirm it

Cause: a failure needs the confirmation of another member. The last node of a small fleet has none, so the others stayed alive in its view for good, and with them the ledger ranges that they held: keyed work in these was refused until they came back.

Change: a failure that has lasted 30 s counts when there is no other member to ask. In a larger fleet a node that is cut off still has members to ask, and accuses nobody.

Conclusion: two nodes that are cut off from each other each serve alone; the ledger's epochs keep this safe.

--- a/node/process/membership/config.go
+++ b/node/process/membership/config.go
@@ -70,6 +70,9 @@
 	PingTimeout time.Duration
 	// Suspicion is the time that a suspect has to refute.
 	Suspicion time.Duration
+	// Unconfirmed is the time after which a failure counts that no other member is left to confirm. It is longer than
+	// most restarts of a host's network.
+	Unconfirmed time.Duration
 	// Pause is the gap between ticks from which this process counts as having been paused.
 	Pause time.Duration
 	// SyncEvery is the period of anti-entropy.
@@ -111,6 +114,7 @@
 	set(&t.RetryEvery, time.Second)
 	set(&t.PingTimeout, 500*time.Millisecond)
 	set(&t.Suspicion, 5*time.Second)
+	set(&t.Unconfirmed, 30*time.Second)
 	set(&t.Pause, 2*time.Second)
 	set(&t.SyncEvery, 10*time.Second)
 	set(&t.JoinEvery, 250*time.Millisecond)
--- a/node/process/membership/detector.go
+++ b/node/process/membership/detector.go
@@ -215,7 +215,7 @@
 		p.due = now.Add(d.timing.RetryEvery / 2)
 		return nil
 	}
-	if p.denied < d.needed(p) {
+	if p.denied < d.needed(p) && !d.unconfirmed(now, p) {
 		return nil
 	}
 	if p.member.State == Suspect {
@@ -249,7 +249,7 @@
 
 // needed is the number of helpers that must confirm a failure. When most monitored peers fail at once, the cause is
 // probably this node's own network, and one helper that happens to share the fault proves nothing, unless the fleet has
-// no other. Without any helper nothing is ever confirmed.
+// no other.
 func (d *detector) needed(p *probe) int {
 	if d.isolated() && p.helpers > 1 {
 		return 2
@@ -257,6 +257,13 @@
 	return 1
 }
 
+// unconfirmed reports whether a failure counts without a confirmation: it lasts, and no other member is left to ask. In a
+// fleet of a few nodes the last one would otherwise wait forever for the ledger ranges of the others. If it is the one that
+// is cut off, the others refute once they are reached again.
+func (d *detector) unconfirmed(now time.Time, p *probe) bool {
+	return p.helpers == 0 && now.Sub(p.failedAt) >= d.timing.Unconfirmed
+}
+
 // isolated reports whether most monitored peers fail.
 func (d *detector) isolated() bool {
 	failing := 0
--- a/node/process/membership/failure_test.go
+++ b/node/process/membership/failure_test.go
@@ -355,6 +355,32 @@
 	}
 }
 
+// Guards against dead members that stay alive for good because no third one is left to confirm it, and against verdicts of
+// that kind that do not heal.
+func TestTheLastNodeFindsTheOthersDead(t *testing.T) {
+	for name, size := range map[string]int{"of two": 2, "of three": 3, "of four": 4} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, func(t *testing.T, c *cluster) {
+				nodes := c.launch(size, "a")
+				c.joined(nodes)
+				v := watch(nodes)
+				c.setCut(func(x, y *testNode) bool { return x != y })
+				time.Sleep(20 * time.Second)
+				require.Empty(t, v.of(Suspect), "a short failure that nobody confirms")
+				for _, n := range nodes {
+					for _, other := range nodes {
+						if other != n {
+							c.eventually(2*time.Minute, "death", func() bool { return sees([]*testNode{n}, other.cfg.Address, Dead) })
+						}
+					}
+				}
+				c.setCut(nil)
+				t.Log("back after", c.eventually(5*time.Minute, "return", func() bool { return agree(nodes) }))
+			})
+		})
+	}
+}
+
 // Guards against a rule for isolation that protects a dead node: the only neighbour of a place's survivor is most of what
 // it monitors, and the members of another place must do as witnesses.
 func TestTheOnlyNeighbourInAPlaceIsFoundDead(t *testing.T) {
