node: protect the operators' and the callers' listener with TLS

Cause: both listeners were plain HTTP, and operators could prove themselves by a token only, which crossed the network in clear. A token without the scheme Bearer was accepted.

Change: callers.tls and operators.tls name certificate and key; both listeners stay on HTTP/1.1. Beyond loopback, plain HTTP needs callers.tls.insecure or operators.tls.insecure, each logged as a warning. Operators prove themselves by a token (operators.token or operators.tokenFile) or by a client certificate of operators.clients.caFile whose common name or URI is listed. Certificates, CAs and the token file are read again after at most 5 s of use, by the mechanism that peers have, and a replaced file that cannot be used is logged.

--- a/api/operator/operator.go
+++ b/api/operator/operator.go
@@ -30,6 +30,8 @@
 	CodeUnknown     = "unknown"
 	CodeUnavailable = "unavailable"
 	CodeNotFound    = "not-found"
+	// CodeUnauthorized means that the request does not prove that it is an operator's.
+	CodeUnauthorized = "unauthorized"
 )
 
 // Error is the body of a refused request.
--- a/ctl/demo/fleet.go
+++ b/ctl/demo/fleet.go
@@ -127,7 +127,7 @@
 
 func configOf(place string, platform awsclient.Config) (node.Config, error) {
 	c := node.Config{
-		Place: place, Platform: platform, OperatorToken: token, TLS: node.TLSConfig{Insecure: true}, StopGrace: stopGrace,
+		Place: place, Platform: platform, Operators: node.OperatorAccess{Token: token}, TLS: node.TLSConfig{Insecure: true}, StopGrace: stopGrace,
 	}
 	for _, to := range []*string{&c.ListenCallers, &c.ListenPeers, &c.ListenServer, &c.ListenOperators} {
 		listener, err := net.Listen("tcp", loopback)
--- a/node/cmd/radishnode/main.go
+++ b/node/cmd/radishnode/main.go
@@ -74,10 +74,7 @@
 
 // warnOpen makes every switched-off protection visible.
 func warnOpen(logger *log.Logger, c *node.Config) {
-	if c.TLS.Insecure {
-		logger.Warn("nodes talk without TLS; anyone who reaches the peer listener can act as a node", "component", "main")
-	}
-	if c.OperatorOpen {
-		logger.Warn("operators need no token; anyone who reaches the operators' listener can change settings", "component", "main")
+	for _, warning := range c.Warnings() {
+		logger.Warn(warning, "component", "main")
 	}
 }
--- a/node/cmd/radishnode/main_test.go
+++ b/node/cmd/radishnode/main_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/x509"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/radishstand/radishstand/node/certtest"
 )
 
 const good = `{"place": "hue", "listen": {"callers": "127.0.0.1:7400", "peers": "127.0.0.1:7401", "server": "127.0.0.1:7402",
@@ -52,3 +55,104 @@
 		})
 	}
 }
+
+const secured = `{"place": "hue", "listen": {"callers": "10.0.0.1:7400", "peers": "10.0.0.1:7401", "server": "127.0.0.1:7402",
+  "operators": "10.0.0.1:7403"}, "tls": {"certFile": "$NODE.pem", "keyFile": "$NODE.key", "caFile": "$CA"},
+  "callers": {"tls": {"certFile": "$NODE.pem", "keyFile": "$NODE.key"}},
+  "operators": {"tls": {"certFile": "$NODE.pem", "keyFile": "$NODE.key"}, "tokenFile": "$TOKEN",
+    "clients": {"caFile": "$CA", "commonNames": ["alice", "bob"], "uris": ["spiffe://example/operator"]}},
+  "platform": {"accessKey": "k", "secretKey": "s"}}`
+
+// certificateFiles returns the values of the variables in secured, among them files that are broken in some way.
+func certificateFiles(t *testing.T) map[string]string {
+	fleet, stranger, dir := certtest.New(t), certtest.New(t), t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	issue := func(a *certtest.Authority, name string, change func(*x509.Certificate)) string {
+		file := a.Issue(name, change).CertFile
+		return file[:len(file)-len(".pem")]
+	}
+	return map[string]string{
+		"CA": fleet.CAFile, "NODE": issue(fleet, "radishnode", nil), "STRANGER": issue(stranger, "radishnode", nil),
+		"OTHERNAME": issue(fleet, "printer", nil), "TOKEN": write("token", "secret\n"), "BLANK": write("blank", " \n"),
+		"EXPIRED": issue(fleet, "expired", func(c *x509.Certificate) {
+			c.DNSNames = []string{"radishnode"}
+			certtest.Expired(c)
+		}),
+	}
+}
+
+// Guards against a node that starts with keys that no one will accept, with a protection that is off unseen, or with a
+// proof of operators that cannot work, and against messages that don't say what to change.
+func TestCheckNamesTheWrongKeyOrMissingProtection(t *testing.T) {
+	files := certificateFiles(t)
+	expand := func(text string) string { return os.Expand(text, func(name string) string { return files[name] }) }
+	code, output := check(t, expand(secured))
+	require.Equal(t, exitOK, code, output)
+	const (
+		peerTLS     = `"tls": {"certFile": "$NODE.pem", "keyFile": "$NODE.key", "caFile": "$CA"}`
+		callerTLS   = `"callers": {"tls": {"certFile": "$NODE.pem", "keyFile": "$NODE.key"}}`
+		operatorTLS = `"operators": {"tls": {"certFile": "$NODE.pem", "keyFile": "$NODE.key"}`
+		names       = `"commonNames": ["alice", "bob"], "uris": ["spiffe://example/operator"]`
+	)
+	cases := map[string]struct{ from, to, message string }{
+		"plain HTTP for operators beyond loopback": {operatorTLS, `"operators": {"tls": {}`,
+			"operators.tls.certFile: is empty; name a PEM file, or set operators.tls.insecure to true to speak plain HTTP on 10.0.0.1:7403"},
+		"plain HTTP for callers beyond loopback": {callerTLS, `"callers": {}`,
+			"callers.tls.certFile: is empty; name a PEM file, or set callers.tls.insecure to true to speak plain HTTP on 10.0.0.1:7400"},
+		"a certificate without a key": {callerTLS, `"callers": {"tls": {"certFile": "$NODE.pem"}}`,
+			"callers.tls: names only one of certFile and keyFile"},
+		"a key of another certificate": {callerTLS, `"callers": {"tls": {"certFile": "$NODE.pem", "keyFile": "$STRANGER.key"}}`,
+			"callers.tls: certificate $NODE.pem with key $STRANGER.key: tls: private key does not match public key"},
+		"an expired certificate for operators": {operatorTLS, `"operators": {"tls": {"certFile": "$EXPIRED.pem", "keyFile": "$EXPIRED.key"}`,
+			"operators.tls.certFile: the certificate in $EXPIRED.pem expired at "},
+		"an expired certificate for peers": {peerTLS, `"tls": {"certFile": "$EXPIRED.pem", "keyFile": "$EXPIRED.key", "caFile": "$CA"}`,
+			"tls: the certificate in $EXPIRED.pem expired at "},
+		"a certificate for peers under another name": {peerTLS, `"tls": {"certFile": "$OTHERNAME.pem", "keyFile": "$OTHERNAME.key", "caFile": "$CA"}`,
+			"tls: other nodes would refuse the certificate in $OTHERNAME.pem: x509: certificate is valid for printer, not radishnode"},
+		"a certificate for peers of another CA": {peerTLS, `"tls": {"certFile": "$STRANGER.pem", "keyFile": "$STRANGER.key", "caFile": "$CA"}`,
+			"tls: other nodes would refuse the certificate in $STRANGER.pem: x509: certificate signed by unknown authority"},
+		"a CA file without certificates": {`"caFile": "$CA", "commonNames"`, `"caFile": "$TOKEN", "commonNames"`,
+			"operators.clients.caFile: $TOKEN: no certificate found in the CA file"},
+		"a CA for operators without allowed names": {", " + names, "", "operators.clients: allows no name; list the operators in commonNames or uris"},
+		"allowed names without a CA":               {`"caFile": "$CA", "commonNames"`, `"commonNames"`, "operators.clients.caFile: is empty; name a PEM file"},
+		"client certificates without TLS": {operatorTLS, `"operators": {"tls": {"insecure": true}`,
+			"operators.clients.caFile: needs TLS; give operators.tls.certFile and operators.tls.keyFile"},
+		"a token and a token file":           {`"tokenFile"`, `"token": "secret", "tokenFile"`, "operators.tokenFile: is given together with operators.token"},
+		"a token file that is blank":         {"$TOKEN", "$BLANK", "operators.tokenFile: $BLANK: the file holds no token"},
+		"a token file that is missing":       {"$TOKEN", "$TOKEN.missing", "operators.tokenFile: open $TOKEN.missing: no such file"},
+		"a name that is no list or text":     {names, `"commonNames": {"alice": true}`, "operators.clients.commonNames.alice"},
+		"an insecure switch that is no flag": {callerTLS, `"callers": {"tls": {"insecure": "maybe"}}`, `is "maybe"; allowed are true and false`},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Contains(t, secured, c.from)
+			code, output := check(t, expand(string(bytes.Replace([]byte(secured), []byte(c.from), []byte(c.to), 1))))
+			require.Equal(t, exitSettings, code, output)
+			require.Contains(t, output, expand(c.message))
+		})
+	}
+}
+
+// Guards against a protection that is off without a warning, and against warnings about protections that are on.
+func TestSwitchedOffProtectionsAreLogged(t *testing.T) {
+	files := certificateFiles(t)
+	load := func(config string) []string {
+		path := filepath.Join(t.TempDir(), "node.json")
+		text := os.Expand(config, func(name string) string { return files[name] })
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		o, err := parse([]string{"--config", path}, os.Stderr)
+		require.NoError(t, err)
+		return o.config.Warnings()
+	}
+	require.Empty(t, load(secured))
+	open := load(`{"place": "hue", "listen": {"callers": "10.0.0.1:7400", "peers": "10.0.0.1:7401", "server": "10.0.0.1:7402",
+	  "operators": "10.0.0.1:7403"}, "tls": {"insecure": true}, "callers": {"tls": {"insecure": true}},
+	  "operators": {"tls": {"insecure": true}, "open": true}, "platform": {"accessKey": "k", "secretKey": "s"}}`)
+	for i, protection := range []string{"nodes talk", "callers talk", "operators talk", "operators need no", "server's listener"} {
+		require.Contains(t, open[i], protection)
+	}
+}
--- a/node/cmd/radishnode/options.go
+++ b/node/cmd/radishnode/options.go
@@ -36,17 +36,17 @@
 	processors    int
 }
 
-// addressList is a flag that may be repeated or hold a comma-separated list.
-type addressList struct{ to *[]string }
+// textList is a flag that may be repeated or hold a comma-separated list.
+type textList struct{ to *[]string }
 
-func (l addressList) String() string {
+func (l textList) String() string {
 	if l.to == nil {
 		return ""
 	}
 	return strings.Join(*l.to, ",")
 }
 
-func (l addressList) Set(text string) error {
+func (l textList) Set(text string) error {
 	for part := range strings.SplitSeq(text, ",") {
 		if part = strings.TrimSpace(part); part != "" {
 			*l.to = append(*l.to, part)
@@ -127,13 +127,13 @@
 	fs.StringVar(&c.ListenServer, "listen.server", "", "IP:port for the backend server beside the node; usually loopback")
 	fs.StringVar(&c.ListenOperators, "listen.operators", "", "IP:port for operators")
 	fs.StringVar(&c.Advertise, "advertise", "", "IP:port at which other nodes reach listen.peers; listen.peers when empty")
-	fs.Var(addressList{&c.Peers}, "peers", "peer addresses to try while the table service is down")
-	fs.StringVar(&c.OperatorToken, "operators.token", "", "bearer token of operators")
-	boolVar(fs, &c.OperatorOpen, "operators.open", "let operators in without a token")
+	fs.Var(textList{&c.Peers}, "peers", "peer addresses to try while the table service is down")
+	o.access(fs)
 	fs.StringVar(&c.TLS.CertFile, "tls.certFile", "", "PEM file with this node's certificate")
 	fs.StringVar(&c.TLS.KeyFile, "tls.keyFile", "", "PEM file with this node's key")
 	fs.StringVar(&c.TLS.CAFile, "tls.caFile", "", "PEM file with the CA of all nodes")
 	boolVar(fs, &c.TLS.Insecure, "tls.insecure", "run without TLS between nodes")
+	serverTLS(fs, "callers", &c.CallersTLS)
 	intVar(fs, &c.MaxInProgress, "maxInProgress", 0, "most calls in progress (default 4096)")
 	intVar(fs, &c.MaxConnections, "maxConnections", 0, "most connections of callers (default 4096)")
 	durationVar(fs, &c.StopGrace, "stopGrace", time.Second, "time between the announcement of a planned stop and the closing of the listeners")
@@ -147,3 +147,22 @@
 	fs.StringVar(&p.SecretKey, "platform.secretKey", p.SecretKey, "secret access key")
 	return fs, level
 }
+
+// access adds the options that say who is an operator.
+func (o *options) access(fs *flag.FlagSet) {
+	a := &o.config.Operators
+	serverTLS(fs, "operators", &a.TLS)
+	fs.StringVar(&a.Token, "operators.token", "", "bearer token of operators")
+	fs.StringVar(&a.TokenFile, "operators.tokenFile", "", "file with the bearer token of operators")
+	fs.StringVar(&a.ClientCAFile, "operators.clients.caFile", "", "PEM file with the CA that signs operators' client certificates")
+	fs.Var(textList{&a.ClientCommonNames}, "operators.clients.commonNames", "common names that make a client certificate an operator's")
+	fs.Var(textList{&a.ClientURIs}, "operators.clients.uris", "URIs that make a client certificate an operator's")
+	boolVar(fs, &a.Open, "operators.open", "let operators in without token and certificate")
+}
+
+// serverTLS adds the options of the certificate of a listener.
+func serverTLS(fs *flag.FlagSet, listener string, to *node.ServerTLS) {
+	fs.StringVar(&to.CertFile, listener+".tls.certFile", "", "PEM file with the certificate of listen."+listener)
+	fs.StringVar(&to.KeyFile, listener+".tls.keyFile", "", "PEM file with the key of listen."+listener)
+	boolVar(fs, &to.Insecure, listener+".tls.insecure", "allow plain HTTP at listen."+listener+" beyond loopback")
+}
--- a/node/process/node/config.go
+++ b/node/process/node/config.go
@@ -31,10 +31,10 @@
 	Platform awsclient.Config
 	// TLS between nodes.
 	TLS TLSConfig
-	// OperatorToken is the bearer token of operators.
-	OperatorToken string
-	// OperatorOpen lets operators in without a token.
-	OperatorOpen bool
+	// CallersTLS is the TLS of the callers' listener.
+	CallersTLS ServerTLS
+	// Operators says how the operators' listener is protected.
+	Operators OperatorAccess
 	// MaxInProgress bounds the calls in progress, default 4096.
 	MaxInProgress int
 	// MaxConnections bounds the open connections of callers, default 4096.
@@ -113,9 +113,8 @@
 	}
 	p.limit("maxInProgress", c.MaxInProgress)
 	p.limit("maxConnections", c.MaxConnections)
-	if c.OperatorToken == "" && !c.OperatorOpen {
-		p.add("operators.token", "is empty; give a token, or set operators.open to true to let everyone in")
-	}
+	p = append(p, c.CallersTLS.problems("callers", c.ListenCallers)...)
+	p = append(p, c.Operators.problems(c.ListenOperators)...)
 	p = append(p, c.TLS.problems()...)
 	return p
 }
@@ -137,8 +136,31 @@
 	}
 }
 
+// isLoopback reports whether only processes of the same host reach an address. What is sent there cannot be read on the
+// network, so it needs no TLS.
+func isLoopback(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Addr().Unmap().IsLoopback()
+}
+
 func (p *problems) limit(path string, value int) {
 	if value < 1 || value > maxLimit {
 		p.add(path, "is %d; allowed are 1 to %d", value, maxLimit)
 	}
 }
+
+// Warnings names every protection that the configuration switches off.
+func (c *Config) Warnings() []string {
+	var list []string
+	warn := func(off bool, text string) {
+		if off {
+			list = append(list, text)
+		}
+	}
+	warn(c.TLS.Insecure, "nodes talk without TLS; anyone who reaches the peer listener can act as a node")
+	warn(c.CallersTLS.Insecure && !c.CallersTLS.enabled(), "callers talk without TLS; anyone on the way can read and change calls and answers")
+	warn(c.Operators.TLS.Insecure && !c.Operators.TLS.enabled(), "operators talk without TLS; anyone on the way can read their token")
+	warn(c.Operators.Open, "operators need no token; anyone who reaches the operators' listener can change settings")
+	warn(!isLoopback(c.ListenServer), "the backend server's listener is not on loopback; anyone who reaches it can act as the backend server")
+	return list
+}
--- a/node/process/node/fleet_test.go
+++ b/node/process/node/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -29,6 +30,8 @@
 	servers []*backendtest.Server
 	tokens  atomic.Int64
 	client  *http.Client
+	// configure may change the configuration of a node before it starts.
+	configure func(*Config)
 }
 
 // baseSettings lists two services at two places. Short times keep the tests short.
@@ -41,7 +44,12 @@
 
 // newTestFleet starts the nodes of the services, one node for each name, at the two places in turn.
 func newTestFleet(t testing.TB, services ...string) *testFleet {
-	f := &testFleet{t: t, store: platformtest.NewMemory(), client: &http.Client{
+	return newConfiguredFleet(t, nil, services...)
+}
+
+// newConfiguredFleet is newTestFleet with changes of the nodes' configuration.
+func newConfiguredFleet(t testing.TB, configure func(*Config), services ...string) *testFleet {
+	f := &testFleet{t: t, store: platformtest.NewMemory(), configure: configure, client: &http.Client{
 		Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 500},
 	}}
 	f.commit("base", baseSettings)
@@ -82,11 +90,14 @@
 func (f *testFleet) startNode(place, service string, slots int) int {
 	config := Config{
 		Place: place, ListenCallers: anyPort, ListenPeers: anyPort, ListenServer: anyPort, ListenOperators: anyPort,
-		OperatorToken: "secret", TLS: TLSConfig{Insecure: true}, StopGrace: 300 * time.Millisecond,
+		Operators: OperatorAccess{Token: "secret"}, TLS: TLSConfig{Insecure: true}, StopGrace: 300 * time.Millisecond,
 	}
 	for _, n := range f.nodes {
 		config.Peers = append(config.Peers, n.id)
 	}
+	if f.configure != nil {
+		f.configure(&config)
+	}
 	require.NoError(f.t, config.Provision())
 	n, err := New(config, Store{Table: f.store, Objects: f.store}, log.New(io.Discard))
 	require.NoError(f.t, err)
@@ -170,7 +181,7 @@
 // call sends a request with a token of its own to a node.
 func (f *testFleet) call(node int, method, service, path string, header http.Header, body string) reply {
 	token := fmt.Sprintf("token-%d", f.tokens.Add(1))
-	request, err := http.NewRequest(method, "http://"+f.nodes[node].config.ListenCallers+path, strings.NewReader(body))
+	request, err := http.NewRequest(method, f.callersURL(node)+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 	for name, values := range header {
 		request.Header[name] = values
@@ -199,3 +210,18 @@
 	}
 	return n
 }
+
+// dial opens a connection to the callers' listener of a node and sends nothing.
+func (f *testFleet) dial(node int) net.Conn {
+	conn, err := net.Dial("tcp", f.nodes[node].config.ListenCallers)
+	require.NoError(f.t, err)
+	return conn
+}
+
+func (f *testFleet) callersURL(node int) string {
+	c := f.nodes[node].config
+	if c.CallersTLS.enabled() {
+		return "https://" + c.ListenCallers
+	}
+	return "http://" + c.ListenCallers
+}
--- a/node/process/node/listen.go
+++ b/node/process/node/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 
+	"github.com/charmbracelet/log"
 	"github.com/justinas/alice"
 
 	"github.com/radishstand/radishstand/api/announce"
@@ -22,6 +24,8 @@
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 16 << 10
+	// operatorsWriteTimeout ends answers to operators who read slowly. Answers to callers end by the deadline of the call.
+	operatorsWriteTimeout = 2 * time.Minute
 )
 
 // listeners are the sockets of a node.
@@ -56,6 +60,17 @@
 	return l, nil
 }
 
+// protect puts TLS on the listeners that have a certificate. The limit of connections counts those whose handshake is
+// not done; a handshake may take readHeaderTimeout.
+func (l *listeners) protect(k *keys, operators tls.ClientAuthType) {
+	if k.callers != nil {
+		l.callers = tls.NewListener(l.callers, k.callers.config(minCallerTLS, tls.NoClientCert))
+	}
+	if k.operators != nil {
+		l.operators = tls.NewListener(l.operators, k.operators.config(minOperatorTLS, operators))
+	}
+}
+
 // record notes the addresses that the sockets got, since port 0 asks for any free one.
 func (l *listeners) record(c *Config) {
 	c.ListenCallers, c.ListenPeers = l.callers.Addr().String(), l.peers.Addr().String()
@@ -87,20 +102,26 @@
 	mux := http.NewServeMux()
 	mux.Handle(announce.Path, n.core.registry)
 	mux.Handle("/", n.core.entry.Internal())
-	serverCredentials, _ := peerCredentials(n.config.TLS)
-	return &servers{
-		callers:   httpServer(alice.New(n.recovered).Then(n.core.entry.External())),
-		server:    httpServer(alice.New(n.recovered).Then(mux)),
-		operators: httpServer(alice.New(n.recovered, n.authorized).Then(operators)),
+	serverCredentials, _ := peerCredentials(n.keys.peers)
+	s := &servers{
+		callers:   n.httpServer(alice.New(n.recovered).Then(n.core.entry.External())),
+		server:    n.httpServer(alice.New(n.recovered).Then(mux)),
+		operators: n.httpServer(alice.New(n.recovered, n.authorized).Then(operators)),
 		peers:     peer.NewServer(serverCredentials, service),
 		service:   service,
 	}
+	s.operators.WriteTimeout = operatorsWriteTimeout
+	return s
 }
 
-func httpServer(h http.Handler) *http.Server {
+func (n *Node) httpServer(h http.Handler) *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+		MaxHeaderBytes: maxHeaderBytes, Protocols: protocols,
+		// Without it, failed handshakes would be written as plain text between the JSON lines.
+		ErrorLog: n.log.With("component", "http").StandardLog(log.StandardLogOptions{ForceLevel: log.InfoLevel}),
 	}
 }
 
--- a/node/process/node/node.go
+++ b/node/process/node/node.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
-	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -65,6 +62,8 @@
 	// metrics belong to the node and not to the process, since the demo runs several nodes in one.
 	metrics metrics.Registry
 
+	keys      *keys
+	access    *access
 	listeners *listeners
 	servers   *servers
 	stop      context.CancelFunc
@@ -83,11 +82,18 @@
 		failed: make(chan error, 4), metrics: metrics.NewRegistry(),
 	}
 	n.recent = newRecentCalls(newCallMetrics(n.metrics))
-	_, client := peerCredentials(config.TLS)
+	n.keys, n.access = newKeys(&n.config, n.reloadFailed), newAccess(config.Operators, n.reloadFailed)
+	l.protect(n.keys, n.access.clientAuth())
+	_, client := peerCredentials(n.keys.peers)
 	n.assemble(store, client)
 	return n, nil
 }
 
+// reloadFailed reports replaced files that cannot be used.
+func (n *Node) reloadFailed(err error) {
+	n.log.Warn("replaced files are not used", "component", "tls", "error", err)
+}
+
 func (n *Node) assemble(store Store, client credentials.TransportCredentials) {
 	n.pool = peer.NewPool(client)
 	n.fleet = newFleet(n, store)
@@ -209,17 +215,3 @@
 		}
 	}
 }
-
-// authorized lets only operators in.
-func (n *Node) authorized(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		valid := subtle.ConstantTimeCompare([]byte(token), []byte(n.config.OperatorToken)) == 1
-		if !n.config.OperatorOpen && !valid {
-			w.Header().Set("WWW-Authenticate", "Bearer")
-			http.Error(w, "operators need a valid bearer token", http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/node/process/node/tls.go
+++ b/node/process/node/tls.go
@@ -4,16 +4,16 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"fmt"
 	"os"
-	"sync"
 	"time"
 
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 )
 
-// TLSConfig names the files of a node's identity. They are read again when they change, so that keys are replaced
-// without a restart.
+// TLSConfig names the files of a node's identity towards its peers. They are read again when they change, so that keys
+// are replaced without a restart.
 type TLSConfig struct {
 	// CertFile, KeyFile and CAFile are PEM files. The CA signs the certificates of all nodes.
 	CertFile string
@@ -23,116 +23,205 @@
 	Insecure bool
 }
 
+// ServerTLS names the files of the certificate of an HTTP listener. They are read again like those of TLSConfig.
+type ServerTLS struct {
+	// CertFile and KeyFile are PEM files. The listener speaks plain HTTP when both are empty.
+	CertFile string
+	KeyFile  string
+	// Insecure allows plain HTTP on an address that is not a loopback one.
+	Insecure bool
+}
+
+// enabled reports whether the listener speaks TLS.
+func (c *ServerTLS) enabled() bool { return c.CertFile != "" }
+
 // peerServerName is the name that every node's certificate carries. Nodes are known by IP numbers that change, so the
 // certificate proves membership of the fleet and not an address.
 const peerServerName = "radishnode"
 
-// reloadAfter is how long loaded files are used before they are looked at again.
-const reloadAfter = 5 * time.Second
+// Lowest versions of TLS. Operators' programs and nodes are current; callers' programs may be older.
+const (
+	minPeerTLS     = tls.VersionTLS13
+	minOperatorTLS = tls.VersionTLS13
+	minCallerTLS   = tls.VersionTLS12
+)
 
 // ErrNoCertificates means that a CA file holds no certificate.
 var ErrNoCertificates = errors.New("no certificate found in the CA file")
 
+// ExpiredError means that the certificate in a file is past its time.
+type ExpiredError struct {
+	File  string
+	Since time.Time
+}
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("the certificate in %s expired at %s", e.File, e.Since.UTC().Format(time.RFC3339))
+}
+
 func (c *TLSConfig) problems() problems {
 	var p problems
 	if c.Insecure {
 		return nil
 	}
-	for path, value := range map[string]string{
-		"tls.certFile": c.CertFile, "tls.keyFile": c.KeyFile, "tls.caFile": c.CAFile,
+	for _, file := range []struct{ path, value string }{
+		{"tls.certFile", c.CertFile}, {"tls.keyFile", c.KeyFile}, {"tls.caFile", c.CAFile},
 	} {
-		if value == "" {
-			p.add(path, "is empty; name a PEM file, or set tls.insecure to true to run without TLS between nodes")
+		if file.value == "" {
+			p.add(file.path, "is empty; name a PEM file, or set tls.insecure to true to run without TLS between nodes")
 		}
 	}
 	if len(p) > 0 {
 		return p
 	}
-	if _, err := (&identity{config: *c}).load(); err != nil {
+	m, err := loadMaterial(*c)
+	if err == nil {
+		err = m.verify(time.Now())
+	}
+	if err != nil {
 		p.add("tls", "%v", err)
 	}
 	return p
 }
 
-// identity is the loaded certificate and the CA.
-type identity struct {
-	config TLSConfig
-
-	mu     sync.Mutex
-	loaded *material
-	at     time.Time
+// problems checks the files of a listener; prefix is the path of the listener's options and address where it listens.
+func (c *ServerTLS) problems(prefix, address string) problems {
+	var p problems
+	switch {
+	case (c.CertFile == "") != (c.KeyFile == ""):
+		p.add(prefix+".tls", "names only one of certFile and keyFile; TLS needs both")
+	case c.enabled():
+		if certificate, err := loadCertificate(c.CertFile, c.KeyFile); err != nil {
+			p.add(prefix+".tls", "%v", err)
+		} else if err := unexpired(c.CertFile, certificate.Leaf); err != nil {
+			p.add(prefix+".tls.certFile", "%v", err)
+		}
+	case !c.Insecure && !isLoopback(address):
+		p.add(prefix+".tls.certFile", "is empty; name a PEM file, or set %s.tls.insecure to true to speak plain HTTP on %s", prefix, address)
+	}
+	return p
 }
 
+// material is a node's identity towards its peers: its certificate and the CA.
 type material struct {
-	certificate tls.Certificate
+	certificate *tls.Certificate
 	roots       *x509.CertPool
+	certFile    string
 }
 
-func (i *identity) load() (*material, error) {
-	certificate, err := tls.LoadX509KeyPair(i.config.CertFile, i.config.KeyFile)
+// verify checks what peers will check.
+func (m *material) verify(now time.Time) error {
+	if err := unexpired(m.certFile, m.certificate.Leaf); err != nil {
+		return err
+	}
+	if _, err := verifyChain(chainOf(m.certificate), x509.VerifyOptions{
+		DNSName: peerServerName, Roots: m.roots, CurrentTime: now, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	}); err != nil {
+		return fmt.Errorf("other nodes would refuse the certificate in %s: %w", m.certFile, err)
+	}
+	return nil
+}
+
+func loadMaterial(c TLSConfig) (*material, error) {
+	certificate, err := loadCertificate(c.CertFile, c.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	roots, err := loadRoots(c.CAFile)
 	if err != nil {
 		return nil, err
 	}
-	pem, err := os.ReadFile(i.config.CAFile)
+	return &material{certificate: certificate, roots: roots, certFile: c.CertFile}, nil
+}
+
+func loadCertificate(certFile, keyFile string) (*tls.Certificate, error) {
+	certificate, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, fmt.Errorf("certificate %s with key %s: %w", certFile, keyFile, err)
+	}
+	return &certificate, nil
+}
+
+func loadRoots(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(pem) {
-		return nil, ErrNoCertificates
+		return nil, fmt.Errorf("%s: %w", file, ErrNoCertificates)
 	}
-	return &material{certificate: certificate, roots: roots}, nil
+	return roots, nil
 }
 
-// current returns the material, loaded again if it is old. A failed reload keeps the old material, since files may be
-// half written while keys are replaced.
-func (i *identity) current() (*material, error) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.loaded != nil && time.Since(i.at) < reloadAfter {
-		return i.loaded, nil
+func unexpired(file string, certificate *x509.Certificate) error {
+	if time.Now().After(certificate.NotAfter) {
+		return &ExpiredError{File: file, Since: certificate.NotAfter}
 	}
-	fresh, err := i.load()
-	if err != nil && i.loaded == nil {
-		return nil, err
+	return nil
+}
+
+// chainOf returns the certificates of a file, the leaf first.
+func chainOf(certificate *tls.Certificate) []*x509.Certificate {
+	chain := []*x509.Certificate{certificate.Leaf}
+	for _, der := range certificate.Certificate[1:] {
+		if parsed, err := x509.ParseCertificate(der); err == nil {
+			chain = append(chain, parsed)
+		}
 	}
-	if err == nil {
-		i.loaded = fresh
+	return chain
+}
+
+// verifyChain verifies the first certificate; the others may stand between it and a root.
+func verifyChain(chain []*x509.Certificate, options x509.VerifyOptions) (*x509.Certificate, error) {
+	options.Intermediates = x509.NewCertPool()
+	for _, certificate := range chain[1:] {
+		options.Intermediates.AddCert(certificate)
 	}
-	i.at = time.Now()
-	return i.loaded, nil
+	_, err := chain[0].Verify(options)
+	return chain[0], err
 }
 
-// peerCredentials returns the credentials of the server and the client side of connections between nodes.
-func peerCredentials(c TLSConfig) (server, client credentials.TransportCredentials) {
-	if c.Insecure {
+// identity is the loaded identity of a node towards its peers.
+type identity struct{ reloaded[*material] }
+
+func newIdentity(c TLSConfig, failed func(error)) *identity {
+	return &identity{reloaded[*material]{load: func() (*material, error) { return loadMaterial(c) }, failed: failed}}
+}
+
+// peerCredentials returns the credentials of the server and the client side of connections between nodes. A nil
+// identity runs without TLS.
+func peerCredentials(i *identity) (server, client credentials.TransportCredentials) {
+	if i == nil {
 		return insecure.NewCredentials(), insecure.NewCredentials()
 	}
-	i := &identity{config: c}
 	serverTLS := &tls.Config{
-		MinVersion: tls.VersionTLS13,
+		MinVersion: minPeerTLS,
 		NextProtos: []string{"h2"},
+		// A resumed session would skip the check against a replaced CA.
+		SessionTicketsDisabled: true,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			m, err := i.current()
 			if err != nil {
 				return nil, err
 			}
 			return &tls.Config{
-				MinVersion: tls.VersionTLS13, NextProtos: []string{"h2"},
-				Certificates: []tls.Certificate{m.certificate},
+				MinVersion: minPeerTLS, NextProtos: []string{"h2"}, SessionTicketsDisabled: true,
+				Certificates: []tls.Certificate{*m.certificate},
 				ClientAuth:   tls.RequireAndVerifyClientCert, ClientCAs: m.roots,
 			}, nil
 		},
 	}
 	clientTLS := &tls.Config{
-		MinVersion: tls.VersionTLS13,
+		MinVersion: minPeerTLS,
 		ServerName: peerServerName,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
 			m, err := i.current()
 			if err != nil {
 				return nil, err
 			}
-			return &m.certificate, nil
+			return m.certificate, nil
 		},
 		// The CA may be replaced while the node runs, so the chain is checked against the current one below.
 		InsecureSkipVerify: true,
@@ -147,10 +236,45 @@
 	if err != nil {
 		return err
 	}
-	options := x509.VerifyOptions{DNSName: peerServerName, Roots: m.roots, Intermediates: x509.NewCertPool()}
-	for _, certificate := range state.PeerCertificates[1:] {
-		options.Intermediates.AddCert(certificate)
-	}
-	_, err = state.PeerCertificates[0].Verify(options)
+	_, err = verifyChain(state.PeerCertificates, x509.VerifyOptions{DNSName: peerServerName, Roots: m.roots})
 	return err
 }
+
+// serverCertificate is the loaded certificate of an HTTP listener.
+type serverCertificate struct{ reloaded[*tls.Certificate] }
+
+func newServerCertificate(c ServerTLS, failed func(error)) *serverCertificate {
+	return &serverCertificate{reloaded[*tls.Certificate]{
+		load: func() (*tls.Certificate, error) { return loadCertificate(c.CertFile, c.KeyFile) }, failed: failed,
+	}}
+}
+
+// config returns the TLS side of a listener. It offers HTTP/1.1 only: with HTTP/2, one connection would carry hundreds of
+// calls past the limit of connections, and an aborted answer would no longer close its connection.
+func (s *serverCertificate) config(minVersion uint16, clients tls.ClientAuthType) *tls.Config {
+	return &tls.Config{
+		MinVersion: minVersion, NextProtos: []string{"http/1.1"}, ClientAuth: clients,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.current() },
+	}
+}
+
+// keys are the certificates of a node; one is nil where the node runs without TLS.
+type keys struct {
+	peers     *identity
+	callers   *serverCertificate
+	operators *serverCertificate
+}
+
+func newKeys(c *Config, failed func(error)) *keys {
+	k := &keys{}
+	if !c.TLS.Insecure {
+		k.peers = newIdentity(c.TLS, failed)
+	}
+	if c.CallersTLS.enabled() {
+		k.callers = newServerCertificate(c.CallersTLS, failed)
+	}
+	if c.Operators.TLS.enabled() {
+		k.operators = newServerCertificate(c.Operators.TLS, failed)
+	}
+	return k
+}
