radishctl: prove identity by certificate or token file, and speak https

Cause: the listeners of nodes speak TLS now; radishctl knew plain HTTP and a token on the command line only.

An address without a scheme is https, except on loopback without key options, so that a token never leaves the host in clear unasked. Refused certificates and tokens end with exit code 1 and name the reason, unusable files and a wrong scheme with 2. An outcome that was unknown stays unknown when the token is refused on the repeat. radishctl load takes https targets.

Conclusion: 'go test -race -count=1 ./cmd/radishctl ./load ./demo' passes.

--- a/ctl/cli/cli.go
+++ b/ctl/cli/cli.go
@@ -17,7 +17,7 @@
 // Exit codes of radishctl.
 const (
 	ExitOK = 0
-	// ExitFailed is for every failure without a code of its own.
+	// ExitFailed is for every failure without a code of its own, such as a certificate or token that is refused.
 	ExitFailed = 1
 	// ExitInvalid is for wrong usage and for settings that were refused as invalid.
 	ExitInvalid = 2
@@ -66,6 +66,8 @@
 	Node string
 	// Token is the operators' bearer token.
 	Token string
+	// Identity is the other proofs, of the nodes and of the operator.
+	Identity Identity
 	// JSON selects output for scripts.
 	JSON bool
 }
@@ -98,11 +100,15 @@
 }
 
 func (e *Env) share(fs *flag.FlagSet) {
-	fs.Var(sharedFlag{&e.Node}, "node", "address of a node's operators' listener (environment RADISHCTL_NODE)")
+	fs.Var(sharedFlag{&e.Node}, "node", "address of a node's operators' listener, host:port or URL (environment RADISHCTL_NODE)")
 	fs.Func("token", "bearer token of operators (environment RADISHCTL_TOKEN)", func(text string) error {
 		e.Token = text
 		return nil
 	})
+	fs.Var(sharedFlag{&e.Identity.TokenFile}, "token-file", "file with the bearer token (environment RADISHCTL_TOKEN_FILE)")
+	fs.Var(sharedFlag{&e.Identity.CAFile}, "ca-file", "PEM file with the CA of the listeners' certificates (environment RADISHCTL_CA_FILE)")
+	fs.Var(sharedFlag{&e.Identity.CertFile}, "cert-file", "PEM file with the operator's client certificate (environment RADISHCTL_CERT_FILE)")
+	fs.Var(sharedFlag{&e.Identity.KeyFile}, "key-file", "PEM file with the key of cert-file (environment RADISHCTL_KEY_FILE)")
 	fs.BoolVar(&e.JSON, "json", e.JSON, "print JSON")
 }
 
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -65,18 +66,30 @@
 	base  string
 	token string
 	http  *http.Client
+	// fault is what is wrong with the options; every request returns it.
+	fault error
 }
 
 // New returns a Client for a node's operators' listener, host:port or URL.
-func New(node, token string) *Client {
-	if !strings.Contains(node, "://") {
-		node = "http://" + node
-	}
-	return &Client{base: strings.TrimSuffix(node, "/"), token: token, http: &http.Client{Timeout: requestTimeout}}
-}
+func New(node, token string) *Client { return Of(&cli.Env{Node: node, Token: token}) }
 
 // Of returns the Client that the options of the command line ask for.
-func Of(env *cli.Env) *Client { return New(env.Node, env.Token) }
+func Of(env *cli.Env) *Client {
+	c := &Client{http: &http.Client{Timeout: requestTimeout, CheckRedirect: func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse // a node never redirects, and the token belongs to it alone
+	}}}
+	var config *tls.Config
+	if c.base, c.fault = env.Endpoint(env.Node); c.fault == nil {
+		c.token, c.fault = env.BearerToken()
+	}
+	if c.fault == nil {
+		config, c.fault = env.TLS()
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.TLSClientConfig = config
+	c.http.Transport = transport
+	return c
+}
 
 // Get reads a path into a value.
 func (c *Client) Get(ctx context.Context, path string, query url.Values, to any) error {
@@ -87,6 +100,9 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte, to any) error {
+	if c.fault != nil {
+		return c.fault
+	}
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return &cli.Error{Code: cli.ExitInvalid, Err: fmt.Errorf("node address: %w", err)}
@@ -96,7 +112,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return &cli.Error{Code: cli.ExitUnavailable, Err: err}
+		return unanswered(err)
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
@@ -112,8 +128,28 @@
 	return nil
 }
 
+// unanswered turns the error of a request without an answer into one with the exit code that fits.
+func unanswered(err error) error {
+	_, untrusted := errors.AsType[*tls.CertificateVerificationError](err)
+	switch {
+	case untrusted:
+		return cli.Fail(cli.ExitFailed, "the node's certificate is not trusted (--ca-file names the CA): %w", err)
+	case alerted(err):
+		return cli.Fail(cli.ExitFailed, "the node refuses the TLS connection: %w", err)
+	case errors.Is(err, http.ErrSchemeMismatch):
+		return cli.Fail(cli.ExitInvalid, "the node speaks http (write http:// before its address if it may be read on the way): %w", err)
+	}
+	return &cli.Error{Code: cli.ExitUnavailable, Err: err}
+}
+
+// httpsExpected is what net/http answers to plain HTTP on a listener with TLS.
+const httpsExpected = "Client sent an HTTP request to an HTTPS server"
+
 // refusal turns a refusing answer into an error with the exit code that fits.
 func refusal(status int, answer []byte) error {
+	if strings.Contains(string(answer), httpsExpected) {
+		return cli.Fail(cli.ExitInvalid, "the node speaks https: write https:// before its address")
+	}
 	refused := &Refused{Status: status}
 	if json.Unmarshal(answer, &refused.Body) != nil || refused.Body.Code == "" {
 		refused.Body.Message = fmt.Sprintf("node answered %d: %s", status, strings.TrimSpace(string(answer)))
@@ -175,6 +211,9 @@
 	doubt := false
 	for {
 		err := c.do(ctx, http.MethodPost, path, body, &accepted)
+		if doubt && unproven(err) {
+			return accepted, &cli.Error{Code: cli.ExitUnavailable, Err: fmt.Errorf("%w: %w", ErrUnknownOutcome, err)}
+		}
 		doubt = doubt || undecided(err)
 		if !doubt || cli.ExitCode(err) != cli.ExitUnavailable {
 			return accepted, err
@@ -187,6 +226,21 @@
 	}
 }
 
+// unproven reports whether node and operator do not trust each other, so that the error says nothing about the change.
+func unproven(err error) bool {
+	if Code(err) == operator.CodeUnauthorized {
+		return true
+	}
+	_, untrusted := errors.AsType[*tls.CertificateVerificationError](err)
+	return untrusted || alerted(err)
+}
+
+// alerted reports whether the node ended the TLS handshake.
+func alerted(err error) bool {
+	operation, ok := errors.AsType[*net.OpError](err)
+	return ok && operation.Op == "remote error" // set by crypto/tls for alerts of the other side
+}
+
 // undecided reports whether a submission may have been accepted in spite of the error.
 func undecided(err error) bool {
 	if cli.ExitCode(err) != cli.ExitUnavailable {
--- a/ctl/cmd/radishctl/main.go
+++ b/ctl/cmd/radishctl/main.go
@@ -61,12 +61,13 @@
 		Long: "Operates a fleet of radishstand nodes through any one of them.\n\n" +
 			"EXIT CODES\n" +
 			"  0  success\n" +
-			"  1  failed\n" +
+			"  1  failed, also when the certificate of the node, or the token or certificate of the operator, is refused\n" +
 			"  2  wrong usage or invalid settings\n" +
 			"  3  conflict: a setting changed since the base version\n" +
 			"  4  unknown outcome, or the node or the store is unavailable\n" +
 			"  5  a check did not hold, such as an invariant in the demo",
-		Examples: []string{"radishctl status --node 10.1.2.3:7403", "RADISHCTL_TOKEN=secret radishctl settings get", "radishctl demo"},
+		Examples: []string{"radishctl status --node 10.1.2.3:7403", "RADISHCTL_TOKEN=secret radishctl settings get",
+			"radishctl members --node https://10.1.2.3:7403 --ca-file ca.crt --cert-file alice.crt --key-file alice.key", "radishctl demo"},
 	}.Build()
 	command.Options = []ff.Option{ff.WithEnvVarPrefix(envPrefix)}
 	return command
--- a/ctl/cmd/radishctl/main_test.go
+++ b/ctl/cmd/radishctl/main_test.go
@@ -50,6 +50,7 @@
 	if refusal, ok := answer.(operator.Error); ok {
 		w.WriteHeader(map[string]int{
 			operator.CodeInvalid: 422, operator.CodeConflict: 409, operator.CodeUnknown: 504, operator.CodeUnavailable: 503,
+			operator.CodeUnauthorized: 401,
 		}[refusal.Code])
 	}
 	_ = json.NewEncoder(w).Encode(answer)
@@ -68,6 +69,7 @@
 	accepted := operator.Accepted{Version: 8}
 	unknown := operator.Error{Code: operator.CodeUnknown, Message: "outcome of the settings change is unknown"}
 	away := operator.Error{Code: operator.CodeUnavailable, Message: "store is away"}
+	unauthorized := operator.Error{Code: operator.CodeUnauthorized, Message: "the bearer token is not valid"}
 	conflict := operator.Error{Code: operator.CodeConflict, Conflicts: []settings.Conflict{
 		{Path: "defaults.call.timeoutMs", Yours: json.RawMessage("700"), Theirs: json.RawMessage("800")},
 	}}
@@ -89,6 +91,8 @@
 		{"an unknown outcome is resolved by the same id", "a=1", []any{unknown, operator.Accepted{Version: 8, Repeated: true}}, whole, 0, "accepted before", 2},
 		{"an outage after an unknown outcome does not make it a refusal", "a=1", []any{unknown, away, accepted}, whole, 0, "version 8", 3},
 		{"an outcome that stays unknown is 4 and says how to resolve it", "--timeout 300ms a=1", []any{unknown}, whole, 4, "--change-id", 1},
+		{"a refused token is 1", "a=1", []any{unauthorized}, whole, 1, "unauthorized: the bearer token is not valid", 1},
+		{"a token replaced after an unknown outcome leaves it unknown", "a=1", []any{unknown, unauthorized}, whole, 4, "--change-id", 2},
 		{"in force everywhere is success", "--wait 1s a=1", []any{accepted}, whole, 0, "in force at 2 of 2 nodes, in 1 of 1 places", 1},
 		{"not in force everywhere by the deadline is 5", "--wait 100ms a=1", []any{accepted}, half, 5, "in force at 3 of 5 nodes, in 1 of 2 places", 1},
 		{"a missing value is wrong usage", "a", nil, whole, 2, "<path>=<value>", 0},
--- a/ctl/load/command.go
+++ b/ctl/load/command.go
@@ -22,7 +22,7 @@
 func Command(env *cli.Env) *ffcli.Command {
 	fs := env.Flags("load")
 	plan := Plan{}
-	fs.Func("target", "callers' listener of a node, host:port; repeat or separate by commas", func(text string) error {
+	fs.Func("target", "callers' listener of a node, host:port or URL; repeat or separate by commas", func(text string) error {
 		plan.Targets = append(plan.Targets, strings.Split(text, ",")...)
 		return nil
 	})
@@ -45,9 +45,13 @@
 			"Exit codes: 0 done, 1 no call was answered, 2 wrong usage, 5 an answer belonged to another call.",
 		Examples: []string{
 			`radishctl load --target 10.1.2.3:7400 --rate 200 --duration 30s --work "9 GET quotes /offers/7" --work "1 POST crews /book keyed body=200"`,
+			`radishctl load --ca-file ca.crt --target https://10.1.2.3:7400 --work "1 GET quotes /"`,
 			`radishctl load --target 10.1.2.3:7400,10.1.2.4:7400 --work "1 GET quotes /" --token-header X-Token --json`,
 		},
 		Run: func(ctx context.Context, _ []string) error {
+			if err := secure(env, &plan); err != nil {
+				return err
+			}
 			if err := plan.Validate(); err != nil {
 				return &cli.Error{Code: cli.ExitInvalid, Err: err}
 			}
@@ -56,6 +60,17 @@
 	}.Build()
 }
 
+// secure takes the CA and the schemes of the targets from the options. Callers' listeners ask for no client certificate.
+func secure(env *cli.Env, plan *Plan) (err error) {
+	for i, target := range plan.Targets {
+		if plan.Targets[i], err = env.Endpoint(target); err != nil {
+			return err
+		}
+	}
+	plan.TLS, err = env.TLS()
+	return err
+}
+
 func run(ctx context.Context, env *cli.Env, plan Plan) error {
 	recorder := NewRecorder()
 	stop := progress(env, recorder)
--- a/ctl/load/generator.go
+++ b/ctl/load/generator.go
@@ -72,6 +72,7 @@
 		client: &http.Client{
 			Transport: &http.Transport{
 				DialContext:         (&net.Dialer{Timeout: plan.Timeout + answerGrace}).DialContext,
+				TLSClientConfig:     plan.TLS,
 				MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idleTime, DisableCompression: true,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -197,7 +198,7 @@
 	if !work.Idempotent() {
 		content = body{bytes.NewReader(bytes.Repeat([]byte{'x'}, size))}
 	}
-	request, err := http.NewRequestWithContext(ctx, work.Method, "http://"+target+work.Path, content)
+	request, err := http.NewRequestWithContext(ctx, work.Method, target+work.Path, content)
 	if err != nil {
 		return nil, err
 	}
--- a/ctl/load/plan.go
+++ b/ctl/load/plan.go
@@ -3,6 +3,7 @@
 package load
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net/http"
@@ -61,8 +62,10 @@
 
 // Plan says what load to generate.
 type Plan struct {
-	// Targets are callers' listeners of nodes, host:port; calls go to them in turn.
+	// Targets are callers' listeners of nodes, host:port (plain HTTP) or URL; calls go to them in turn.
 	Targets []string
+	// TLS of connections to https targets; nil trusts the system's CAs.
+	TLS *tls.Config
 	// Rate is the number of calls per second. Gaps between calls are exponentially distributed.
 	Rate float64
 	// Duration of the load; 0 goes on until the context ends.
@@ -91,6 +94,11 @@
 	if p.MaxInProgress == 0 {
 		p.MaxInProgress = DefaultMaxInProgress
 	}
+	for i, target := range p.Targets {
+		if !strings.Contains(target, "://") {
+			p.Targets[i] = "http://" + target
+		}
+	}
 	var faults []error
 	add := func(bad bool, format string, args ...any) {
 		if bad {
