exposition: serve the metrics in the Prometheus text format

Cause: metrics were JSON only, which monitoring systems do not read, and nothing told when a certificate expires.

Change: GET /metrics on the operators' listener gives the registry of go-metrics through prometheus/client_golang, with names, units and types by the conventions of Prometheus, and the usual metrics of the Go runtime and the process. New in both forms: serving, availability of the store, expiry of the certificates in use, refused operators, failed reloads, and the true sum of latencies. The package lists hold no exporter for go-metrics, so a collector converts the registry.

Conclusion: 'go test -race -count=1 ./process/exposition' and '-run Prometheus ./process/node' pass.

--- a/api/operator/operator.go
+++ b/api/operator/operator.go
@@ -21,6 +21,8 @@
 	PathRollback = "/v1/settings/rollback"
 	PathInForce  = "/v1/settings/in-force"
 	PathMetrics  = "/v1/metrics"
+	// PathPrometheus serves the same metrics in the Prometheus text format, where Prometheus looks by default.
+	PathPrometheus = "/metrics"
 )
 
 // Error codes.
--- a/node/process/node/access_test.go
+++ b/node/process/node/access_test.go
@@ -25,8 +25,8 @@
 // protectedPaths are all paths of the operators' listener, and one that does not exist.
 var protectedPaths = []string{
 	operator.PathSettings, operator.PathExplain, operator.PathHistory, operator.PathInForce, operator.PathDump, operator.PathStatus,
-	operator.PathMembers, operator.PathServers, operator.PathMetrics, operator.PathHealth, "/debug/pprof/",
-	"/debug/pprof/heap", "/debug/pprof/profile?seconds=1", "/debug/pprof/trace?seconds=1", "/nothing",
+	operator.PathMembers, operator.PathServers, operator.PathMetrics, operator.PathPrometheus, operator.PathHealth, "/debug/pprof/",
+	"/debug/pprof/cmdline", "/debug/pprof/heap", "/debug/pprof/profile?seconds=1", "/debug/pprof/trace?seconds=1", "/nothing",
 }
 
 const operatorURI = "spiffe://radishstand.example/operator"
--- a/node/process/node/metrics.go
+++ b/node/process/node/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/radishstand/radishstand/api/contract"
+	"github.com/radishstand/radishstand/node/process/exposition"
 	"github.com/radishstand/radishstand/node/request/entry"
 )
 
@@ -17,7 +18,7 @@
 )
 
 // callMetrics counts the calls that ended at this node: calls.<service>.<outcome>, calls.<service>.attempts and the
-// latencies calls.<service>.latency-us. Each service has its own metrics and locks.
+// latencies calls.<service>.latency-us, whose sum is in calls.<service>.latency-us-sum. Each service has its own metrics and locks.
 type callMetrics struct {
 	registry metrics.Registry
 	services sync.Map // name to *serviceMetrics
@@ -27,6 +28,8 @@
 	outcomes map[contract.Outcome]metrics.Counter
 	attempts metrics.Counter
 	latency  metrics.Histogram
+	// latencySum covers all calls; the sum of the histogram covers only its sample.
+	latencySum metrics.Counter
 }
 
 func newCallMetrics(registry metrics.Registry) *callMetrics { return &callMetrics{registry: registry} }
@@ -41,6 +44,7 @@
 		attempts: metrics.GetOrRegisterCounter(prefix+"attempts", m.registry),
 		latency: metrics.GetOrRegisterHistogram(
 			prefix+"latency-us", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		latencySum: metrics.GetOrRegisterCounter(prefix+"latency-us"+exposition.SumSuffix, m.registry),
 	}
 	for _, outcome := range []contract.Outcome{contract.OutcomeRun, contract.OutcomeNotRun, contract.OutcomeUnknown} {
 		s.outcomes[outcome] = metrics.GetOrRegisterCounter(prefix+string(outcome), m.registry)
@@ -62,6 +66,17 @@
 	s.outcomes[r.Outcome].Inc(1)
 	s.attempts.Inc(int64(len(r.Attempts)))
 	s.latency.Update(r.Took.Microseconds())
+	s.latencySum.Inc(r.Took.Microseconds())
+}
+
+// breakerClosed is the state of a circuit breaker whose service is in use.
+const breakerClosed = "closed"
+
+func one(holds bool) int64 {
+	if holds {
+		return 1
+	}
+	return 0
 }
 
 // registerGauges adds what is read off the node when metrics are asked for.
@@ -79,6 +94,12 @@
 	})
 	gauge("membership.sent-bytes", func() int64 { return n.fleet.members.Traffic().SentBytes })
 	gauge("membership.sent-messages", func() int64 { return n.fleet.members.Traffic().SentMessages })
+	gauge("node.serving", func() int64 { return one(view{n}.serving()) })
+	gauge("platform.table.available", func() int64 { return one(n.fleet.guard.State().Table.Breaker == breakerClosed) })
+	gauge("platform.objects.available", func() int64 { return one(n.fleet.guard.State().Objects.Breaker == breakerClosed) })
+	for listener, expiry := range n.keys.expiries() {
+		gauge("certificate."+listener+".expires-s", func() int64 { return expiry().Unix() })
+	}
 	gauge("measure.requests", func() int64 {
 		if s := n.core.registry.Current(); s != nil {
 			return s.Meter.Dump().Asked
--- a/node/process/node/operators_test.go
+++ b/node/process/node/operators_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -14,17 +16,14 @@
 	"github.com/radishstand/radishstand/api/contract"
 	"github.com/radishstand/radishstand/api/operator"
 	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/node/certtest"
 	"github.com/radishstand/radishstand/node/platformtest"
+	"github.com/radishstand/radishstand/node/process/exposition"
 )
 
 // operate sends an operator's request to a node and decodes the answer.
 func (f *testFleet) operate(node int, method, path, token string, body, to any) int {
-	encoded, err := json.Marshal(body)
-	require.NoError(f.t, err)
-	request, err := http.NewRequest(method, "http://"+f.nodes[node].config.ListenOperators+path, bytes.NewReader(encoded))
-	require.NoError(f.t, err)
-	request.Header.Set("Authorization", "Bearer "+token)
-	response, err := f.client.Do(request)
+	response, err := f.client.Do(f.operatorRequest(node, method, path, token, body))
 	require.NoError(f.t, err)
 	defer response.Body.Close()
 	if to != nil {
@@ -33,6 +32,19 @@
 	return response.StatusCode
 }
 
+func (f *testFleet) operatorRequest(node int, method, path, token string, body any) *http.Request {
+	encoded, err := json.Marshal(body)
+	require.NoError(f.t, err)
+	scheme := "http://"
+	if f.nodes[node].config.Operators.TLS.enabled() {
+		scheme = "https://"
+	}
+	request, err := http.NewRequest(method, scheme+f.nodes[node].config.ListenOperators+path, bytes.NewReader(encoded))
+	require.NoError(f.t, err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	return request
+}
+
 func (f *testFleet) edit(node int, id string, base int64, path, value string) (status int, accepted operator.Accepted, refused operator.Error) {
 	change := operator.Change{ID: id, Author: "test", BaseVersion: base, Edits: []settings.Edit{settings.Set(path, json.RawMessage(value))}}
 	var raw json.RawMessage
@@ -109,7 +121,7 @@
 // Guards against settings, dumps and metrics for anyone without the operators' token.
 func TestOperatorsNeedTheToken(t *testing.T) {
 	f := newTestFleet(t, "quotes")
-	for _, path := range []string{operator.PathDump, operator.PathSettings, operator.PathMetrics, operator.PathStatus, "/debug/pprof/"} {
+	for _, path := range []string{operator.PathDump, operator.PathSettings, operator.PathMetrics, operator.PathPrometheus, operator.PathStatus, "/debug/pprof/"} {
 		for _, token := range []string{"", "wrong"} {
 			require.Equal(t, http.StatusUnauthorized, f.operate(0, http.MethodGet, path, token, nil, nil), path)
 		}
@@ -117,6 +129,46 @@
 	require.Equal(t, http.StatusOK, f.operate(0, http.MethodGet, operator.PathDump, "secret", nil, nil))
 }
 
+// Guards against metrics of a running node that the JSON form has and Prometheus does not get, and against alarms that see
+// neither certificates nor refused operators.
+func TestPrometheusGetsEveryMetric(t *testing.T) {
+	fleet := certtest.New(t)
+	f := newConfiguredFleet(t, secure(fleet, false), "crews", "quotes")
+	f.client = httpsClient(t, fleet.CAFile, certtest.Files{})
+	require.Equal(t, contract.OutcomeRun, f.call(0, http.MethodPost, "crews", "/book", key("metrics"), "keyed").outcome)
+	require.Equal(t, http.StatusUnauthorized, f.operate(0, http.MethodGet, operator.PathDump, "wrong", nil, nil))
+	response, err := f.client.Do(f.operatorRequest(0, http.MethodGet, operator.PathPrometheus, "secret", nil))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	families := map[string]int{}
+	total := 0
+	for line := range strings.Lines(string(body)) {
+		name, _, _ := strings.Cut(line, " ")
+		// A summary has several lines; the one with its count stands for it.
+		if family, _, _ := strings.Cut(name, "{"); strings.HasPrefix(family, "radishstand_") && (!strings.HasPrefix(family, "radishstand_call_duration") || strings.HasSuffix(family, "_count")) {
+			families[name]++
+			total++
+		}
+	}
+	registered := 0
+	f.nodes[0].metrics.Each(func(name string, _ any) {
+		if !strings.HasSuffix(name, exposition.SumSuffix) && name != "node.goroutines" {
+			registered++
+		}
+	})
+	require.Equal(t, registered, total, string(body))
+	for _, name := range []string{
+		`radishstand_calls_total{outcome="run",service="crews"}`, `radishstand_call_duration_seconds_count{service="crews"}`,
+		`radishstand_certificate_expiry_timestamp_seconds{listener="peers"}`, `radishstand_certificate_expiry_timestamp_seconds{listener="callers"}`,
+		`radishstand_certificate_expiry_timestamp_seconds{listener="operators"}`, `radishstand_store_available{store="table"}`,
+		"radishstand_operator_refused_total", "radishstand_node_serving",
+	} {
+		require.Equal(t, 1, families[name], name)
+	}
+}
+
 // Guards against a store outage that stops calls, evicts nodes, or lets keyed work run unrecorded.
 func TestStoreOutageStopsOnlyKeyedWorkAndEdits(t *testing.T) {
 	f := newTestFleet(t, "crews", "quotes", "crews")
--- a/node/process/node/tls.go
+++ b/node/process/node/tls.go
@@ -278,3 +278,32 @@
 	}
 	return k
 }
+
+// expiries returns, for each listener with TLS, a function that tells when the certificate in use expires. It tells the
+// zero time of Unix when none can be loaded.
+func (k *keys) expiries() map[string]func() time.Time {
+	list := map[string]func() time.Time{}
+	if k.peers != nil {
+		list["peers"] = func() time.Time {
+			m, err := k.peers.current()
+			if err != nil {
+				return time.Unix(0, 0)
+			}
+			return m.certificate.Leaf.NotAfter
+		}
+	}
+	for listener, certificate := range map[string]*serverCertificate{"callers": k.callers, "operators": k.operators} {
+		if certificate != nil {
+			list[listener] = certificate.expiry
+		}
+	}
+	return list
+}
+
+func (s *serverCertificate) expiry() time.Time {
+	certificate, err := s.current()
+	if err != nil {
+		return time.Unix(0, 0)
+	}
+	return certificate.Leaf.NotAfter
+}
--- a/node/process/node/view.go
+++ b/node/process/node/view.go
@@ -40,6 +40,12 @@
 	return snapshot.Version, snapshot.Tree
 }
 
+// serving reports whether the node serves calls with settings.
+func (v view) serving() bool {
+	version, _ := v.Current()
+	return version > 0 && v.node.life.Current() == StateServing
+}
+
 // Accepted implements operator.View.
 func (v view) Accepted(r commit.Result) { v.node.fleet.accepted(r) }
 
--- a/node/process/operator/operator.go
+++ b/node/process/operator/operator.go
@@ -13,6 +13,7 @@
 
 	"github.com/radishstand/radishstand/api/operator"
 	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/node/process/exposition"
 	"github.com/radishstand/radishstand/node/version/commit"
 )
 
@@ -70,6 +71,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(h.metrics, w)
 	})
+	h.mux.Handle("GET "+operator.PathPrometheus, exposition.Handler(registry))
 	h.mux.HandleFunc("/debug/pprof/", pprof.Index)
 	h.mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	h.mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
