settings: remove the handling of flags, which no setting uses

Cause: fields.go and schema.go handled reflect.Bool; no field of Values or of a record in it is a bool. Change: both cases are removed. Generated files do not change ('cd api && go generate ./settings'). Conclusion: 'go test -race -count=1 ./api/...' passes.

--- a/api/settings/decode.go
+++ b/api/settings/decode.go
@@ -263,7 +263,7 @@
 	}
 }
 
-// holds reports whether a number, flag or text satisfies the rule.
+// holds reports whether a number or text satisfies the rule.
 func (r rule) holds(v reflect.Value) bool {
 	switch v.Kind() {
 	case reflect.Int:
--- a/api/settings/fields.go
+++ b/api/settings/fields.go
@@ -112,8 +112,6 @@
 		return "integer" + r.rangeText()
 	case reflect.Float64:
 		return "number" + r.rangeText()
-	case reflect.Bool:
-		return "true or false"
 	case reflect.Slice:
 		return fmt.Sprintf("list of at most %d, each %s", r.maxItems, r.allowed(t.Elem()))
 	case reflect.Struct:
--- a/api/settings/schema.go
+++ b/api/settings/schema.go
@@ -73,8 +73,6 @@
 		if r.max != nil {
 			s.Maximum = json.Number(number(*r.max))
 		}
-	case reflect.Bool:
-		s.Type = "boolean"
 	case reflect.String:
 		textSchema(s, r)
 	case reflect.Slice:
