docs: keep one copy of the settings reference

Cause: the reference was generated into docs/settings.md and into docs/operators.md. Change: docs/operators.md links to docs/settings.md, which api/settings/generate writes. The test that compared the copy in operators.md now compares docs/settings.md as strictly, and refuses a second copy.

--- a/ctl/cmd/radishctl/main.go
+++ b/ctl/cmd/radishctl/main.go
@@ -19,8 +19,6 @@
 	"github.com/radishstand/radishstand/ctl/trial"
 )
 
-//go:generate go run . settings reference --update ../../../docs/operators.md
-
 // envPrefix starts the names of environment variables: RADISHCTL_NODE sets --node.
 const envPrefix = "RADISHCTL"
 
--- a/ctl/cmd/radishctl/main_test.go
+++ b/ctl/cmd/radishctl/main_test.go
@@ -159,17 +159,17 @@
 	require.Contains(t, stderr, "EXAMPLES", path)
 }
 
-// Guards the operators' page falling behind the settings.
-func TestOperatorsPageHoldsTheSettingsReference(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/operators.md")
+// Guards the page of the settings falling behind them, and a second copy that readers could find instead.
+func TestOnePageHoldsTheSettingsReference(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/settings.md")
 	require.NoError(t, err)
-	_, rest, ok := strings.Cut(string(page), "<!-- begin: radishctl settings reference -->\n")
-	require.True(t, ok)
-	reference, _, ok := strings.Cut(rest, "<!-- end: radishctl settings reference -->\n")
-	require.True(t, ok)
 	code, stdout, _ := ctl(t, "", "settings", "reference")
 	require.Equal(t, cli.ExitOK, code)
-	require.Equal(t, stdout, reference, "run: go generate ./ctl/cmd/radishctl")
+	require.Equal(t, stdout, string(page), "run: go generate ./api/settings")
+	guide, err := os.ReadFile("../../../docs/operators.md")
+	require.NoError(t, err)
+	require.Contains(t, string(guide), "(settings.md)")
+	require.NotContains(t, string(guide), "| `call.timeoutMs` |")
 }
 
 // Guards the example of the README being refused by the program that it explains.
--- a/ctl/settingscmd/settingscmd.go
+++ b/ctl/settingscmd/settingscmd.go
@@ -278,40 +278,14 @@
 	}.Build()
 }
 
-// Markers of the reference in a page.
-const (
-	beginReference = "<!-- begin: radishctl settings reference -->\n"
-	endReference   = "<!-- end: radishctl settings reference -->\n"
-)
-
 func reference(env *cli.Env) *ffcli.Command {
-	fs := env.Flags("reference")
-	page := fs.String("update", "", "Markdown page whose text between the markers is replaced, instead of printing")
 	return cli.Command{
 		Name: "reference", Usage: "radishctl settings reference [options]", Short: "print the reference of all settings as Markdown",
-		Long: "Needs no node.", Examples: []string{"radishctl settings reference", "radishctl settings reference --update docs/operators.md"},
-		Flags: fs,
+		Long: "Needs no node. The same text is in docs/settings.md.", Examples: []string{"radishctl settings reference"},
+		Flags: env.Flags("reference"),
 		Run: func(context.Context, []string) error {
-			if *page == "" {
-				_, err := env.Stdout.Write(settings.Reference())
-				return err
-			}
-			return updatePage(*page)
+			_, err := env.Stdout.Write(settings.Reference())
+			return err
 		},
 	}.Build()
 }
-
-// updatePage replaces the text between the markers of a page.
-func updatePage(file string) error {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return err
-	}
-	before, rest, begins := strings.Cut(string(data), beginReference)
-	_, after, ends := strings.Cut(rest, endReference)
-	if !begins || !ends {
-		return cli.Fail(cli.ExitFailed, "%s lacks the lines %q and %q", file, strings.TrimSpace(beginReference), strings.TrimSpace(endReference))
-	}
-	page := before + beginReference + string(settings.Reference()) + endReference + after
-	return os.WriteFile(file, []byte(page), 0o644)
-}
