node, docs: explain and guard keys, tokens, metrics and alarms

Cause: the pages described plain HTTP and a token on the command line; the README's first deployment is refused without keys now; alarms on counters that appear with their first event would miss that event.

The two counters that alarms watch exist from the start.

--- a/node/cmd/radishnode/main_test.go
+++ b/node/cmd/radishnode/main_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"crypto/x509"
+	"flag"
+	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -156,3 +159,27 @@
 		require.Contains(t, open[i], protection)
 	}
 }
+
+// Guards against a first deployment that the README describes and the node refuses.
+func TestReadmeConfigurationIsValid(t *testing.T) {
+	page, err := os.ReadFile("../../../README.md")
+	require.NoError(t, err)
+	_, rest, ok := strings.Cut(string(page), "Write `node.json`")
+	require.True(t, ok)
+	_, rest, ok = strings.Cut(rest, "```json\n")
+	require.True(t, ok)
+	example, _, ok := strings.Cut(rest, "```")
+	require.True(t, ok)
+	files := certificateFiles(t)
+	code, output := check(t, strings.NewReplacer("node.crt", files["NODE"]+".pem", "node.key", files["NODE"]+".key", "ca.crt", files["CA"],
+		"operators.token", files["TOKEN"]).Replace(example))
+	require.Equal(t, exitOK, code, output)
+}
+
+// Guards against options that the operators' guide does not explain.
+func TestEveryOptionIsInTheGuide(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operators.md")
+	require.NoError(t, err)
+	flags, _ := (&options{}).flags(io.Discard)
+	flags.VisitAll(func(f *flag.Flag) { require.Contains(t, string(page), "`"+f.Name+"`") })
+}
--- a/node/process/node/access.go
+++ b/node/process/node/access.go
@@ -13,8 +13,6 @@
 	"slices"
 	"strings"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/radishstand/radishstand/api/operator"
 )
 
@@ -194,7 +192,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		metrics.GetOrRegisterCounter("operator.refused", n.metrics).Inc(1)
+		n.countEvent(counterRefused)
 		n.log.Info("operator refused", "component", "operator", "from", r.RemoteAddr, "path", r.URL.Path, "error", err)
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		w.Header().Set("Content-Type", "application/json")
--- a/node/process/node/metrics.go
+++ b/node/process/node/metrics.go
@@ -79,11 +79,23 @@
 	return 0
 }
 
+// Counters of events that alarms watch. They exist from the start, since a rise from nothing to 1 is no increase to
+// Prometheus.
+const (
+	counterRefused        = "operator.refused"
+	counterReloadFailures = "files.reload-failures"
+)
+
+func (n *Node) countEvent(name string) { metrics.GetOrRegisterCounter(name, n.metrics).Inc(1) }
+
 // registerGauges adds what is read off the node when metrics are asked for.
 func (n *Node) registerGauges() {
 	gauge := func(name string, value func() int64) {
 		_ = n.metrics.Register(name, metrics.NewFunctionalGauge(value))
 	}
+	for _, name := range []string{counterRefused, counterReloadFailures} {
+		metrics.GetOrRegisterCounter(name, n.metrics)
+	}
 	gauge("node.calls-in-progress", n.core.entry.InProgress)
 	gauge("node.attempts-at-server", func() int64 { return int64(n.core.serve.Parents.Len()) })
 	gauge("node.peer-connections", func() int64 { return int64(n.pool.Len()) })
--- a/node/process/node/node.go
+++ b/node/process/node/node.go
@@ -91,7 +91,7 @@
 
 // reloadFailed reports replaced files that cannot be used.
 func (n *Node) reloadFailed(err error) {
-	metrics.GetOrRegisterCounter("files.reload-failures", n.metrics).Inc(1)
+	n.countEvent(counterReloadFailures)
 	n.log.Warn("replaced files are not used", "component", "tls", "error", err)
 }
 
