--- a/node/process/node/tls_test.go
+++ b/node/process/node/tls_test.go
@@ -117,6 +117,7 @@
 			c.config.InsecureSkipVerify, c.config.NextProtos = true, []string{"h2"}
 			conn, err := tls.Dial("tcp", address, c.config)
 			if err == nil {
+				require.NoError(t, conn.SetReadDeadline(time.Now().Add(awaitLimit)))
 				_, err = io.ReadAll(conn)
 			}
 			require.ErrorContains(t, err, c.refuse)
