handout: put a version in force only after other nodes hold it

Cause: with the table down, a node that replaced another could come up below the version of its predecessor if that was the only node that had it; STRICT_BOOTSTRAP of spec/settings.pml found the trace.

Change: a node holds a version, and hands it out, before it puts it in force. From the store it waits for two other nodes, one of them in another place if one can be reached; from a peer, for that peer. Only answers to requests that were sent after the node held the version count. FetchSettings carries the request (hold_version) and tells what is held and what is in force.

--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -222,9 +222,16 @@
 	f.members.SetSelf(membership.Server{ID: s.ID, Service: s.Announced.Service, Slots: s.Announced.Slots}, draining)
 }
 
-// accepted puts a version into force that this node committed, and announces it to peers.
+// acceptedWait is how long an operator's answer waits for the accepted version to be in force at this node, so that the
+// operator sees the change when reading from the same node.
+const acceptedWait = time.Second
+
+// accepted hands out a version that this node committed.
 func (f *fleet) accepted(r commit.Result) {
 	if r.Accepted != nil {
 		f.handout.Accept(*r.Accepted)
+		ctx, cancel := context.WithTimeout(context.Background(), acceptedWait)
+		defer cancel()
+		f.handout.AwaitInForce(ctx, r.Version)
 	}
 }
--- a/node/process/node/settingspeers.go
+++ b/node/process/node/settingspeers.go
@@ -60,6 +60,9 @@
 func (p *settingsPeers) Sample(n int, scope handout.Scope) []string {
 	members := p.members()
 	from := members.anywhere
+	if scope == handout.OtherPlaces {
+		return sample(p.otherPlaces(), n)
+	}
 	if scope == handout.OwnPlace && len(members.ownPlace) > 0 {
 		from = members.ownPlace
 	}
@@ -67,6 +70,11 @@
 		// Nobody is known yet; the configured peers may know the settings.
 		from = p.fleet.node.config.Peers
 	}
+	return sample(from, n)
+}
+
+// sample returns at most n different addresses.
+func sample(from []string, n int) []string {
 	n = min(n, len(from))
 	sample := make([]string, 0, n)
 	start := rand.IntN(max(1, len(from)))
@@ -77,6 +85,29 @@
 	return sample
 }
 
+// otherPlaces returns the live members of other places that can be reached. The verdict on a place may change while the
+// members stay the same, so the list is not cached; it is needed once for each version that is read from the store.
+func (p *settingsPeers) otherPlaces() []string {
+	var others []string
+	for m := range p.fleet.members.Members() {
+		if m.State.Live() && m.Place != p.fleet.node.config.Place && p.fleet.members.Alive(m.Place) {
+			others = append(others, m.Address)
+		}
+	}
+	return others
+}
+
+// Live implements handout.Peers.
+func (p *settingsPeers) Live(except string) int {
+	live := 0
+	for m := range p.fleet.members.Members() {
+		if m.State.Live() && m.Address != except && p.fleet.members.Alive(m.Place) {
+			live++
+		}
+	}
+	return live
+}
+
 // Announce implements handout.Peers. The version travels in a message of the membership that holds nothing else.
 func (p *settingsPeers) Announce(ctx context.Context, peer string, version int64) error {
 	client, err := p.fleet.node.pool.Client(peer)
@@ -97,6 +128,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.HoldVersion > 0 || r.Joining {
+		r.From = p.fleet.node.id
+	}
 	return client.FetchSettings(ctx, r)
 }
 
@@ -105,7 +139,7 @@
 
 // HandleFetch implements peer.Settings.
 func (s settingsServer) HandleFetch(
-	_ context.Context, r *peerpb.FetchSettingsRequest,
+	ctx context.Context, r *peerpb.FetchSettingsRequest,
 ) (*peerpb.FetchSettingsReply, error) {
-	return s.handout.Serve(r), nil
+	return s.handout.Hold(ctx, r), nil
 }
--- a/node/process/node/view.go
+++ b/node/process/node/view.go
@@ -118,12 +118,15 @@
 	if err != nil {
 		return -1
 	}
-	// No version is above this one, so the reply holds only the number of the version in force.
+	// No version is above this one, so the reply holds only numbers.
 	reply, err := client.FetchSettings(ctx, &peerpb.FetchSettingsRequest{AfterVersion: math.MaxInt64})
 	if err != nil {
 		return -1
 	}
-	return reply.HeadVersion
+	if reply.InForceVersion == nil {
+		return reply.HeadVersion
+	}
+	return *reply.InForceVersion
 }
 
 // knownInForce counts the members by what is known of them, without asking.
--- a/node/version/handout/handout.go
+++ b/node/version/handout/handout.go
@@ -1,14 +1,19 @@
 // Package handout distributes settings versions in the fleet: two readers per place poll the head in the table, a node
 // that takes a version announces its number to a few peers, and a node that hears of a higher number pulls the changes
 // from the peer that has them.
+//
+// A node first holds a version, which means that it hands it out, and puts it in force only after other nodes have said
+// that they hold it too. While the table is down, a host that is replaced learns from them what it had in force.
 package handout
 
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/radishstand/radishstand/api/peerpb"
 	"github.com/radishstand/radishstand/api/settings"
@@ -28,6 +33,8 @@
 	OwnPlace Scope = iota
 	// Anywhere takes peers of all places.
 	Anywhere
+	// OtherPlaces takes peers of other places that can be reached.
+	OtherPlaces
 )
 
 // Peers reaches the other nodes of the fleet. It is safe for concurrent use.
@@ -37,9 +44,11 @@
 	Next(n int) []string
 	// Sample returns the ids of at most n different live peers, chosen at random.
 	Sample(n int, scope Scope) []string
+	// Live returns the number of live nodes in places that can be reached, this one included and one peer left out.
+	Live(except string) int
 	// Announce tells a peer which version this node has.
 	Announce(ctx context.Context, peer string, version int64) error
-	// Fetch asks a peer for the versions that this node lacks.
+	// Fetch asks a peer for the versions that this node lacks, and fills in the sender of the request.
 	Fetch(ctx context.Context, peer string, request *peerpb.FetchSettingsRequest) (*peerpb.FetchSettingsReply, error)
 }
 
@@ -107,13 +116,24 @@
 
 	mu      sync.Mutex
 	log     log
-	encoded *peerpb.SettingsVersion // the tree of the version in force, if a peer asked for it
+	held    atomic.Pointer[held]    // written with mu held
+	risen   chan struct{}           // closed when held rises
+	encoded *peerpb.SettingsVersion // the tree of the held version, if a peer asked for it
 	sources []source
 	counts  Counts
 
-	wakePush, wakePull, wakeRead chan struct{}
+	wakePush, wakePull, wakeRead, wakeSpread chan struct{}
 }
 
+// held is a version that a node hands out, and the peer that it came from, or fromStore.
+type held struct {
+	next
+	from string
+}
+
+// fromStore marks a version that this node read from the store or committed itself.
+const fromStore = ""
+
 // source is a peer that mentioned a version.
 type source struct {
 	peer    string
@@ -123,12 +143,16 @@
 // Counts of the operations of a node since its start.
 type Counts struct {
 	HeadReads, Announcements, Fetches, Checks, FailedFetches int64
+	// HoldRequests is the number of requests to hold a version. Unspread is the number of versions put in force although
+	// not as many other nodes as usual were known to hold them.
+	HoldRequests, Unspread int64
 }
 
 // State is what a dump shows.
 type State struct {
-	// Version is -1 while no version is known.
+	// Version is the version in force and Held the highest one that is handed out; -1 while there is none.
 	Version  int64
+	Held     int64
 	LogBase  int64
 	LogBytes int
 	Counts
@@ -137,35 +161,44 @@
 // New returns a Handout that does nothing until Run.
 func New(c Config) *Handout {
 	signal := func() chan struct{} { return make(chan struct{}, 1) }
-	return &Handout{Config: c, wakePush: signal(), wakePull: signal(), wakeRead: signal()}
+	h := &Handout{
+		Config: c, risen: make(chan struct{}), wakePush: signal(), wakePull: signal(), wakeRead: signal(), wakeSpread: signal(),
+	}
+	h.held.Store(&held{next: nextOf(c.Holder.Current())})
+	return h
 }
 
-// Run bootstraps the node and then keeps its version current until the context ends.
+// Run bootstraps the node and then keeps its version current until the context ends. The node pulls before it has
+// bootstrapped: nodes that start together wait for one another to hold the first version.
 func (h *Handout) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	loops.Go(func() { h.pullLoop(ctx) })
 	if !h.bootstrap(ctx) {
 		return
 	}
-	var loops sync.WaitGroup
+	loops.Go(func() { h.spreadLoop(ctx) })
 	loops.Go(func() { h.pushLoop(ctx) })
-	loops.Go(func() { h.pullLoop(ctx) })
 	loops.Go(func() { h.pollLoop(ctx) })
 	loops.Go(func() { h.checkLoop(ctx) })
-	loops.Wait()
 }
 
 // State returns the state for a dump.
 func (h *Handout) State() State {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return State{Version: h.version(), LogBase: h.log.base, LogBytes: h.log.bytes, Counts: h.counts}
+	return State{Version: h.inForce(), Held: h.version(), LogBase: h.log.base, LogBytes: h.log.bytes, Counts: h.counts}
 }
 
-// version returns the version in force, or -1.
-func (h *Handout) version() int64 { return nextOf(h.Holder.Current()).version }
+// version returns the version that this node holds, or -1.
+func (h *Handout) version() int64 { return h.held.Load().version }
+
+// inForce returns the version in force, or -1.
+func (h *Handout) inForce() int64 { return nextOf(h.Holder.Current()).version }
 
 // Accept takes a version that was just committed at this node.
 func (h *Handout) Accept(v commit.Version) {
-	if err := h.adopt([]*peerpb.SettingsVersion{messageOf(v)}); err != nil || h.version() < v.Version {
+	if err := h.adopt(fromStore, []*peerpb.SettingsVersion{messageOf(v)}); err != nil || h.version() < v.Version {
 		wake(h.wakeRead) // versions in between are missing
 	}
 }
@@ -194,12 +227,15 @@
 func (h *Handout) Serve(request *peerpb.FetchSettingsRequest) *peerpb.FetchSettingsReply {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := h.Holder.Current()
-	if now == nil {
-		return &peerpb.FetchSettingsReply{HeadVersion: -1}
+	now := h.held.Load()
+	reply := &peerpb.FetchSettingsReply{HeadVersion: now.version}
+	if inForce := h.inForce(); inForce != now.version {
+		reply.InForceVersion = proto.Int64(inForce)
 	}
-	reply := &peerpb.FetchSettingsReply{HeadVersion: now.Version}
-	if request.AfterVersion >= now.Version {
+	if request.Joining {
+		reply.LiveNodes = int32(h.Peers.Live(request.From))
+	}
+	if request.AfterVersion >= now.version {
 		return reply
 	}
 	maxBytes := min(int(request.MaxBytes), maxFetchBytes)
@@ -208,8 +244,8 @@
 		reply.Versions = changes
 		return reply
 	}
-	if h.encoded == nil || h.encoded.Version != now.Version {
-		h.encoded = &peerpb.SettingsVersion{Version: now.Version, Change: now.Tree.Encode(), Snapshot: true}
+	if h.encoded == nil || h.encoded.Version != now.version {
+		h.encoded = &peerpb.SettingsVersion{Version: now.version, Change: now.tree.Encode(), Snapshot: true}
 	}
 	if len(h.encoded.Change) <= maxBytes {
 		reply.Versions = []*peerpb.SettingsVersion{h.encoded}
@@ -217,11 +253,11 @@
 	return reply
 }
 
-// adopt puts the last of a run of versions in force, where it is higher than the one in force.
-func (h *Handout) adopt(versions []*peerpb.SettingsVersion) error {
+// adopt holds the last of a run of versions, where it is higher than the held one.
+func (h *Handout) adopt(from string, versions []*peerpb.SettingsVersion) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	n := nextOf(h.Holder.Current())
+	n := h.held.Load().next
 	var failed error
 	for _, v := range versions {
 		applied, err := n.apply(v)
@@ -236,26 +272,31 @@
 			h.log.add(v)
 		}
 	}
-	h.offer(n)
+	h.hold(from, n)
 	return failed
 }
 
-// adoptTree puts a tree from the store in force, where its version is higher than the one in force.
+// adoptTree holds a tree from the store, where its version is higher than the held one.
 func (h *Handout) adoptTree(version int64, tree *settings.Tree) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if version > h.version() {
 		h.log.restart(version)
-		h.offer(next{version: version, tree: tree})
+		h.hold(fromStore, next{version: version, tree: tree})
 	}
 }
 
-// offer is called with h.mu held.
-func (h *Handout) offer(n next) {
-	if n.tree != nil && h.Holder.Offer(n.version, n.tree) {
-		h.encoded = nil
-		wake(h.wakePush)
+// hold is called with h.mu held.
+func (h *Handout) hold(from string, n next) {
+	if n.version <= h.version() {
+		return
 	}
+	h.held.Store(&held{next: n, from: from})
+	h.encoded = nil
+	close(h.risen)
+	h.risen = make(chan struct{})
+	wake(h.wakePush)
+	wake(h.wakeSpread)
 }
 
 // wake sets a signal that one goroutine waits for.
--- a/node/version/handout/log.go
+++ b/node/version/handout/log.go
@@ -11,7 +11,7 @@
 	"github.com/radishstand/radishstand/node/version/current"
 )
 
-// log holds the latest changes that led to the version in force, without gaps, for peers that lag a little.
+// log holds the latest changes that led to the held version, without gaps, for peers that lag a little.
 type log struct {
 	base    int64 // the version before the first change
 	changes []*peerpb.SettingsVersion
@@ -60,7 +60,7 @@
 	}
 }
 
-// next is the version that a node builds from messages before it puts it in force. Version -1 means that none is known.
+// next is the version that a node builds from messages before it holds it. Version -1 means that none is known.
 type next struct {
 	version int64
 	tree    *settings.Tree
--- a/node/version/handout/loops.go
+++ b/node/version/handout/loops.go
@@ -9,7 +9,7 @@
 	"github.com/radishstand/radishstand/api/peerpb"
 )
 
-// pushLoop announces the version in force after it has risen. It does not wait for peers that hang.
+// pushLoop announces the held version after it has risen. It does not wait for peers that hang.
 func (h *Handout) pushLoop(ctx context.Context) {
 	var sends sync.WaitGroup
 	defer sends.Wait()
@@ -59,7 +59,7 @@
 	}
 }
 
-// takeSource removes and returns the remembered peer with the highest version above the one in force.
+// takeSource removes and returns the remembered peer with the highest version above the held one.
 func (h *Handout) takeSource() (string, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -95,7 +95,7 @@
 	h.count(&h.counts.Fetches)
 	reply, err := h.Peers.Fetch(ctx, peer, &peerpb.FetchSettingsRequest{AfterVersion: h.version(), MaxBytes: maxBytes})
 	if err == nil {
-		err = h.adopt(reply.Versions)
+		err = h.adopt(peer, reply.Versions)
 	}
 	if err != nil {
 		h.count(&h.counts.FailedFetches)
@@ -165,7 +165,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	if lag := head - h.version(); lag > 0 && lag <= maxStoreChanges && h.Holder.Current() != nil {
+	if lag := head - h.version(); lag > 0 && lag <= maxStoreChanges && h.version() >= 0 {
 		versions, err := h.Store.Versions(ctx, h.version(), maxStoreChanges)
 		if err != nil {
 			return false
@@ -174,7 +174,7 @@
 		for i, v := range versions {
 			messages[i] = messageOf(v)
 		}
-		if h.adopt(messages) != nil {
+		if h.adopt(fromStore, messages) != nil {
 			return false
 		}
 	}
