inforce: count where a version is in force along a tree in each place

Change: a new message CountInForce carries a range of addresses and a time to wait. The asked node divides its place into 16 parts, one node of each part divides that again, and each sums what it hears; one node of each other place does the same there. A node that does not answer counts as not having the version. Nodes of an earlier version do not know the message and count in the same way while a fleet is updated.

Before: 512 of 13,000 asked by one node.

--- a/api/operator/operator.go
+++ b/api/operator/operator.go
@@ -87,7 +87,11 @@
 	Edits           []settings.Edit `json:"edits"`
 }
 
-// InForce is the answer to GET PathInForce, which takes the query parameter version.
+// MaxInForceWaitMs bounds the query parameter waitMs of PathInForce.
+const MaxInForceWaitMs = 1000
+
+// InForce is the answer to GET PathInForce, which takes the query parameters version and waitMs, the time in milliseconds for
+// which nodes wait for the version before they are counted.
 type InForce struct {
 	Version int64              `json:"version"`
 	Places  map[string]InPlace `json:"places"`
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -262,6 +262,7 @@
 	var failure error
 	for {
 		var now operator.InForce
+		query.Set("waitMs", strconv.FormatInt(waitFor(ctx).Milliseconds(), 10))
 		if err := c.Get(ctx, operator.PathInForce, query, &now); err == nil {
 			last, failure = now, nil
 			if Everywhere(now) {
@@ -278,6 +279,18 @@
 	}
 }
 
+// countTime is what is left of the time of AwaitInForce for an answer after the wait at the nodes.
+const countTime = 700 * time.Millisecond
+
+// waitFor returns how long the nodes are to wait for the version, so that their answer comes before ctx ends.
+func waitFor(ctx context.Context) time.Duration {
+	wait := operator.MaxInForceWaitMs * time.Millisecond
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline)-countTime)
+	}
+	return max(0, wait)
+}
+
 // Everywhere reports whether the version is in force at every node.
 func Everywhere(f operator.InForce) bool {
 	nodes, inForce, _, _ := Count(f)
--- a/node/connection/peer/server.go
+++ b/node/connection/peer/server.go
@@ -30,6 +30,7 @@
 // Settings hands out settings versions.
 type Settings interface {
 	HandleFetch(ctx context.Context, r *peerpb.FetchSettingsRequest) (*peerpb.FetchSettingsReply, error)
+	HandleCount(ctx context.Context, r *peerpb.CountInForceRequest) (*peerpb.CountInForceReply, error)
 }
 
 // Ledger handles the messages of the idempotency ledger.
@@ -103,6 +104,14 @@
 	return s.Settings.HandleFetch(ctx, r)
 }
 
+// CountInForce implements peerpb.PeerServer.
+func (s *Service) CountInForce(ctx context.Context, r *peerpb.CountInForceRequest) (*peerpb.CountInForceReply, error) {
+	if s.Settings == nil {
+		return nil, errNotServed
+	}
+	return s.Settings.HandleCount(ctx, r)
+}
+
 // Claim implements peerpb.PeerServer.
 func (s *Service) Claim(ctx context.Context, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
 	if s.Ledger == nil {
--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/radishstand/radishstand/node/request/serve"
 	"github.com/radishstand/radishstand/node/version/commit"
 	"github.com/radishstand/radishstand/node/version/handout"
+	"github.com/radishstand/radishstand/node/version/inforce"
 )
 
 // refreshEvery bounds how often a burst of membership changes is handed to the chooser and the ledger.
@@ -40,6 +41,7 @@
 	store   *commit.Store
 	editor  *commit.Editor
 	handout *handout.Handout
+	counter *inforce.Counter
 
 	// holders caches the holder of each ledger range for one generation of the membership.
 	holders   atomic.Pointer[holders]
@@ -88,15 +90,19 @@
 
 // assemble joins the fleet with the request path.
 func (f *fleet) assemble(k *core) {
+	peers := &settingsPeers{fleet: f}
 	f.handout = handout.New(handout.Config{
-		Holder: k.settings, Store: f.store, Peers: &settingsPeers{fleet: f}, IsReader: f.isReader, Random: rand.Float64,
+		Holder: k.settings, Store: f.store, Peers: peers, IsReader: f.isReader, Random: rand.Float64,
 	})
+	f.counter = &inforce.Counter{
+		ID: f.node.id, Place: f.node.config.Place, Peers: peers, Await: f.handout.AwaitInForce,
+	}
 	f.members.Subscribe(f.memberChanged)
 }
 
 // service joins the handlers of the messages between nodes.
 func (f *fleet) service(local *serve.Handler) *peer.Service {
-	return &peer.Service{Local: local, Membership: f.members, Settings: settingsServer{f.handout}, Ledger: f.holder}
+	return &peer.Service{Local: local, Membership: f.members, Settings: settingsServer{f.handout, f.counter}, Ledger: f.holder}
 }
 
 func (f *fleet) start(ctx context.Context, loops *sync.WaitGroup) {
--- a/node/process/node/settingspeers.go
+++ b/node/process/node/settingspeers.go
@@ -8,6 +8,7 @@
 
 	"github.com/radishstand/radishstand/api/peerpb"
 	"github.com/radishstand/radishstand/node/version/handout"
+	"github.com/radishstand/radishstand/node/version/inforce"
 )
 
 // settingsPeers implements handout.Peers over the membership.
@@ -134,8 +135,50 @@
 	return client.FetchSettings(ctx, r)
 }
 
-// settingsServer answers the peers that fetch versions.
-type settingsServer struct{ handout *handout.Handout }
+// Own implements inforce.Peers.
+func (p *settingsPeers) Own() []string {
+	others := p.members().ownPlace
+	at, _ := slices.BinarySearch(others, p.fleet.node.id)
+	return slices.Insert(slices.Clone(others), at, p.fleet.node.id)
+}
+
+// Elsewhere implements inforce.Peers.
+func (p *settingsPeers) Elsewhere() map[string][]string {
+	places := map[string][]string{}
+	for m := range p.fleet.members.Members() {
+		if m.State.Live() && m.Place != p.fleet.node.config.Place {
+			places[m.Place] = append(places[m.Place], m.Address)
+		}
+	}
+	for _, addresses := range places {
+		slices.Sort(addresses)
+	}
+	return places
+}
+
+// Count implements inforce.Peers.
+func (p *settingsPeers) Count(
+	ctx context.Context, peer string, r *peerpb.CountInForceRequest,
+) (*peerpb.CountInForceReply, error) {
+	client, err := p.fleet.node.pool.Client(peer)
+	if err != nil {
+		return nil, err
+	}
+	return client.CountInForce(ctx, r)
+}
+
+// settingsServer answers the peers that fetch versions and count where they are in force.
+type settingsServer struct {
+	handout *handout.Handout
+	counter *inforce.Counter
+}
+
+// HandleCount implements peer.Settings.
+func (s settingsServer) HandleCount(
+	ctx context.Context, r *peerpb.CountInForceRequest,
+) (*peerpb.CountInForceReply, error) {
+	return s.counter.Handle(ctx, r), nil
+}
 
 // HandleFetch implements peer.Settings.
 func (s settingsServer) HandleFetch(
--- a/node/process/node/view.go
+++ b/node/process/node/view.go
@@ -2,16 +2,11 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"runtime"
-	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	apioperator "github.com/radishstand/radishstand/api/operator"
-	"github.com/radishstand/radishstand/api/peerpb"
 	"github.com/radishstand/radishstand/api/settings"
 	"github.com/radishstand/radishstand/node/connection/platform"
 	"github.com/radishstand/radishstand/node/process/balance"
@@ -49,86 +44,15 @@
 // Accepted implements operator.View.
 func (v view) Accepted(r commit.Result) { v.node.fleet.accepted(r) }
 
-// InForce implements operator.View. Members that are not known to have the version are asked, since their news may be
-// on its way.
-func (v view) InForce(ctx context.Context, version int64) map[string]apioperator.InPlace {
+// InForce implements operator.View.
+func (v view) InForce(ctx context.Context, version int64, wait time.Duration) map[string]apioperator.InPlace {
 	places := map[string]apioperator.InPlace{}
-	var behind []*membership.Member
-	for m := range v.node.fleet.members.Members() {
-		if !m.State.Live() {
-			continue
-		}
-		in := places[m.Place]
-		in.Nodes++
-		if v.versionOf(m) >= version {
-			in.InForce++
-		} else {
-			behind = append(behind, m)
-		}
-		places[m.Place] = in
-	}
-	for _, m := range v.ask(ctx, behind, version) {
-		in := places[m.Place]
-		in.InForce++
-		places[m.Place] = in
+	for place, count := range v.node.fleet.counter.Places(ctx, version, wait) {
+		places[place] = apioperator.InPlace{Nodes: count.Nodes, InForce: count.InForce}
 	}
 	return places
 }
 
-func (v view) versionOf(m *membership.Member) int64 {
-	if m.Address == v.node.id {
-		version, _ := v.Current()
-		return version
-	}
-	return m.SettingsVersion
-}
-
-// Limits of asking members for their version.
-const (
-	maxAsked   = 512
-	askersMax  = 32
-	askTimeout = 500 * time.Millisecond
-)
-
-// ask returns those of the members that say that they have the version in force.
-func (v view) ask(ctx context.Context, members []*membership.Member, version int64) []*membership.Member {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var mu sync.Mutex
-	var have []*membership.Member
-	var askers errgroup.Group
-	askers.SetLimit(askersMax)
-	for _, m := range members[:min(len(members), maxAsked)] {
-		askers.Go(func() error {
-			if v.askOne(ctx, m.Address) >= version {
-				mu.Lock()
-				have = append(have, m)
-				mu.Unlock()
-			}
-			return nil
-		})
-	}
-	_ = askers.Wait()
-	return have
-}
-
-// askOne returns the version in force at a member, or -1.
-func (v view) askOne(ctx context.Context, address string) int64 {
-	client, err := v.node.pool.Client(address)
-	if err != nil {
-		return -1
-	}
-	// No version is above this one, so the reply holds only numbers.
-	reply, err := client.FetchSettings(ctx, &peerpb.FetchSettingsRequest{AfterVersion: math.MaxInt64})
-	if err != nil {
-		return -1
-	}
-	if reply.InForceVersion == nil {
-		return reply.HeadVersion
-	}
-	return *reply.InForceVersion
-}
-
 // knownInForce counts the members by what is known of them, without asking.
 func (v view) knownInForce(version int64) map[string]apioperator.InPlace {
 	places := map[string]apioperator.InPlace{}
--- a/node/process/operator/operator.go
+++ b/node/process/operator/operator.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/pprof"
 	"strconv"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -38,7 +39,7 @@
 	Current() (version int64, tree *settings.Tree)
 	// Accepted puts a version in force that this node committed.
 	Accepted(commit.Result)
-	InForce(ctx context.Context, version int64) map[string]operator.InPlace
+	InForce(ctx context.Context, version int64, wait time.Duration) map[string]operator.InPlace
 	Status() operator.Status
 	Members() []operator.Member
 	Servers() []operator.Server
@@ -160,7 +161,12 @@
 	if !ok {
 		return
 	}
-	write(w, http.StatusOK, operator.InForce{Version: version, Places: h.view.InForce(r.Context(), version)})
+	wait, ok := number(w, r, "waitMs", 0, 0, operator.MaxInForceWaitMs)
+	if !ok {
+		return
+	}
+	places := h.view.InForce(r.Context(), version, time.Duration(wait)*time.Millisecond)
+	write(w, http.StatusOK, operator.InForce{Version: version, Places: places})
 }
 
 func (h *Handler) change(w http.ResponseWriter, r *http.Request) {
--- a/node/version/handout/spread.go
+++ b/node/version/handout/spread.go
@@ -191,11 +191,12 @@
 	return h.Serve(request)
 }
 
-// AwaitInForce waits until a version is in force at this node or the context ends.
-func (h *Handout) AwaitInForce(ctx context.Context, version int64) {
+// AwaitInForce waits until a version is in force at this node or the context ends, and reports whether it is.
+func (h *Handout) AwaitInForce(ctx context.Context, version int64) bool {
 	changed, cancel := h.Holder.Subscribe()
 	defer cancel()
 	h.await(ctx, func() bool { return h.inForce() >= version }, func() <-chan struct{} { return changed })
+	return h.inForce() >= version
 }
 
 // await waits for a condition, which is looked at again after each signal.
