--- a/node/version/commit/store.go
+++ b/node/version/commit/store.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -172,32 +170,3 @@
 	}
 	return tree, nil
 }
-
-// storedSnapshot is the body of a snapshot object. The digest of the tree tells a damaged object.
-type storedSnapshot struct {
-	Version int64           `json:"version"`
-	SHA256  string          `json:"sha256"`
-	Tree    json.RawMessage `json:"tree"`
-}
-
-func encodeSnapshot(version int64, tree *settings.Tree) []byte {
-	data := tree.Encode()
-	digest := sha256.Sum256(data)
-	body, err := json.Marshal(storedSnapshot{Version: version, SHA256: hex.EncodeToString(digest[:]), Tree: data})
-	if err != nil {
-		panic("commit: encoding a snapshot: " + err.Error()) // the tree is valid JSON
-	}
-	return body
-}
-
-func decodeSnapshot(version int64, body []byte) (*settings.Tree, bool) {
-	var stored storedSnapshot
-	if json.Unmarshal(body, &stored) != nil || stored.Version != version {
-		return nil, false
-	}
-	if digest := sha256.Sum256(stored.Tree); hex.EncodeToString(digest[:]) != stored.SHA256 {
-		return nil, false
-	}
-	tree, err := settings.ParseStored(stored.Tree)
-	return tree, err == nil
-}
