peer: let the goroutines that serve calls take turns in receiving

A goroutine for each call starts with a small stack that grows anew (5.7 % of the processor time of the server's node at 2,000 calls/s, CPU profile). Workers of a stream now take turns: the one that receives a call serves it while another receives. The goroutine that waited on each stream for the stop of the node is gone; the service keeps its open streams instead.

--- a/node/connection/peer/calls.go
+++ b/node/connection/peer/calls.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -17,24 +18,48 @@
 // fetched on a stream of their own, so that a slow reader of one holds up no other call.
 const firstPartBytes = 32 << 10
 
-// stopSignal notifies the streams of a service that the node is stopping.
-type stopSignal struct {
-	once sync.Once
-	ch   chan struct{}
-	end  sync.Once
+// callStreams are the streams of calls that a service serves.
+type callStreams struct {
+	mu       sync.Mutex
+	open     map[*callStream]struct{}
+	stopping bool
 }
 
-func (s *stopSignal) channel() chan struct{} {
-	s.once.Do(func() { s.ch = make(chan struct{}) })
-	return s.ch
+// add announces to a new stream that the node is stopping if it is.
+func (s *callStreams) add(c *callStream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = map[*callStream]struct{}{}
+	}
+	s.open[c] = struct{}{}
+	if s.stopping {
+		c.announcement.Go(c.announceStop)
+	}
 }
 
-// Stop asks all peers to send no further call. Calls that were sent are still answered.
-func (s *Service) Stop() {
-	ch := s.stopping.channel()
-	s.stopping.end.Do(func() { close(ch) })
+func (s *callStreams) remove(c *callStream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+func (s *callStreams) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return
+	}
+	s.stopping = true
+	for c := range s.open {
+		// A peer that does not read would hold up the others.
+		c.announcement.Go(c.announceStop)
+	}
 }
 
+// Stop asks all peers to send no further call. Calls that were sent are still answered.
+func (s *Service) Stop() { s.streams.stop() }
+
 // drainPoll is how often Drain looks whether calls are left.
 const drainPoll = 10 * time.Millisecond
 
@@ -53,11 +78,27 @@
 	}
 }
 
-// callStream is the serving side of one stream of calls.
+// maxIdleWorkers is the number of workers of a stream that are kept beside the one that receives.
+const maxIdleWorkers = 2
+
+// callStream is the serving side of one stream of calls. Its workers take turns in receiving: the worker that receives a
+// call serves it while another one receives. Against a new goroutine for each call, this saves the growth of its stack and
+// the hand-over of the call.
 type callStream struct {
 	service *Service
 	stream  grpc.BidiStreamingServer[peerpb.CallFrame, peerpb.AnswerFrame]
-	calls   sync.WaitGroup
+	// base is the context of calls. A large answer is fetched after the stream may have ended, so a call does not end with
+	// the stream's context.
+	base    context.Context
+	workers sync.WaitGroup
+	// announcement runs announceStop while the stream is open.
+	announcement sync.WaitGroup
+
+	// turn is held by the worker that receives, and guards ended.
+	turn  sync.Mutex
+	ended bool
+	// idle counts the workers that wait for their turn.
+	idle atomic.Int32
 
 	sendMu sync.Mutex
 
@@ -70,53 +111,93 @@
 	if s.Local == nil {
 		return errNotServed
 	}
-	c := &callStream{service: s, stream: stream, cancels: map[string]context.CancelFunc{}}
-	done := make(chan struct{})
-	defer close(done)
-	go c.announceStop(done)
-	if err := c.receive(); !errors.Is(err, io.EOF) {
-		// The peer is gone. After a half-close, the calls in progress are still answered.
-		c.cancelAll()
+	c := &callStream{
+		service: s, stream: stream, base: context.WithoutCancel(stream.Context()), cancels: map[string]context.CancelFunc{},
 	}
-	c.calls.Wait()
+	s.streams.add(c)
+	defer c.announcement.Wait()
+	defer s.streams.remove(c)
+	c.idle.Add(1)
+	c.work()
+	c.workers.Wait()
 	return nil
 }
 
-func (c *callStream) announceStop(done <-chan struct{}) {
-	select {
-	case <-done:
-	case <-c.service.stopping.channel():
-		_ = c.send(&peerpb.AnswerFrame{Closing: true})
+// work receives and serves calls until the stream ends or enough other workers wait.
+func (c *callStream) work() {
+	for {
+		c.turn.Lock()
+		c.idle.Add(-1)
+		wire := c.receive()
+		if wire == nil {
+			c.turn.Unlock()
+			return
+		}
+		ctx := c.start(wire)
+		if c.idle.Load() == 0 {
+			c.idle.Add(1)
+			c.workers.Go(c.work)
+		}
+		c.turn.Unlock()
+		c.finish(ctx, wire)
+		if !c.join() {
+			return
+		}
 	}
 }
 
-func (c *callStream) receive() error {
+// join counts the worker as idle unless enough others are. A worker that leaves must never be counted, not even for a moment:
+// another one would rely on it to receive.
+func (c *callStream) join() bool {
 	for {
+		n := c.idle.Load()
+		if n >= maxIdleWorkers {
+			return false
+		}
+		if c.idle.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+func (c *callStream) announceStop() { _ = c.send(&peerpb.AnswerFrame{Closing: true}) }
+
+// receive returns the next call, or nil at the end of the stream. The caller holds turn.
+func (c *callStream) receive() *peerpb.CallRequest {
+	for !c.ended {
 		frame, err := c.stream.Recv()
 		if err != nil {
-			return err
+			c.ended = true
+			if !errors.Is(err, io.EOF) {
+				// The peer is gone. After a half-close, the calls in progress are still answered.
+				c.cancelAll()
+			}
+			break
 		}
 		switch f := frame.Frame.(type) {
 		case *peerpb.CallFrame_Call:
-			c.start(f.Call)
+			return f.Call
 		case *peerpb.CallFrame_Cancel:
 			c.cancel(f.Cancel)
 		}
 	}
+	return nil
 }
 
-func (c *callStream) start(wire *peerpb.CallRequest) {
-	// A large answer is fetched after the stream may have ended, so the call does not end with the stream's context.
-	ctx, cancel := context.WithCancel(context.WithoutCancel(c.stream.Context()))
+// start books a call before a cancellation of it can be received.
+func (c *callStream) start(wire *peerpb.CallRequest) context.Context {
+	ctx, cancel := context.WithCancel(c.base)
 	c.service.active.Add(1)
 	c.mu.Lock()
 	c.cancels[wire.AttemptId] = cancel
 	c.mu.Unlock()
-	c.calls.Go(func() {
-		defer c.service.active.Add(-1)
-		defer c.cancel(wire.AttemptId)
-		c.serve(ctx, requestFromWire(wire))
-	})
+	return ctx
+}
+
+func (c *callStream) finish(ctx context.Context, wire *peerpb.CallRequest) {
+	defer c.service.active.Add(-1)
+	defer c.cancel(wire.AttemptId)
+	c.serve(ctx, requestFromWire(wire))
 }
 
 func (c *callStream) cancel(attemptID string) {
--- a/node/connection/peer/server.go
+++ b/node/connection/peer/server.go
@@ -48,9 +48,9 @@
 	Ledger     Ledger
 
 	// active counts the calls in progress on all streams.
-	active   atomic.Int64
-	parked   parked
-	stopping stopSignal
+	active  atomic.Int64
+	parked  parked
+	streams callStreams
 }
 
 // errNotServed is returned for messages that this node does not handle.
