--- a/node/request/serve/serve.go
+++ b/node/request/serve/serve.go
@@ -52,12 +52,11 @@
 	return e.run(ctx, deadline)
 }
 
-// admit waits for a slot. A call whose caller goes away meanwhile leaves the queue, whatever its kind.
+// admit waits for a slot, at most until the deadline. A call whose caller goes away meanwhile leaves the queue, whatever
+// its kind.
 func (h *Handler) admit(
 	ctx context.Context, server *registry.Server, r *attempt.Request, deadline time.Time,
 ) (*admission.Ticket, error) {
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
 	return server.Admission.Admit(ctx, admission.Call{Class: r.Class, Deadline: deadline, Stay: r.Stay})
 }
 
