entry: copy headers and make ids with less work

The header copy canonicalized eleven constant names for each call and direction (1.2 % of the entry node's processor time at 2,000 calls/s, perf), and every call got a claim id that only keyed calls need.

--- a/node/request/entry/call.go
+++ b/node/request/entry/call.go
@@ -68,7 +68,7 @@
 
 // newCall checks a request and reads its body. The error is nil or a refusal that says not-run.
 func (h *Handler) newCall(w http.ResponseWriter, r *http.Request, trusted bool) (*call, *refusal) {
-	c := &call{id: uuid.NewString(), claimID: uuid.NewString(), started: h.Now(), method: r.Method, host: r.Host, target: r.URL.RequestURI()}
+	c := &call{id: uuid.NewString(), started: h.Now(), method: r.Method, host: r.Host, target: r.URL.RequestURI()}
 	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
 		return c, notRun(http.StatusNotImplemented, "CONNECT and protocol upgrades are not supported")
 	}
@@ -125,7 +125,7 @@
 		return notRun(http.StatusBadRequest, "%s must have %d to %d characters", contract.HeaderIdempotencyKey, minKeyLength, maxKeyLength)
 	}
 	if len(keys) == 1 {
-		c.key = keys[0]
+		c.key, c.claimID = keys[0], uuid.NewString()
 	}
 	return nil
 }
@@ -198,10 +198,12 @@
 	}
 }
 
-// hopHeaders are meant for one connection only (RFC 9110, section 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// notForwarded are the headers that are meant for one connection only (RFC 9110, section 7.6.1), and those that net/http
+// sets itself. Names are in canonical form.
+var notForwarded = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Expect": true,
 }
 
 // innerPrefix marks the headers that nodes set; nobody else may.
@@ -211,7 +213,7 @@
 func forwardHeader(from http.Header) http.Header {
 	to := make(http.Header, len(from))
 	for name, values := range from {
-		if !strings.HasPrefix(name, innerPrefix) {
+		if !strings.HasPrefix(name, innerPrefix) && !notForwarded[name] {
 			to[name] = values
 		}
 	}
@@ -220,10 +222,5 @@
 			to.Del(strings.TrimSpace(name))
 		}
 	}
-	for _, name := range hopHeaders {
-		to.Del(name)
-	}
-	to.Del("Content-Length")
-	to.Del("Expect")
 	return to
 }
