--- a/api/operator/operator.go
+++ b/api/operator/operator.go
@@ -21,6 +21,8 @@
 	PathRollback = "/v1/settings/rollback"
 	PathInForce  = "/v1/settings/in-force"
 	PathMetrics  = "/v1/metrics"
+	// PathPrometheus serves the same metrics in the Prometheus text format, where Prometheus looks by default.
+	PathPrometheus = "/metrics"
 )
 
 // Error codes.
@@ -30,6 +32,8 @@
 	CodeUnknown     = "unknown"
 	CodeUnavailable = "unavailable"
 	CodeNotFound    = "not-found"
+	// CodeUnauthorized means that the request does not prove that it is an operator's.
+	CodeUnauthorized = "unauthorized"
 )
 
 // Error is the body of a refused request.
--- a/node/process/balance/experiment/sweep_test.go
+++ b/node/process/balance/experiment/sweep_test.go
@@ -16,11 +16,11 @@
 var (
 	sweepFlag    = flag.Bool("sweep", false, "run the comparison of policies, which takes minutes")
 	sweepLoads   = flag.String("loads", "0.5,0.7,0.85,0.95", "loads of the comparison as shares of the mean capacity")
-	sweepWhere   = flag.String("deployments", "coop,yatai", "deployments of the comparison: coop, yatai or large")
+	sweepWhere   = flag.String("deployments", "coop,yatai", "deployments of the comparison: coop, yatai, medium or large")
 	sweepOnly    = flag.String("policies", "", "policies of the comparison; empty for all")
 	sweepSeeds   = flag.Int("seeds", 3, "number of seeds of the comparison, from 1")
 	sweepSeconds = flag.Int("seconds", 20, "virtual seconds of each run of the comparison")
-	sweepWorld   = flag.String("scenario", "stalls", "how the speed of servers shifts: stalls, mild, heavy or lasting")
+	sweepWorld   = flag.String("scenario", "stalls", "how the speed of servers shifts: stalls, mild, heavy, lasting, coldTime or coldCalls")
 	sweepCores   = flag.Int("cores", 0, "calls that a server runs at full speed; zero for all slots")
 )
 
@@ -41,6 +41,13 @@
 	{name: "with referral", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true}},
 	{name: "with hedging", make: func(w *world) policy { return newProduct(w) }, options: options{hedge: true}},
 	{name: "product", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true}},
+	{name: "12 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 12}},
+	{name: "8 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 8}},
+	{name: "6 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 6}},
+	{name: "4 servers", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true, limit: 4}},
+	{name: "no slow start", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true}, tune: func(v *settings.Values) { v.Balance.SlowStartMs = 0 }},
+	{name: "slow start 2 s", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true}, tune: func(v *settings.Values) { v.Balance.SlowStartMs = 2000 }},
+	{name: "slow start 5 s", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true, pace: true}, tune: func(v *settings.Values) { v.Balance.SlowStartMs = 5000 }},
 	{name: "all reports", make: func(w *world) policy { return newProduct(w) }, options: options{refer: true, hedge: true}},
 	{name: "oracle", make: func(w *world) policy { return &oracle{w: w} }},
 	{name: "oracle hedging", make: func(w *world) policy { return &oracle{w: w} }, options: options{hedge: true}},
@@ -95,12 +102,12 @@
 	if !*sweepFlag {
 		t.Skip("runs with -sweep only")
 	}
-	for _, d := range []deployment{coop, yatai, large} {
+	for _, d := range []deployment{coop, yatai, medium, large} {
 		if !slices.Contains(strings.Split(*sweepWhere, ","), d.name) {
 			continue
 		}
 		d.cores = *sweepCores
-		d.scenario = map[string]scenario{"stalls": stalls, "mild": mild, "heavy": heavy, "lasting": lasting}[*sweepWorld]
+		d.scenario = map[string]scenario{"stalls": stalls, "mild": mild, "heavy": heavy, "lasting": lasting, "coldTime": coldTime, "coldCalls": coldCalls}[*sweepWorld]
 		for _, text := range strings.Split(*sweepLoads, ",") {
 			load, err := strconv.ParseFloat(text, 64)
 			if err != nil {
--- a/node/process/balance/experiment/world.go
+++ b/node/process/balance/experiment/world.go
@@ -24,7 +24,7 @@
 	// idempotentShare is the share of calls that may be hedged.
 	idempotentShare = 0.8
 	// reportBytes is the size of an encoded load report.
-	reportBytes = 40
+	reportBytes = 21
 )
 
 // deployment is the shape of one service's environment.
@@ -38,12 +38,14 @@
 	scenario scenario
 }
 
-// Deployments of the two users, and a large service.
+// Deployments of the two users, a service of the average size of a large fleet, and a large service.
 var (
 	coop = deployment{name: "coop", servers: 5, slots: 17, entries: 14, between: time.Millisecond, scenario: stalls}
 	// large has so many servers that an entry node hears of each only every 130 ms or so.
 	large = deployment{name: "large", servers: 100, slots: 17, entries: 140, between: time.Millisecond, scenario: stalls}
-	yatai = deployment{name: "yatai", servers: 4, slots: 9, entries: 13, between: 1500 * time.Microsecond, scenario: stalls}
+	// medium has 18.6 servers rounded up, and callers at many nodes.
+	medium = deployment{name: "medium", servers: 19, slots: 17, entries: 140, between: time.Millisecond, scenario: stalls}
+	yatai  = deployment{name: "yatai", servers: 4, slots: 9, entries: 13, between: 1500 * time.Microsecond, scenario: stalls}
 )
 
 // world is one run.
@@ -149,6 +151,9 @@
 		}
 		w.after(time.Duration(arrivals.ExpFloat64()*gap*float64(time.Second)), arrive)
 	}
+	if every := w.deployment.scenario.cold.every; every > 0 {
+		w.after(every/2, func() { w.replaceNext(0, every) })
+	}
 	w.run(warmup)
 	w.measuring = true
 	w.run(warmup + span)
@@ -156,6 +161,15 @@
 	return w.result
 }
 
+// replaceNext replaces a server, and later the next one.
+func (w *world) replaceNext(server int, every time.Duration) {
+	w.servers[server].replace()
+	if p, ok := w.policy.(*product); ok {
+		p.replaced(server)
+	}
+	w.after(every, func() { w.replaceNext((server+1)%len(w.servers), every) })
+}
+
 // demand draws the time that a call needs at full speed.
 func (s scenario) demand(r *rand.Rand) time.Duration {
 	mu := math.Log(float64(serviceMean)) - s.sigma*s.sigma/2
