peer: end a call with its context while it is being sent

Send of a grpc-go stream blocks without regard to a call's context while a peer does not read. Since the first attempt runs in the goroutine of the caller's connection, the answer of a hedge would have waited for it. A call is now sent by its own goroutine only while less than half of what the stream queues is on its way, as answers show, else by a goroutine beside it. The test with a peer that stops reading hangs when every call is sent by its own goroutine.

--- a/node/connection/peer/calls_test.go
+++ b/node/connection/peer/calls_test.go
@@ -79,3 +79,69 @@
 		return len(service.streams.open) == 0
 	}, time.Minute, time.Millisecond, "the caller does not close its stream to a node that stops")
 }
+
+// deafListener accepts connections that stop reading once deaf is closed.
+type deafListener struct {
+	net.Listener
+	deaf chan struct{}
+}
+
+func (l *deafListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &deafConn{Conn: c, deaf: l.deaf, closed: make(chan struct{})}, err
+}
+
+type deafConn struct {
+	net.Conn
+	deaf, closed chan struct{}
+	once         sync.Once
+}
+
+func (c *deafConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case <-c.deaf:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+func (c *deafConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// The test guards against calls that outlive their context while they are sent to a peer that does not read: the answer of
+// a hedge would wait for them.
+func TestCallsToADeafPeerEndWithTheirContext(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	deaf := make(chan struct{})
+	server := NewServer(insecure.NewCredentials(), &Service{Local: echo{}})
+	go func() { _ = server.Serve(&deafListener{listener, deaf}) }()
+	defer server.Stop()
+	caller := &Caller{Pool: NewPool(insecure.NewCredentials())}
+	defer caller.Pool.Close()
+	do := func(ctx context.Context, id string, size int) error {
+		_, err := caller.Do(ctx, balance.Server{Address: listener.Addr().String()},
+			&attempt.Request{AttemptID: id, Timeout: time.Minute, Body: make([]byte, size)})
+		return err
+	}
+	require.NoError(t, do(context.Background(), "first", 1))
+	close(deaf)
+	var group sync.WaitGroup
+	for i := range 20 {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			err := do(ctx, fmt.Sprint(i), 200<<10)
+			var broken *attempt.Broken
+			if assert.ErrorAs(t, err, &broken) {
+				assert.Equal(t, attempt.KindDeadline, broken.Kind)
+			}
+		})
+	}
+	group.Wait()
+}
--- a/node/connection/peer/link.go
+++ b/node/connection/peer/link.go
@@ -24,15 +24,31 @@
 	stream grpc.BidiStreamingClient[peerpb.CallFrame, peerpb.AnswerFrame]
 	cancel context.CancelFunc
 
+	// lane is held for reading by goroutines that send their own call, and for writing by the one whose Send may block.
+	lane   sync.RWMutex
 	sendMu sync.Mutex
 
 	mu      sync.Mutex
-	waiting map[string]chan *peerpb.CallPart
+	waiting map[string]waiter
+	// sent and received are the bytes of calls handed to the stream and those of them that the peer has received for
+	// certain: an answer shows that its call and all earlier ones arrived.
+	sent, received int
 	// closing is set once no further call may be sent.
 	closing bool
 	used    time.Time
 }
 
+// waiter is a call that waits for its answer.
+type waiter struct {
+	part chan *peerpb.CallPart
+	// sent is the position of the call's end in the stream.
+	sent int
+}
+
+// directBytes is the most that may be on its way to the peer, a call included, for its own goroutine to send it. It is half
+// of what a grpc-go stream queues before Send blocks, which it does without regard to the context of a call.
+const directBytes = 32 << 10
+
 func newLink(client peerpb.PeerClient) (*link, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	stream, err := client.Calls(ctx)
@@ -40,7 +56,7 @@
 		cancel()
 		return nil, err
 	}
-	l := &link{stream: stream, cancel: cancel, waiting: map[string]chan *peerpb.CallPart{}, used: time.Now()}
+	l := &link{stream: stream, cancel: cancel, waiting: map[string]waiter{}, used: time.Now()}
 	go l.receive()
 	return l, nil
 }
@@ -65,11 +81,12 @@
 
 func (l *link) deliver(part *peerpb.CallPart) {
 	l.mu.Lock()
-	waiter := l.waiting[part.AttemptId]
+	w, ok := l.waiting[part.AttemptId]
 	delete(l.waiting, part.AttemptId)
+	l.received = max(l.received, w.sent)
 	l.mu.Unlock()
-	if waiter != nil {
-		waiter <- part
+	if ok {
+		w.part <- part
 	}
 }
 
@@ -78,8 +95,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closing = true
-	for _, waiter := range l.waiting {
-		close(waiter)
+	for _, w := range l.waiting {
+		close(w.part)
 	}
 	l.waiting = nil
 }
@@ -112,38 +129,91 @@
 }
 
 // call sends a call and waits for the first part of its answer. It returns errNotSent when the call was not sent, and
-// errLinkBroken or the error of the context when its fate is open.
+// errLinkBroken or the error of the context when its fate is open. It ends with the context even if the peer does not read.
 func (l *link) call(ctx context.Context, r *peerpb.CallRequest) (*peerpb.CallPart, error) {
-	waiter := make(chan *peerpb.CallPart, 1)
-	if !l.wait(r.AttemptId, waiter) {
+	answer := make(chan *peerpb.CallPart, 1)
+	direct, ok := l.wait(r, answer)
+	if !ok {
 		return nil, errNotSent
 	}
-	if l.send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Call{Call: r}}) != nil {
+	frame := &peerpb.CallFrame{Frame: &peerpb.CallFrame_Call{Call: r}}
+	var aside chan error
+	if !direct {
+		aside = make(chan error, 1)
+		go l.sendAside(frame, aside)
+	} else if l.sendDirect(frame) != nil {
 		l.forget(r.AttemptId)
 		return nil, errNotSent
 	}
-	select {
-	case part, ok := <-waiter:
-		if !ok {
-			return nil, errLinkBroken
+	for {
+		select {
+		case part, ok := <-answer:
+			if !ok {
+				return nil, errLinkBroken
+			}
+			return part, nil
+		case err := <-aside:
+			if err != nil {
+				l.forget(r.AttemptId)
+				return nil, errNotSent
+			}
+			aside = nil
+		case <-ctx.Done():
+			l.forget(r.AttemptId)
+			go l.sendCancel(r.AttemptId, aside)
+			return nil, ctx.Err()
 		}
-		return part, nil
-	case <-ctx.Done():
-		l.forget(r.AttemptId)
-		_ = l.send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Cancel{Cancel: r.AttemptId}})
-		return nil, ctx.Err()
 	}
 }
 
-func (l *link) wait(attemptID string, waiter chan *peerpb.CallPart) bool {
+// sendDirect sends a call that wait has found to be direct.
+func (l *link) sendDirect(frame *peerpb.CallFrame) error {
+	defer l.lane.RUnlock()
+	return l.send(frame)
+}
+
+// sendAside sends a frame in a goroutine of its own, since Send may block.
+func (l *link) sendAside(frame *peerpb.CallFrame, sent chan<- error) {
+	l.lane.Lock()
+	defer l.lane.Unlock()
+	sent <- l.send(frame)
+}
+
+// sendCancel cancels a call after it was sent; aside is nil or yields the end of its sendAside.
+func (l *link) sendCancel(attemptID string, aside <-chan error) {
+	if aside != nil && <-aside != nil {
+		return
+	}
+	l.sendAside(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Cancel{Cancel: attemptID}}, make(chan error, 1))
+}
+
+// wait books a call that waits for its answer. With direct, Send cannot block and the caller must use sendDirect; otherwise
+// it must use sendAside.
+func (l *link) wait(r *peerpb.CallRequest, answer chan *peerpb.CallPart) (direct, ok bool) {
+	size := frameBytes(r)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closing {
-		return false
+		return false, false
 	}
-	l.waiting[attemptID] = waiter
+	l.sent += size
+	direct = l.sent-l.received <= directBytes && l.lane.TryRLock()
+	l.waiting[r.AttemptId] = waiter{part: answer, sent: l.sent}
 	l.used = time.Now()
-	return true
+	return direct, true
+}
+
+// frameBytes returns about the size of a call's frame.
+func frameBytes(r *peerpb.CallRequest) int {
+	const fixed, perString = 256, 8
+	n := fixed + len(r.Body) + len(r.Target) + len(r.Host)
+	for _, h := range r.Headers {
+		n += len(h.Name) + perString
+		for _, v := range h.Values {
+			n += len(v) + perString
+		}
+	}
+	return n
 }
 
 func (l *link) forget(attemptID string) {
