spec: check when a holder of a ledger range may refuse as not-run

Cause: FRESH_REFUSAL of ledger.pml reads the true epoch, which a holder without the store cannot. The rule behind it was not checked.

Change: evidence.pml models the last holder, up to two takers and a witness. Time is modelled by what is over: the end of a take-over's wait makes older evidence and checks invalid. No property of ledger.pml changed.

Conclusion: the rule holds with announcements to a witness that arrive; LOST_ANNOUNCEMENT shows the case that stays open.

--- a/.ci/checks/model.sh
+++ b/.ci/checks/model.sh
@@ -69,6 +69,25 @@
   return "$failed"
 }
 
+# evidence checks when a holder may refuse as not-run: with one taker and a witness, with a first holder that takes the
+# range back, with two takers after each other, and with a taker that the others do not know.
+evidence() {
+  local mutant chain=(-DTAKERS=6 -DREFUSERS=1 -DRESTARTS=0)
+  run evidence evidence holds
+  run evidence-back evidence holds -DTAKERS=3 -DRESTARTS=0
+  run evidence-chain evidence holds "${chain[@]}"
+  run evidence-HIDDEN evidence holds -DHIDDEN
+  for mutant in NO_WAIT NO_WITNESSES ONE_WITNESS EVIDENCE_BEFORE_CLAIM EVIDENCE_AT_END NOTE_AFTER_RAISE RESTARTED_WITNESS \
+    REACH_WITNESSED REACH_WAITED REACH_GIVEN_UP REACH_FREE; do
+    run "evidence-$mutant" evidence fails "-D$mutant" -DEPOCHS=2
+  done
+  run evidence-UNSETTLED_GIVES_UP evidence fails "${chain[@]}" -DUNSETTLED_GIVES_UP
+  for mutant in NO_ANNOUNCEMENT WAIT_FIRST LOST_ANNOUNCEMENT; do
+    run "evidence-$mutant" evidence fails -DHIDDEN "-D$mutant" -DEPOCHS=2
+  done
+  return "$failed"
+}
+
 settings() {
   local handout=(-DHANDOUT -DREPLACEABLE=3 -DREPLACEMENTS=2)
   run settings-commit settings holds
@@ -92,7 +111,7 @@
 }
 
 pids=()
-for group in ledger refusals settings; do
+for group in ledger refusals evidence settings; do
   "$group" &
   pids+=($!)
 done
--- a/spec/ledger.pml
+++ b/spec/ledger.pml
@@ -17,19 +17,15 @@
  * Properties: at most one call with the key runs; a call that was told that it did not run never runs; ran is said only
  * after a run; not-run is not said if a call with the key had run before this one sent its claim.
  *
- * The last property has one exception. A holder is stale from the time another node raises the epoch until it finds
+ * The last property has one exception in this model. A holder is stale from the time another node raises the epoch until it finds
  * out, which takes a write. While it cannot reach the store, its index lacks the calls of the later epoch. The shortest
  * trace that Spin finds with STRICT_STALE: holder 0 has epoch 1 and an empty index; holder 1 raises the epoch to 2 and
  * grants a call, which runs; the next call sends its claim to holder 0, whose write gets no answer from the store; holder
  * 0 refuses and the caller hears not-run. FRESH_REFUSAL adds the rule that a stale holder answers unknown instead, and
  * the property holds without the exception.
  *
- * The model reads the epoch for this, which a holder without the store cannot. A holder could follow the rule by refusing
- * as unknown when, after it received the claim, it finds that it began its last successful check of the epoch longer ago
- * than a bound, if the next holder grants nothing until the bound has passed since it raised the epoch. This needs clocks
- * of bounded rates that go on during a pause; the model does not check it. Without the wait of the next holder, it needs
- * bounded pauses. Asking only the member that the membership names is not enough: an entry node and a holder that are cut
- * off together share an old view of the membership.
+ * The model reads the epoch for this, which a holder without the store cannot. spec/evidence.pml checks the rule by which
+ * a holder keeps to it.
  *
  * Each guard of the protocol is removed by a switch, which must lead to a violation:
  *   NO_EPOCH_CONDITION    rows are written without the condition on the epoch
