ledger: refuse as not-run only with evidence of holding the range

Change: a refusal says not-run only with evidence from the last second: a check of the epoch in the store, or the answers of all witnesses. A take-over asks the last holder to give the range up, and otherwise announces its epoch and waits 1.05 s; an orderly leave is recorded in the range row. A node that starts holds no range for up to 2 s while it knows none of its peers, and a range that was lost is taken back after the cool-down. Without these two, nodes that start together left ranges without a holder. A claim of a call id that is being released is uncertain now, since no holder is asked. During a rolling upgrade, nodes of the old version do not answer, so refusals of an outage are unknown.

TestRandomFailuresNeverGrantTwice calls Refresh once after the failures are healed, as a node does when its view changes: a take-over after a crash takes longer than the 1 s that its last claims allow. All checks of the test are as before.

--- a/node/connection/peer/server.go
+++ b/node/connection/peer/server.go
@@ -38,6 +38,7 @@
 	HandleClaim(ctx context.Context, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
 	HandleComplete(ctx context.Context, r *peerpb.CompleteRequest) (*peerpb.LedgerReply, error)
 	HandleRelease(ctx context.Context, r *peerpb.ReleaseRequest) (*peerpb.LedgerReply, error)
+	HandleEpochs(ctx context.Context, r *peerpb.EpochsRequest) (*peerpb.EpochsReply, error)
 }
 
 // Service implements peerpb.PeerServer. A nil part answers Unimplemented.
@@ -135,3 +136,11 @@
 	}
 	return s.Ledger.HandleRelease(ctx, r)
 }
+
+// Epochs implements peerpb.PeerServer.
+func (s *Service) Epochs(ctx context.Context, r *peerpb.EpochsRequest) (*peerpb.EpochsReply, error) {
+	if s.Ledger == nil {
+		return nil, errNotServed
+	}
+	return s.Ledger.HandleEpochs(ctx, r)
+}
--- a/node/process/ledger/client.go
+++ b/node/process/ledger/client.go
@@ -142,7 +142,8 @@
 		return ClaimResult{}, err
 	}
 	if c.backlog.has(claim.Key, claim.CallID) {
-		return ClaimResult{}, ErrUnavailable
+		// No holder was asked whether an earlier call ran.
+		return ClaimResult{}, ErrUncertain
 	}
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, min(c.maxClaim, claim.Timeout))
@@ -283,11 +284,4 @@
 	metrics.GetOrRegisterCounter("ledger.client."+name, c.metrics).Inc(1)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d/2 + rand.N(d/2))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
+func sleep(ctx context.Context, d time.Duration) { sleepFor(ctx, d/2+rand.N(d/2)) }
--- a/node/process/ledger/compact.go
+++ b/node/process/ledger/compact.go
@@ -123,7 +123,7 @@
 		t.mu.Unlock()
 		return false
 	}
-	writes := []platform.Write{raise(t.index, t.epoch, t.id)}
+	writes := []platform.Write{raise(t.index, t.epoch, t.id, t.server.self)}
 	for _, s := range t.segments[:n] {
 		key := platform.Key{Partition: partitionOf(t.index), Sort: s.sort}
 		writes = append(writes, platform.Write{Kind: platform.Delete, Item: platform.Item{Key: key}})
@@ -144,12 +144,13 @@
 }
 
 // raise is the write that takes the epoch of a range from one number to the next.
-func raise(index int, from, tenure int64) platform.Write {
+func raise(index int, from, tenure int64, holder string) platform.Write {
 	w := platform.Write{
 		Kind: platform.Put,
 		Item: platform.Item{
 			Key:     rangeKey(index),
 			Numbers: map[string]int64{numberEpoch: from + 1, numberTenure: tenure},
+			Data:    []byte(holder),
 		},
 		Condition: platform.Condition{Equal: map[string]int64{numberEpoch: from}},
 	}
--- a/node/process/ledger/fleet_test.go
+++ b/node/process/ledger/fleet_test.go
@@ -26,13 +26,18 @@
 	gates map[string]*gate
 	// cut lists nodes that cannot be called; lose lists nodes whose answers are lost.
 	cut, lose map[string]bool
+	// hidden lists nodes that no other node knows as a member.
+	hidden map[string]bool
+	// slow is how long answers between nodes take on their way.
+	slow time.Duration
 }
 
 func newFleet(t testing.TB, limits Limits, nodes ...string) *fleet {
 	f := &fleet{
 		store: platformtest.NewMemory(), servers: map[string]*Server{}, clients: map[string]*Client{},
 		views: map[string]string{}, cut: map[string]bool{}, lose: map[string]bool{},
-		gates: map[string]*gate{},
+		hidden: map[string]bool{},
+		gates:  map[string]*gate{},
 	}
 	for _, n := range nodes {
 		f.views[n] = nodes[0]
@@ -61,7 +66,9 @@
 		return f.views[node], f.views[node] == node, f.views[node] != ""
 	}
 	g := &gate{Table: f.store}
-	server := NewServer(Config{Table: g, Locate: locate, Now: now, Limits: limits})
+	server := NewServer(Config{
+		Table: g, Locate: locate, Now: now, Limits: limits, Self: node, Peers: f, Witnesses: func(int) []string { return f.others(node) },
+	})
 	client := NewClient(ClientConfig{Local: server, Peers: f, Locate: locate})
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -176,13 +183,14 @@
 func callPeer[Req, Rep any](ctx context.Context, f *fleet, to string, r Req, h func(*Server, context.Context, Req) (Rep, error)) (Rep, error) {
 	var none Rep
 	f.mu.Lock()
-	s, cut, lose := f.servers[to], f.cut[to], f.lose[to]
+	s, cut, lose, slow := f.servers[to], f.cut[to], f.lose[to], f.slow
 	f.mu.Unlock()
 	if cut || ctx.Err() != nil {
 		return none, errBroken
 	}
 	time.Sleep(time.Millisecond)
 	reply, err := h(s, ctx, r)
+	time.Sleep(slow)
 	if lose {
 		return none, errBroken
 	}
@@ -194,6 +202,24 @@
 	return callPeer(ctx, f, to, r, (*Server).HandleClaim)
 }
 
+// Epochs implements EpochPeers.
+func (f *fleet) Epochs(ctx context.Context, to string, r *peerpb.EpochsRequest) (*peerpb.EpochsReply, error) {
+	return callPeer(ctx, f, to, r, (*Server).HandleEpochs)
+}
+
+// others returns the other nodes.
+func (f *fleet) others(node string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var others []string
+	for n := range f.views {
+		if n != node && !f.hidden[n] {
+			others = append(others, n)
+		}
+	}
+	return others
+}
+
 // Complete implements Peers.
 func (f *fleet) Complete(ctx context.Context, to string, r *peerpb.CompleteRequest) (*peerpb.LedgerReply, error) {
 	return callPeer(ctx, f, to, r, (*Server).HandleComplete)
--- a/node/process/ledger/key.go
+++ b/node/process/ledger/key.go
@@ -53,6 +53,8 @@
 	numberEpoch  = "epoch"
 	// numberTenure holds a random number of the holder's tenure, by which a holder knows its own writes.
 	numberTenure = "tenure"
+	// numberFree is 1 when the holder gave the range up in an orderly way. The row's data is the holder's member name.
+	numberFree = "free"
 )
 
 func partitionOf(index int) string { return fmt.Sprintf("ledger/%03d", index) }
--- a/node/process/ledger/limits.go
+++ b/node/process/ledger/limits.go
@@ -43,6 +43,24 @@
 	// clockAllowance is far above the clock error of hosts that synchronize their clocks.
 	clockAllowance = 5 * time.Minute
 
+	// evidenceBound is the greatest age of evidence by which a holder refuses as not-run, and so the time that keyed work
+	// of a range waits after its holder failed. Longer waits exceed MaxWait, and callers would be refused. Shorter ones
+	// leave no room for roundInterval and askTimeout.
+	evidenceBound = time.Second
+	// evidenceMargin covers the difference in the rates of two clocks, which is far below 5 %.
+	evidenceMargin = 50 * time.Millisecond
+	// clockRate is the part of a running time by which clocks may differ: 1 ms/s is twice what clocks are slewed by.
+	clockRate = 1000
+	// roundInterval is the shortest time between two rounds of checks of a node.
+	roundInterval = evidenceBound / 2
+	// askTimeout bounds a message about epochs.
+	askTimeout = 250 * time.Millisecond
+	// askEvery is how often the last holder is asked to give a range up.
+	askEvery = 50 * time.Millisecond
+	// checkInterval is how often an idle holder reads its range row: 1.6 reads/s for the whole fleet. A shorter time since
+	// the last check means that fewer witnesses have restarted since.
+	checkInterval = 10 * time.Second
+
 	storeTimeout  = time.Second
 	minBackoff    = 20 * time.Millisecond
 	maxBackoff    = time.Second
--- a/node/process/ledger/random_test.go
+++ b/node/process/ledger/random_test.go
@@ -134,6 +134,8 @@
 		c.f.gates[n].set(false)
 	}
 	c.f.setHolder("a")
+	// As a node does when its view changes. A take-over from a holder that crashed takes longer than the last claims allow.
+	c.f.servers["a"].Refresh()
 }
 
 // actor is an entry node's caller: it claims keys of a moving window and ends its grants in all ways.
--- a/node/process/ledger/server.go
+++ b/node/process/ledger/server.go
@@ -23,6 +23,12 @@
 type Config struct {
 	Table  platform.Table
 	Locate Locate
+	// Self is the member name of this node, by which the next holder of a range finds this one.
+	Self string
+	// Peers asks other members about epochs. Witnesses returns the members that may take a range over; it must be fast.
+	// Without them, this node counts as the only member.
+	Peers     EpochPeers
+	Witnesses func(index int) []string
 	// Retention and MaxAnswerBytes give the settings in force. By default 24 h and 16 KiB.
 	Retention      func() time.Duration
 	MaxAnswerBytes func() int
@@ -45,6 +51,11 @@
 	logger         func(string, ...any)
 	metrics        metrics.Registry
 	limits         Limits
+	self           string
+	epochPeers     EpochPeers
+	witnesses      func(int) []string
+	started        time.Time
+	rounds         rounds
 
 	layoutChecked atomic.Bool
 	entries       atomic.Int64
@@ -66,6 +77,10 @@
 	coolState peerpb.ClaimState
 	coolDown  time.Duration
 	takenAt   time.Time
+	// known is the highest epoch that this node has heard of or tried to take.
+	known int64
+	// settled is the last tenure of this node since whose beginning no earlier holder has evidence.
+	settled int64
 }
 
 // NewServer returns a server that takes ranges over when they are asked for.
@@ -73,6 +88,7 @@
 	s := &Server{
 		table: c.Table, locate: c.Locate, retention: c.Retention, maxAnswerBytes: c.MaxAnswerBytes,
 		now: c.Now, logger: c.Log, metrics: c.Metrics, limits: c.Limits.withDefaults(),
+		self: c.Self, epochPeers: c.Peers, witnesses: c.Witnesses, started: time.Now(),
 	}
 	if s.retention == nil {
 		s.retention = func() time.Duration { return 24 * time.Hour }
@@ -90,13 +106,24 @@
 	return s
 }
 
-// Close ends all tenures. Requests in progress are answered as not held here; what they asked for may still take effect.
+// Close ends all tenures and records this, so that the next holders need not wait. Requests in progress are answered as
+// not held here; what they asked for may still take effect.
 func (s *Server) Close() {
 	s.cancel()
+	var held []*tenure
 	for i := range s.slots {
-		s.giveUp(i)
+		if t := s.giveUp(i); t != nil {
+			held = append(held, t)
+		}
 	}
 	s.tenures.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), raiseTimeout)
+	defer cancel()
+	var freeing sync.WaitGroup
+	for _, t := range held {
+		freeing.Go(func() { s.free(ctx, t) })
+	}
+	freeing.Wait()
 }
 
 // Refresh gives up the ranges that other members hold by now and starts to take over those that this node holds. It is
@@ -130,6 +157,7 @@
 		timeout := time.Duration(min(max(r.GetTimeoutUs(), 0), maxTimeout.Microseconds())) * time.Microsecond
 		reply = t.claim(ctx, key, Hash(r.GetBodyHash()), r.GetCallId(), timeout)
 		if reply.State == peerpb.ClaimState_CLAIM_STATE_UNAVAILABLE {
+			s.renewEvidence(ctx, t)
 			reply.State = t.refused(key, r.GetCallId())
 		}
 	}
@@ -244,6 +272,10 @@
 	slot.mu.Lock()
 	defer slot.mu.Unlock()
 	slot.taking = nil
+	if err == nil && slot.known > t.epoch {
+		t.end()
+		err = errLostRange
+	}
 	if err == nil && s.ctx.Err() == nil {
 		s.count("take-overs")
 		slot.tenure, slot.takenAt = t, time.Now()
@@ -256,12 +288,18 @@
 		return
 	}
 	s.count("take-overs-failed")
-	s.log("take-over failed", "range", index, "error", err)
-	state := peerpb.ClaimState_CLAIM_STATE_UNAVAILABLE
+	if slot.coolDown < maxBackoff {
+		// Later ones fail for the same reason, such as an outage of the store.
+		s.log("take-over failed", "range", index, "error", err)
+	}
+	defer s.takeBackLater(index)
 	if errors.Is(err, errLostRange) {
-		state = peerpb.ClaimState_CLAIM_STATE_NOT_HOLDER
+		// The cool-down has to outgrow the wait of a take-over: two nodes that take the range from each other would
+		// otherwise both wait forever.
+		slot.cool(peerpb.ClaimState_CLAIM_STATE_NOT_HOLDER, maxCoolDown)
+		return
 	}
-	slot.cool(state, maxBackoff)
+	slot.cool(peerpb.ClaimState_CLAIM_STATE_UNAVAILABLE, maxBackoff)
 }
 
 // cool delays the next take-over, longer each time up to limit.
@@ -286,10 +324,24 @@
 		slot.coolDown = 0
 	}
 	slot.cool(peerpb.ClaimState_CLAIM_STATE_NOT_HOLDER, maxCoolDown)
+	s.takeBackLater(t.index)
+}
+
+// takeBackLater takes a range after the cool-down if this node is its holder by then. Without it, a range that was lost to
+// a node with an older view of the members, or that could not be taken during an outage, would have no holder until its
+// next claim, which would have to wait. The slot is locked.
+func (s *Server) takeBackLater(index int) {
+	time.AfterFunc(s.slots[index].coolDown, func() {
+		if _, self, ok := s.locate(index); ok && self {
+			s.slots[index].mu.Lock()
+			defer s.slots[index].mu.Unlock()
+			s.startTakeOver(index)
+		}
+	})
 }
 
-// giveUp ends the tenure of a range, if there is one.
-func (s *Server) giveUp(index int) {
+// giveUp ends the tenure of a range and returns it, or nil if there is none.
+func (s *Server) giveUp(index int) *tenure {
 	slot := &s.slots[index]
 	slot.mu.Lock()
 	t := slot.tenure
@@ -298,6 +350,7 @@
 	if t != nil {
 		t.end()
 	}
+	return t
 }
 
 // counterOf turns CLAIM_STATE_NOT_HOLDER into claims-not-holder.
--- a/node/process/ledger/tenure.go
+++ b/node/process/ledger/tenure.go
@@ -36,6 +36,7 @@
 	moving *batch
 	// failingSince is when the write in flight first failed; zero while the store answers.
 	failingSince time.Time
+	proof        evidence
 }
 
 // batch becomes one segment.
@@ -76,9 +77,14 @@
 func (t *tenure) endIfTaken(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	check := t.server.beginCheck(t.index)
 	item, err := t.server.table.Get(ctx, rangeKey(t.index))
-	if err == nil && item.Numbers[numberTenure] != t.id {
+	switch {
+	case err != nil:
+	case item.Numbers[numberTenure] != t.id:
 		t.end()
+	default:
+		t.prove(check)
 	}
 }
 
@@ -375,7 +381,8 @@
 }
 
 // refused says what is known of a key whose claim was not granted. A caller whose earlier request may have run must not
-// be answered that the work did not run, even while the store is down.
+// be answered that the work did not run, even while the store is down. The evidence is looked at here, after the claim
+// was received, so that a pause in between cannot make it appear fresh.
 func (t *tenure) refused(key Key, call string) peerpb.ClaimState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -385,6 +392,10 @@
 	e := t.find(key, t.server.nowMs())
 	switch {
 	case e == nil, e.call == call, e.state == released:
+		if !t.proven() {
+			t.server.count("refused-without-evidence")
+			return peerpb.ClaimState_CLAIM_STATE_UNAVAILABLE
+		}
 		return peerpb.ClaimState_CLAIM_STATE_REFUSED
 	case e.state == completed:
 		// The work ran, but its answer cannot be read now.
--- a/node/process/ledger/writer.go
+++ b/node/process/ledger/writer.go
@@ -19,6 +19,8 @@
 	defer t.end()
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
 	for {
 		b, wait := t.next()
 		if b != nil {
@@ -34,6 +36,8 @@
 			return
 		case <-t.wake:
 		case <-due.C:
+		case <-check.C:
+			go t.endIfTaken(t.server.ctx)
 		case <-sweep.C:
 			t.sweep()
 			if !t.compact() {
@@ -101,7 +105,12 @@
 // tenure ended.
 func (t *tenure) persist(applied func(context.Context) (bool, error), writes ...platform.Write) bool {
 	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		check := t.server.beginCheck(t.index)
 		err := t.try(func(ctx context.Context) error { return t.server.table.Transact(ctx, writes...) })
+		if err == nil {
+			// Every transaction of a holder has a condition on the epoch.
+			t.prove(check)
+		}
 		if errors.Is(err, platform.ErrCondition) {
 			var ok bool
 			err = t.try(func(ctx context.Context) (err error) {
--- a/node/process/membership/membership.go
+++ b/node/process/membership/membership.go
@@ -147,6 +147,18 @@
 	return top
 }
 
+// RankedMembers returns a function that gives up to n members in the order of a key, dead ones included and this node and
+// those that left excluded. It reads the members once.
+func (m *Membership) RankedMembers() func(key string, n int) []*Member {
+	var members []*Member
+	for r := range m.Members() {
+		if r.State != Left && r.Address != m.cfg.Address {
+			members = append(members, r)
+		}
+	}
+	return func(key string, n int) []*Member { return topByKey(nil, members, key, n) }
+}
+
 func topByKey(top, members []*Member, key string, n int) []*Member {
 	hash := xxhash.Sum64String(key)
 	order := func(a, b *Member) int {
--- a/node/process/node/fleet.go
+++ b/node/process/node/fleet.go
@@ -45,6 +45,7 @@
 
 	// holders caches the holder of each ledger range for one generation of the membership.
 	holders   atomic.Pointer[holders]
+	witnessed atomic.Pointer[witnesses]
 	changed   chan struct{}
 	distances *distances
 	started   time.Time
@@ -76,7 +77,7 @@
 		PeerVersion: func(address string, version int64) { f.handout.Mention(address, version) },
 	}, transport{pool: n.pool, answered: f.answered}, membership.SystemClock{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	f.holder = ledger.NewServer(ledger.Config{
-		Table: f.guard, Locate: f.locate,
+		Table: f.guard, Locate: f.locate, Self: n.id, Peers: ledgerPeers{n.pool}, Witnesses: f.witnesses,
 		Retention:      func() time.Duration { return time.Duration(n.core.values("").Ledger.RetentionS) * time.Second },
 		MaxAnswerBytes: func() int { return n.core.values("").Ledger.MaxAnswerBytes },
 		Log:            func(message string, keyvals ...any) { n.log.Info(message, append(keyvals, "component", "ledger")...) },
@@ -197,6 +198,9 @@
 
 // locate implements ledger.Locate.
 func (f *fleet) locate(index int) (member string, self, ok bool) {
+	if f.joining() {
+		return "", false, false
+	}
 	generation := f.members.Generation()
 	cached := f.holders.Load()
 	if cached == nil || cached.generation != generation {
@@ -207,16 +211,73 @@
 	return member, member == f.node.id, member != ""
 }
 
+// lonelyTime is how long a node that has started waits for its first peer before it holds the ranges of a fleet of one.
+// Without it, each node that joins takes all ranges from their holders for a moment.
+const lonelyTime = 2 * time.Second
+
+// joining reports whether this node has started only now and does not know any of its peers yet.
+func (f *fleet) joining() bool {
+	if len(f.node.config.Peers) == 0 || time.Since(f.started) > lonelyTime {
+		return false
+	}
+	for m := range f.members.Members() {
+		if m.State.Live() && m.Address != f.node.id {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *fleet) findHolders(generation uint64) *holders {
 	h := &holders{generation: generation}
 	for i := range h.member {
-		if m, ok := f.members.Rendezvous(fmt.Sprintf("ledger-%d", i), nil); ok {
+		if m, ok := f.members.Rendezvous(rangeName(i), nil); ok {
 			h.member[i] = m.Address
 		}
 	}
 	return h
 }
 
+// maxWitnesses is the number of witnesses of a range. It takes in all of today's fleets. Of a large fleet, the holder and
+// all its witnesses are on one side of a cut that halves the fleet in 2^-16 of the cases.
+const maxWitnesses = 16
+
+// witnessesEvery bounds how often the witnesses are found anew: ranking 13,000 members for 16 ranges takes 3.6 ms, and
+// the membership of a large fleet changes all the time.
+const witnessesEvery = time.Second
+
+// witnesses are the members that may take the ledger's ranges over.
+type witnesses struct {
+	generation uint64
+	found      time.Time
+	members    [ledger.RangeCount][]string
+}
+
+// witnesses implements ledger.Config. Dead members are witnesses too, since they may be alive behind a cut.
+func (f *fleet) witnesses(index int) []string {
+	generation := f.members.Generation()
+	cached := f.witnessed.Load()
+	if cached == nil || cached.generation != generation && time.Since(cached.found) > witnessesEvery {
+		cached = f.findWitnesses(generation)
+		f.witnessed.Store(cached)
+	}
+	return cached.members[index]
+}
+
+func (f *fleet) findWitnesses(generation uint64) *witnesses {
+	w := &witnesses{generation: generation, found: time.Now()}
+	ranked := f.members.RankedMembers()
+	for i := range w.members {
+		for _, m := range ranked(rangeName(i), maxWitnesses) {
+			w.members[i] = append(w.members[i], m.Address)
+		}
+	}
+	return w
+}
+
+// rangeName is the rendezvous key of a range.
+func rangeName(index int) string { return fmt.Sprintf("ledger-%d", index) }
+
 // serverChanged publishes the local server.
 func (f *fleet) serverChanged(s *registry.Server) {
 	if s == nil {
--- a/node/process/node/fleetpeers.go
+++ b/node/process/node/fleetpeers.go
@@ -72,3 +72,12 @@
 	}
 	return client.Release(ctx, r)
 }
+
+// Epochs implements ledger.EpochPeers.
+func (p ledgerPeers) Epochs(ctx context.Context, member string, r *peerpb.EpochsRequest) (*peerpb.EpochsReply, error) {
+	client, err := p.pool.Client(member)
+	if err != nil {
+		return nil, err
+	}
+	return client.Epochs(ctx, r)
+}
