entry: answer unknown for keyed work that is refused before its key was looked up

The refusals for an overloaded node, an unknown service and a body above the limit also come before the ledger is asked, and depend on the node or on its settings version.

Change: for non-idempotent methods with an Idempotency-Key these refusals (404, 413, 503) have the outcome unknown. Refusals that are the same at every node, such as 400, stay not-run.

Weighed: asking the ledger before the settings are known, which delays every call of a starting node; and unknown for all refusals of keyed work, which tells a caller less about a malformed request.

--- a/node/request/entry/handler.go
+++ b/node/request/entry/handler.go
@@ -106,12 +106,12 @@
 	if h.inProgress.Add(1) > h.MaxInProgress {
 		overloaded := notRun(http.StatusServiceUnavailable, "this node has too many calls in progress")
 		overloaded.retryAfter = defaultRetryAfter
-		writeRefusal(w, "", overloaded)
+		writeRefusal(w, "", overloaded.beforeClaim(r))
 		return
 	}
 	c, refused := h.newCall(w, r, trusted)
 	if refused != nil {
-		h.refuse(w, c, nil, refused)
+		h.refuse(w, c, nil, refused.beforeClaim(r))
 		return
 	}
 	ctx, cancel := c.context(r.Context())
--- a/node/request/entry/keyed.go
+++ b/node/request/entry/keyed.go
@@ -117,6 +117,20 @@
 	return r
 }
 
+// beforeClaim returns the refusal of a call that came before its key was looked up. Where another node, or this one with
+// other settings, would have taken the call, an earlier request with the key may have run. Other refusals are the same at
+// every node.
+func (r *refusal) beforeClaim(request *http.Request) *refusal {
+	depends := r.status == http.StatusServiceUnavailable || r.status == http.StatusNotFound || r.status == http.StatusRequestEntityTooLarge
+	repeatable := request.Method == http.MethodGet || request.Method == http.MethodHead || request.Method == http.MethodOptions
+	if !depends || repeatable || request.Header.Get(contract.HeaderIdempotencyKey) == "" {
+		return r
+	}
+	r.outcome = contract.OutcomeUnknown
+	r.reason = "this request did not run (" + r.reason + "), but whether an earlier one with this idempotency key ran was not looked up"
+	return r
+}
+
 // replay gives the recorded answer again.
 func (h *Handler) replay(w http.ResponseWriter, c *call, recorded *peerpb.RecordedAnswer) {
 	w.Header().Set(contract.HeaderReplayed, "true")
