radishnode: refuse arguments that are no flags

Cause: '--tls.insecure true' ended the flags at 'true'; all flags after it were ignored, and the node complained about something else. Found by ctl/faulttest. Messages about the platform named 'platform.platform.accessKey'.

--- a/node/cmd/radishnode/main_test.go
+++ b/node/cmd/radishnode/main_test.go
@@ -52,3 +52,11 @@
 		})
 	}
 }
+
+// Guards against flags that are silently ignored because they follow an argument that is no flag.
+func TestArgumentThatIsNoFlagIsRefused(t *testing.T) {
+	var stdout, stderr bytes.Buffer
+	code := run(context.Background(), []string{"--tls.insecure", "true", "--place", "hue", "--check"}, &stdout, &stderr)
+	require.Equal(t, exitSettings, code)
+	require.Contains(t, stderr.String(), `argument "true" is not a flag`)
+}
--- a/node/cmd/radishnode/options.go
+++ b/node/cmd/radishnode/options.go
@@ -66,6 +66,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// Package flag stops at the first argument without a dash, as after "--tls.insecure true", and ignores what follows.
+	if fs.NArg() > 0 {
+		return nil, fmt.Errorf("argument %q is not a flag; a flag without a value needs =, as in --tls.insecure=false", fs.Arg(0))
+	}
 	if o.level, err = log.ParseLevel(*level); err != nil {
 		return nil, fmt.Errorf("log.level: is %q; allowed are debug, info, warn, error", *level)
 	}
@@ -76,7 +80,7 @@
 		return nil, err
 	}
 	if err := o.config.Platform.Validate(); err != nil {
-		return nil, fmt.Errorf("platform.%w", err)
+		return nil, err
 	}
 	return o, nil
 }
