--- /dev/null
+++ b/ctl/faulttest/race_test.go
@@ -0,0 +1,5 @@
+//go:build linux && race
+
+package faulttest
+
+var raceFlags = []string{"-race"}
