--- a/ctl/faulttest/calls_test.go
+++ b/ctl/faulttest/calls_test.go
@@ -3,12 +3,15 @@
 package faulttest
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/radishstand/radishstand/api/contract"
@@ -37,6 +40,8 @@
 	outcome                     contract.Outcome
 	body                        string
 	err                         error
+	// done is set once the fields above don't change any more.
+	done atomic.Bool
 }
 
 func (c *call) String() string {
@@ -46,12 +51,15 @@
 
 // ledgerOfCalls remembers what was sent and heard.
 type ledgerOfCalls struct {
-	mu      sync.Mutex
-	last    int
-	keys    map[string][]*call
-	unkeyed map[string]bool
-	notRun  map[string]bool
-	counts  map[string]int
+	mu   sync.Mutex
+	all  []*call
+	keys map[string][]*call
+}
+
+func (l *ledgerOfCalls) copyOfKeys() map[string][]*call {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.keys)
 }
 
 // violated reports a broken invariant with all calls of the key.
@@ -60,6 +68,9 @@
 	defer f.calls.mu.Unlock()
 	text := time.Now().Format("05.000 ") + fmt.Sprintf(format, args...)
 	for _, c := range f.calls.keys[key] {
+		if !c.done.Load() {
+			continue
+		}
 		text += fmt.Sprintf("\n  %d runs: %s", f.runs(c.token), c)
 	}
 	f.t.Error(text)
@@ -86,39 +97,58 @@
 	c := &call{key: key, method: method, service: service, node: n}
 	c.ranBefore = key != "" && f.keyRuns(key) > 0
 	f.calls.mu.Lock()
-	f.calls.last++
-	c.token = fmt.Sprintf("token-%d", f.calls.last)
+	c.token = fmt.Sprintf("token-%d", len(f.calls.all))
+	f.calls.all = append(f.calls.all, c)
 	if key != "" {
 		f.calls.keys[key] = append(f.calls.keys[key], c)
-	} else if method == http.MethodPost {
-		f.calls.unkeyed[c.token] = true
 	}
 	f.calls.mu.Unlock()
 	disturbed := n.disturbed.Load()
-	c.send()
+	patience := callTimeout + callMargin + time.Second
+	if disturbed%2 == 1 {
+		patience = callTimeout
+	}
+	c.send(patience)
 	calm := disturbed == n.disturbed.Load() && n.running()
 	if c.took > callTimeout+callMargin && calm {
 		f.violated(key, "a caller waited too long: %s", c)
 	}
 	f.check(c)
-	f.calls.mu.Lock()
-	f.calls.counts[fmt.Sprintf("%s %s %s", n.place, method, c.result())]++
-	f.calls.mu.Unlock()
 	return c
 }
 
-func (c *call) result() string {
+// kind is the sort of work with what its caller heard.
+func (c *call) kind() string {
+	kind, heard := c.method, string(c.outcome)
+	if c.key != "" {
+		kind = "keyed"
+	}
 	if c.err != nil {
-		return "broken"
+		heard = "broken"
+	}
+	return kind + " " + heard
+}
+
+// counts counts the calls that were sent since a time, by place of the entry node and kind.
+func (f *fleet) counts(since time.Time) map[string]int {
+	f.calls.mu.Lock()
+	defer f.calls.mu.Unlock()
+	counts := map[string]int{}
+	for _, c := range f.calls.all {
+		if c.done.Load() && c.sent.After(since) {
+			counts[c.node.place+" "+c.kind()]++
+		}
 	}
-	return string(c.outcome)
+	return counts
 }
 
 // client opens a connection for each call, since net/http sends keyed requests again when a reused one breaks.
-var callers = &http.Client{Timeout: callTimeout + callMargin + time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+var callers = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
-func (c *call) send() {
-	r, _ := http.NewRequest(c.method, "http://"+c.node.callers+"/work", strings.NewReader("body of "+c.key))
+func (c *call) send(patience time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r, _ := http.NewRequestWithContext(ctx, c.method, "http://"+c.node.callers+"/work", strings.NewReader("body of "+c.key))
 	r.Host = c.service + ".example"
 	r.Header.Set(backendtest.HeaderToken, c.token)
 	r.Header.Set(contract.HeaderTimeout, fmt.Sprint(callTimeout.Milliseconds()))
@@ -126,7 +156,10 @@
 		r.Header.Set(contract.HeaderIdempotencyKey, c.key)
 	}
 	c.sent = time.Now()
-	defer func() { c.took = time.Since(c.sent) }()
+	defer func() {
+		c.took = time.Since(c.sent)
+		c.done.Store(true)
+	}()
 	answer, err := callers.Do(r)
 	if c.err = err; err != nil {
 		return
@@ -149,9 +182,6 @@
 	case c.outcome == contract.OutcomeRun && c.status == http.StatusOK:
 		f.checkWhole(c, runs)
 	case c.outcome == contract.OutcomeNotRun:
-		f.calls.mu.Lock()
-		f.calls.notRun[c.token] = true
-		f.calls.mu.Unlock()
 		if runs > 0 || c.ranBefore {
 			f.violated(c.key, "not-run is not true, %d runs: %s", runs, c)
 		}
@@ -250,17 +280,12 @@
 			f.violated(key, "key ran %d times", runs)
 		}
 	}
-	for token := range f.calls.notRun {
-		if f.runs(token) > 0 {
-			f.violated("", "%s ran after the answer not-run", token)
-		}
-	}
-	for token := range f.calls.unkeyed {
-		if f.runs(token) > 1 {
-			f.violated("", "%s ran %d times", token, f.runs(token))
+	for _, c := range f.calls.all {
+		if runs := f.runs(c.token); runs > 0 && c.outcome == contract.OutcomeNotRun || runs > 1 && c.method == http.MethodPost {
+			f.violated(c.key, "%d runs at the end: %s", runs, c)
 		}
 	}
-	f.t.Logf("%d of %d keys ran; calls: %v", ran, len(keys), f.calls.counts)
+	f.t.Logf("%d of %d keys ran; calls: %v", ran, len(keys), f.counts(time.Time{}))
 }
 
 // awaitFate waits until two nodes of different places tell the same of a key.
--- a/ctl/faulttest/fleet_test.go
+++ b/ctl/faulttest/fleet_test.go
@@ -77,6 +77,7 @@
 	exited                                           chan error
 	// disturbed is odd while the process is away, paused or stopping.
 	disturbed atomic.Int64
+	paused    atomic.Bool
 	// shown is the highest settings version that a process at this address showed.
 	shown atomic.Int64
 	// fresh is set while a new process has shown no version; storeFaults is the count of store faults at its start.
@@ -119,7 +120,7 @@
 func newFleet(t *testing.T, nodes int) *fleet {
 	f := &fleet{
 		t: t, dir: t.ArtifactDir(), store: platformtest.NewServer(platformtest.NewMemory()), network: newNetwork(),
-		calls: ledgerOfCalls{keys: map[string][]*call{}, notRun: map[string]bool{}, unkeyed: map[string]bool{}, counts: map[string]int{}}, ended: make(chan struct{}),
+		calls: ledgerOfCalls{keys: map[string][]*call{}}, ended: make(chan struct{}),
 	}
 	f.network.placeOf = f.placeOf
 	require.NoError(t, f.store.Start("127.0.0.1:0"))
@@ -132,7 +133,7 @@
 	}
 	tree, err := settings.Parse([]byte(baseSettings))
 	require.NoError(t, err)
-	f.submit(f.nodes[0], operator.Change{ID: "base", Author: "test", Edits: settings.EditsBetween(&settings.Tree{}, tree)})
+	require.NoError(t, f.submit(f.nodes[0], operator.Change{ID: "base", Author: "test", Edits: settings.EditsBetween(&settings.Tree{}, tree)}))
 	f.awaitAgreement()
 	for _, n := range f.nodes {
 		f.monitors.Go(n.monitor)
@@ -192,7 +193,7 @@
 func (n *node) signal(s syscall.Signal) { _ = n.process.Load().Process.Signal(s) }
 
 // kill ends the process without notice; stop ends it as planned; both wait for its end.
-func (n *node) kill() { n.end(syscall.SIGKILL) }
+func (n *node) kill() { _ = n.end(syscall.SIGKILL) }
 
 func (n *node) stop() {
 	require.NoError(n.fleet.t, n.end(syscall.SIGTERM), "%s ends a planned stop with an error", n)
@@ -213,15 +214,26 @@
 func (n *node) running() bool { return n.disturbed.Load()%2 == 0 }
 
 func (n *node) pause() {
+	n.paused.Store(true)
 	n.disturbed.Add(1)
 	n.signal(syscall.SIGSTOP)
 }
 
 func (n *node) resume() {
+	n.paused.Store(false)
 	n.signal(syscall.SIGCONT)
 	n.disturbed.Add(1)
 }
 
+// restore continues a paused process and starts one that ended.
+func (n *node) restore() {
+	if n.paused.Load() {
+		n.resume()
+	} else {
+		n.start()
+	}
+}
+
 // monitor renews the announcement of the server and checks that no lower settings version is shown than before.
 func (n *node) monitor() {
 	for {
