--- a/ctl/faulttest/fleet_test.go
+++ b/ctl/faulttest/fleet_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -46,27 +47,22 @@
   "hoian": {"services": {"quotes": {}, "crews": {"call": {"class": "critical"}}}},
   "hue": {"services": {"quotes": {}, "crews": {"call": {"class": "critical"}}}}}}`
 
-// build makes radishnode once, with the race detector if the tests have it.
-var build = sync.OnceValues(func() (string, error) {
+var binary string
+
+// TestMain builds radishnode, with the race detector if the tests have it.
+func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "faulttest")
-	if err != nil {
-		return "", err
+	binary = filepath.Join(dir, "radishnode")
+	build := exec.Command("go", "build", "-o", binary)
+	if info, _ := debug.ReadBuildInfo(); slices.Contains(info.Settings, debug.BuildSetting{Key: "-race", Value: "true"}) {
+		build.Args = append(build.Args, "-race")
 	}
-	binary := filepath.Join(dir, "radishnode")
-	args := append([]string{"build", "-o", binary}, raceFlags...)
-	output, err := exec.Command("go", append(args, "github.com/radishstand/radishstand/node/cmd/radishnode")...).CombinedOutput()
-	if err != nil {
-		err = fmt.Errorf("build radishnode: %w\n%s", err, output)
+	build.Args = append(build.Args, "github.com/radishstand/radishstand/node/cmd/radishnode")
+	if output, failed := build.CombinedOutput(); err != nil || failed != nil {
+		panic(fmt.Sprintf("build radishnode: %v, %v\n%s", err, failed, output))
 	}
-	return binary, err
-})
-
-// TestMain removes the built program.
-func TestMain(m *testing.M) {
 	code := m.Run()
-	if binary, err := build(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(binary))
-	}
+	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
 
@@ -164,8 +160,6 @@
 }
 
 func (n *node) start() {
-	binary, err := build()
-	require.NoError(n.fleet.t, err)
 	listener, err := net.Listen("tcp", n.advertise)
 	require.NoError(n.fleet.t, err)
 	cmd := exec.Command(binary, "--tls.insecure", "--place", n.place, "--advertise", n.advertise, "--listen.callers", n.callers,
--- a/ctl/faulttest/norace_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build linux && !race
-
-package faulttest
-
-var raceFlags []string
