entry: hold answers of other nodes up to call.holdBytes

Cause: in ctl/faulttest a GET at an entry node that was well broke while the link to the server's node was frozen. Answers above 32 KB come on a stream of their own, and the entry node passed their head on before they were complete. When the link broke, it could only abort the caller's connection, although docs/callers.md promises this for answers above call.holdBytes alone.

Change: the entry node reads such an answer to its end first; a broken one is retried or reported like any other.

Weighed: aborting as before and naming 32 KB in the contract, which leaves reads unretried that could be.

--- a/node/request/entry/attempts.go
+++ b/node/request/entry/attempts.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/radishstand/radishstand/node/process/balance"
@@ -159,7 +161,30 @@
 	if a.server.NodeID == r.handler.NodeID {
 		return r.handler.Local.Do(ctx, request)
 	}
-	return r.handler.Remote.Do(ctx, a.server, request)
+	answer, err := r.handler.Remote.Do(ctx, a.server, request)
+	if err != nil {
+		return nil, err
+	}
+	return holdRest(ctx, answer, r.call.values.Call.HoldBytes)
+}
+
+// holdRest completes an answer of another node that is not longer than limit. Until then it may break on its way, and
+// could neither be retried nor reported once its head has gone to the caller.
+func holdRest(ctx context.Context, a *attempt.Answer, limit int) (*attempt.Answer, error) {
+	if a.Rest == nil || a.ContentLength < 0 || a.ContentLength > int64(limit) {
+		return a, nil
+	}
+	defer a.Close()
+	rest, err := io.ReadAll(io.LimitReader(a.Rest, a.ContentLength+1))
+	if err == nil && int64(len(a.Body)+len(rest)) != a.ContentLength {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, &attempt.Broken{Kind: attempt.FromContext(ctx), Cause: err, Loads: a.Loads, RetriesUsed: a.RetriesUsed}
+	}
+	whole := *a
+	whole.Body, whole.Rest = append(slices.Clip(a.Body), rest...), nil
+	return &whole, nil
 }
 
 // take books the end of an attempt and returns its answer if it is the call's answer.
