--- a/ctl/cmd/radishctl/main_test.go
+++ b/ctl/cmd/radishctl/main_test.go
@@ -50,6 +50,7 @@
 	if refusal, ok := answer.(operator.Error); ok {
 		w.WriteHeader(map[string]int{
 			operator.CodeInvalid: 422, operator.CodeConflict: 409, operator.CodeUnknown: 504, operator.CodeUnavailable: 503,
+			operator.CodeUnauthorized: 401,
 		}[refusal.Code])
 	}
 	_ = json.NewEncoder(w).Encode(answer)
@@ -68,6 +69,7 @@
 	accepted := operator.Accepted{Version: 8}
 	unknown := operator.Error{Code: operator.CodeUnknown, Message: "outcome of the settings change is unknown"}
 	away := operator.Error{Code: operator.CodeUnavailable, Message: "store is away"}
+	unauthorized := operator.Error{Code: operator.CodeUnauthorized, Message: "the bearer token is not valid"}
 	conflict := operator.Error{Code: operator.CodeConflict, Conflicts: []settings.Conflict{
 		{Path: "defaults.call.timeoutMs", Yours: json.RawMessage("700"), Theirs: json.RawMessage("800")},
 	}}
@@ -89,6 +91,8 @@
 		{"an unknown outcome is resolved by the same id", "a=1", []any{unknown, operator.Accepted{Version: 8, Repeated: true}}, whole, 0, "accepted before", 2},
 		{"an outage after an unknown outcome does not make it a refusal", "a=1", []any{unknown, away, accepted}, whole, 0, "version 8", 3},
 		{"an outcome that stays unknown is 4 and says how to resolve it", "--timeout 300ms a=1", []any{unknown}, whole, 4, "--change-id", 1},
+		{"a refused token is 1", "a=1", []any{unauthorized}, whole, 1, "unauthorized: the bearer token is not valid", 1},
+		{"a token replaced after an unknown outcome leaves it unknown", "a=1", []any{unknown, unauthorized}, whole, 4, "--change-id", 2},
 		{"in force everywhere is success", "--wait 1s a=1", []any{accepted}, whole, 0, "in force at 2 of 2 nodes, in 1 of 1 places", 1},
 		{"not in force everywhere by the deadline is 5", "--wait 100ms a=1", []any{accepted}, half, 5, "in force at 3 of 5 nodes, in 1 of 2 places", 1},
 		{"a missing value is wrong usage", "a", nil, whole, 2, "<path>=<value>", 0},
@@ -155,17 +159,17 @@
 	require.Contains(t, stderr, "EXAMPLES", path)
 }
 
-// Guards the operators' page falling behind the settings.
-func TestOperatorsPageHoldsTheSettingsReference(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/operators.md")
+// Guards the page of the settings falling behind them, and a second copy that readers could find instead.
+func TestOnePageHoldsTheSettingsReference(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/settings.md")
 	require.NoError(t, err)
-	_, rest, ok := strings.Cut(string(page), "<!-- begin: radishctl settings reference -->\n")
-	require.True(t, ok)
-	reference, _, ok := strings.Cut(rest, "<!-- end: radishctl settings reference -->\n")
-	require.True(t, ok)
 	code, stdout, _ := ctl(t, "", "settings", "reference")
 	require.Equal(t, cli.ExitOK, code)
-	require.Equal(t, stdout, reference, "run: go generate ./ctl/cmd/radishctl")
+	require.Equal(t, stdout, string(page), "run: go generate ./api/settings")
+	guide, err := os.ReadFile("../../../docs/operators.md")
+	require.NoError(t, err)
+	require.Contains(t, string(guide), "(settings.md)")
+	require.NotContains(t, string(guide), "| `call.timeoutMs` |")
 }
 
 // Guards the example of the README being refused by the program that it explains.
