--- /dev/null
+++ b/ctl/faulttest/network_test.go
@@ -0,0 +1,170 @@
+//go:build linux
+
+package faulttest
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// direction is the traffic from one place to another.
+type direction struct{ from, to string }
+
+func (d direction) back() direction { return direction{d.to, d.from} }
+
+// condition of a direction: cut closes connections and lets none open; frozen keeps connections open and passes neither
+// bytes nor their end on; delay holds up every chunk of bytes. The zero value lets everything pass.
+type condition struct {
+	cut, frozen bool
+	delay       time.Duration
+}
+
+// network forwards the connections between nodes.
+type network struct {
+	// placeOf names the place of the process that opened a connection, or "" when it has gone.
+	placeOf func(net.Conn) string
+
+	mu         sync.Mutex
+	conditions map[direction]condition
+	changed    chan struct{}
+}
+
+func newNetwork(placeOf func(net.Conn) string) *network {
+	return &network{placeOf: placeOf, changed: make(chan struct{})}
+}
+
+// set replaces the conditions of all directions.
+func (n *network) set(conditions map[direction]condition) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conditions = conditions
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// state returns the condition of a direction, which is cut when the way back is, and what is closed when it changes.
+func (n *network) state(d direction) (condition, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.conditions[d]
+	c.cut = c.cut || n.conditions[d.back()].cut
+	return c, n.changed
+}
+
+// pass waits while the direction is frozen or slow.
+func (n *network) pass(d direction) {
+	c, changed := n.state(d)
+	for c.frozen {
+		<-changed
+		c, changed = n.state(d)
+	}
+	time.Sleep(c.delay)
+}
+
+// serve forwards the connections of a listener to the node at target until the listener is closed.
+func (n *network) serve(l net.Listener, place, target string) {
+	for {
+		in, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go n.forward(in.(*net.TCPConn), place, target)
+	}
+}
+
+// forward resets a connection that is cut, or whose target refuses it.
+func (n *network) forward(in *net.TCPConn, place, target string) {
+	d := direction{n.placeOf(in), place}
+	to, err := net.Dial("tcp", target)
+	if err != nil || d.from == "" {
+		reset(in)
+		return
+	}
+	out, ended := to.(*net.TCPConn), make(chan struct{})
+	var copies sync.WaitGroup
+	copies.Go(func() { n.copy(out, in, d) })
+	copies.Go(func() { n.copy(in, out, d.back()) })
+	go func() {
+		copies.Wait()
+		close(ended)
+	}()
+	defer reset(in, out)
+	for c, changed := n.state(d); !c.cut; c, changed = n.state(d) {
+		select {
+		case <-changed:
+		case <-ended:
+			return
+		}
+	}
+}
+
+// reset closes connections without waiting for what is in them.
+func reset(conns ...*net.TCPConn) {
+	for _, c := range conns {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// copy passes bytes and the end of the connection on, each in its direction.
+func (n *network) copy(to, from net.Conn, d direction) {
+	buffer := make([]byte, 32<<10)
+	for {
+		count, err := from.Read(buffer)
+		n.pass(d)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if _, err := to.Write(buffer[:count]); err != nil {
+			n.pass(d.back())
+			_ = from.Close()
+			return
+		}
+	}
+}
+
+// otherEnd returns the name of the socket at the other end of a loopback connection, as in /proc/<pid>/fd. It asks the
+// kernel for this one socket (see sock_diag(7)); reading /proc/net/tcp took most of the processor time of these tests.
+func otherEnd(c net.Conn) string {
+	const sockDiagByFamily, request, reply = 20, 16 + 56, 16 + 72
+	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, syscall.NETLINK_INET_DIAG)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = syscall.Close(fd) }()
+	q, answer := make([]byte, request), make([]byte, 4<<10)
+	binary.NativeEndian.PutUint32(q, request)
+	binary.NativeEndian.PutUint16(q[4:], sockDiagByFamily)
+	binary.NativeEndian.PutUint16(q[6:], syscall.NLM_F_REQUEST)
+	q[16], q[17] = syscall.AF_INET, syscall.IPPROTO_TCP
+	binary.NativeEndian.PutUint32(q[20:], ^uint32(0)) // all states
+	for i, a := range []net.Addr{c.RemoteAddr(), c.LocalAddr()} {
+		binary.BigEndian.PutUint16(q[24+2*i:], uint16(a.(*net.TCPAddr).Port))
+		copy(q[28+16*i:], a.(*net.TCPAddr).IP.To4())
+	}
+	binary.NativeEndian.PutUint64(q[64:], ^uint64(0)) // no cookie
+	if syscall.Sendto(fd, q, 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}) != nil {
+		return ""
+	}
+	if n, _, err := syscall.Recvfrom(fd, answer, 0); err != nil || n < reply {
+		return ""
+	}
+	return fmt.Sprintf("socket:[%d]", binary.NativeEndian.Uint32(answer[84:]))
+}
+
+// holds reports whether a process has the socket.
+func holds(pid int, socket string) bool {
+	dir := fmt.Sprintf("/proc/%d/fd/", pid)
+	entries, _ := os.ReadDir(dir)
+	return slices.ContainsFunc(entries, func(e os.DirEntry) bool {
+		name, _ := os.Readlink(dir + e.Name())
+		return name == socket
+	})
+}
--- a/node/cmd/radishnode/main_test.go
+++ b/node/cmd/radishnode/main_test.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// Guards against flags that are silently ignored because they follow an argument that is no flag.
+func TestArgumentThatIsNoFlagIsRefused(t *testing.T) {
+	var stdout, stderr bytes.Buffer
+	code := run(context.Background(), []string{"--tls.insecure", "true", "--place", "hue", "--check"}, &stdout, &stderr)
+	require.Equal(t, exitSettings, code)
+	require.Contains(t, stderr.String(), `argument "true" is not a flag`)
+}
+
 const secured = `{"place": "hue", "listen": {"callers": "10.0.0.1:7400", "peers": "10.0.0.1:7401", "server": "127.0.0.1:7402",
   "operators": "10.0.0.1:7403"}, "tls": {"certFile": "$NODE.pem", "keyFile": "$NODE.key", "caFile": "$CA"},
   "callers": {"tls": {"certFile": "$NODE.pem", "keyFile": "$NODE.key"}},
