all: say that callers and nodes are told, know or get something

Cause: comments of several packages and the models let callers and nodes 'hear' of things, which is no term of the field.

Change: wording only; the inline function hear of spec/evidence.pml is called learn.

Conclusion: names and comments of the merged work read like the rest.

--- a/ctl/faulttest/calls_test.go
+++ b/ctl/faulttest/calls_test.go
@@ -43,7 +43,7 @@
 	},
 }}
 
-// call is one request and what its caller heard.
+// call is one request and what its caller got.
 type call struct {
 	token, key, method, service string
 	node                        *node
--- a/ctl/faulttest/checks_test.go
+++ b/ctl/faulttest/checks_test.go
@@ -87,13 +87,13 @@
 	return false
 }
 
-// counts counts the calls that were sent since a time, by place, kind of work and what the caller heard.
+// counts counts the calls that were sent since a time, by place, kind of work and what the caller got.
 func (f *fleet) counts(since time.Time) map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	counts := map[string]int{}
 	for _, c := range f.calls {
-		kind, heard := c.method, "broken"
+		kind, got := c.method, "broken"
 		if c.key != "" {
 			kind = "keyed"
 		}
@@ -101,9 +101,9 @@
 			continue
 		}
 		if c.err == nil {
-			heard = string(c.outcome)
+			got = string(c.outcome)
 		}
-		counts[fmt.Sprint(c.node.place, " ", kind, " ", heard)]++
+		counts[fmt.Sprint(c.node.place, " ", kind, " ", got)]++
 	}
 	return counts
 }
--- a/ctl/faulttest/faults_test.go
+++ b/ctl/faulttest/faults_test.go
@@ -104,7 +104,7 @@
 	f.settle()
 }
 
-// Guards against settings and keys whose writes took effect although nobody heard so.
+// Guards against settings and keys whose writes took effect although their answers were lost.
 func TestStoreFailsWhileOperatorsRace(t *testing.T) {
 	f := newFleet(t)
 	stop, stopOperators := f.load(5), f.race(5)
--- a/ctl/faulttest/fleet_test.go
+++ b/ctl/faulttest/fleet_test.go
@@ -84,14 +84,14 @@
 	fresh              atomic.Bool
 }
 
-// fleet is the whole system with what its callers heard.
+// fleet is the whole system with what its callers got.
 type fleet struct {
 	t       *testing.T
 	dir     string
 	store   *platformtest.Server
 	network *network
 	nodes   []*node
-	// accepted is the highest version of the settings that an operator heard of; storeFaults is odd while the store is disturbed.
+	// accepted is the highest version of the settings that an operator was told of; storeFaults is odd while the store is disturbed.
 	accepted, storeFaults atomic.Int64
 	monitors              sync.WaitGroup
 	ended                 chan struct{}
--- a/node/process/balance/experiment/world.go
+++ b/node/process/balance/experiment/world.go
@@ -41,7 +41,7 @@
 // Deployments of the two users, a service of the average size of a large fleet, and a large service.
 var (
 	coop = deployment{name: "coop", servers: 5, slots: 17, entries: 14, between: time.Millisecond, scenario: stalls}
-	// large has so many servers that an entry node hears of each only every 130 ms or so.
+	// large has so many servers that an entry node gets a report of each only every 130 ms or so.
 	large = deployment{name: "large", servers: 100, slots: 17, entries: 140, between: time.Millisecond, scenario: stalls}
 	// medium has 18.6 servers rounded up, and callers at many nodes.
 	medium = deployment{name: "medium", servers: 19, slots: 17, entries: 140, between: time.Millisecond, scenario: stalls}
--- a/node/process/node/faults_test.go
+++ b/node/process/node/faults_test.go
@@ -121,7 +121,7 @@
 	require.NotZero(t, counts[contract.OutcomeNotRun])
 }
 
-// checkReply compares what a caller heard with what ran.
+// checkReply compares what a caller got with what ran.
 func (f *testFleet) checkReply(t *testing.T, r reply) {
 	if r.err != nil {
 		return
--- a/node/process/node/tls_test.go
+++ b/node/process/node/tls_test.go
@@ -183,7 +183,7 @@
 	return path
 }
 
-// Guards against values that are never loaded again, that are loaded with every request, and failures that nobody hears of.
+// Guards against values that are never loaded again, that are loaded with every request, and failures that are not reported.
 func TestValuesAreLoadedAgainWhenTheyAreOld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		loads, failures, broken := 0, 0, false
--- a/node/request/entry/handler.go
+++ b/node/request/entry/handler.go
@@ -162,7 +162,7 @@
 	h.Observer.CallEnded(record)
 }
 
-// refusalOf turns the error of the last attempt into what the caller hears.
+// refusalOf turns the error of the last attempt into what the caller is told.
 func refusalOf(err error) *refusal {
 	var notRunErr *attempt.NotRun
 	if errors.As(err, &notRunErr) {
--- a/spec/evidence.pml
+++ b/spec/evidence.pml
@@ -1,7 +1,7 @@
 /*
  * Evidence of a holder (design 4.4): when a holder of a ledger range may refuse a claim as not-run.
  *
- * spec/ledger.pml checks with FRESH_REFUSAL that callers hear the truth if no stale holder says not-run. This model
+ * spec/ledger.pml checks with FRESH_REFUSAL that callers are told the truth if no stale holder says not-run. This model
  * checks the rule by which a holder that cannot read the epoch keeps to that. One range, one key, three nodes. Node 0
  * holds the first epoch. Each node may take the range over, leave in an orderly way, or restart without its memory; any
  * process may pause at any step, any message between nodes may be lost, and the store may be down for one node and up for another.
@@ -56,7 +56,7 @@
 bool ran = false;                     /* a call with the key was granted and may have run */
 
 /* What the processes hold in memory; epochs stand for tenures. */
-byte known[NODES];                    /* the highest epoch heard of or tried */
+byte known[NODES];                    /* the highest epoch known of or tried */
 byte settled[NODES];                  /* the last epoch that this process settled */
 byte own[NODES];                      /* the epoch held; 0 for none */
 bool installed[NODES];                /* settled and serving */
@@ -82,8 +82,8 @@
 	before[d] = 0; checkBefore[d] = 0; forgot[d] = 0; checkForgot[d] = 0
 }
 
-/* hear: node m hears that another holds epoch e. It gives up a lower one before it answers. */
-inline hear(m, e) {
+/* learn: node m learns that another holds epoch e. It gives up a lower one before it answers. */
+inline learn(m, e) {
 	if
 	:: known[m] < e -> known[m] = e
 	:: else
@@ -172,7 +172,7 @@
 		fi;
 		if
 		:: (KNOWN_MEMBERS(n) & BIT(m)) && !(asked & BIT(m)) ->
-			hear(m, own[n]);
+			learn(m, own[n]);
 			if
 #ifdef RESTARTED_WITNESS
 			:: known[m] <= own[n] -> asked = asked | BIT(m)
@@ -211,7 +211,7 @@
 		known[n] = want
 #endif
 	}
-	/* The conditional write; it may take effect although the process has restarted or does not hear of it. */
+	/* The conditional write; it may take effect although the process has restarted or does not learn of it. */
 	:: atomic { want != 0 && own[n] == 0 ->
 		if
 		:: epoch == last ->
@@ -230,7 +230,7 @@
 #endif
 		settled[n] = want }
 	:: atomic { want != 0 && want == own[n] && settled[n] < want && lastHolder != n ->
-		hear(lastHolder, want);
+		learn(lastHolder, want);
 		if
 #ifdef UNSETTLED_GIVES_UP
 		:: known[lastHolder] >= last ->
@@ -250,7 +250,7 @@
 #else
 #if defined(HIDDEN) && !defined(LOST_ANNOUNCEMENT)
 		if
-		:: n == 1 -> hear(2, want)
+		:: n == 1 -> learn(2, want)
 		:: else
 		fi;
 #endif
@@ -262,7 +262,7 @@
 	:: atomic { want != 0 && want == own[n] && settled[n] < want && waiting ->
 #ifdef WAIT_FIRST
 		if
-		:: n == 1 -> hear(2, want)
+		:: n == 1 -> learn(2, want)
 		:: else
 		fi;
 #endif
--- a/spec/ledger.pml
+++ b/spec/ledger.pml
@@ -9,7 +9,7 @@
  * in between cannot be told from a message that waits or an answer that is late. The store may be down for one process
  * and up for another.
  *
- * A call that is not granted its claim does not run. What its caller hears of the key depends on what the holder knows:
+ * A call that is not granted its claim does not run. What its caller is told of the key depends on what the holder knows:
  *   not-run   the holder cannot write the claim, and its index has no claim and no outcome of another call
  *   ran       its index has the outcome of another call; the recorded answer comes with it if it can be read
  *   unknown   its index has the claim of another call, or no node that holds the range answered
@@ -21,7 +21,7 @@
  * out, which takes a write. While it cannot reach the store, its index lacks the calls of the later epoch. The shortest
  * trace that Spin finds with STRICT_STALE: holder 0 has epoch 1 and an empty index; holder 1 raises the epoch to 2 and
  * grants a call, which runs; the next call sends its claim to holder 0, whose write gets no answer from the store; holder
- * 0 refuses and the caller hears not-run. FRESH_REFUSAL adds the rule that a stale holder answers unknown instead, and
+ * 0 refuses and the caller is told not-run. FRESH_REFUSAL adds the rule that a stale holder answers unknown instead, and
  * the property holds without the exception.
  *
  * The model reads the epoch for this, which a holder without the store cannot. spec/evidence.pml checks the rule by which
@@ -39,8 +39,8 @@
  *   REFUSE_CLAIMED        a holder without the store refuses as not-run though another call claimed the key
  *   REFUSE_COMPLETED      a holder without the store refuses as not-run though another call completed the key
  *   REFUSE_NOT_HOLDING    a node that does not hold the range, or has not read its rows, refuses as not-run
- *   NOT_RUN_UNANSWERED    a caller hears not-run when no holder answered
- *   RAN_IF_CLAIMED        a caller hears that the work ran when another call has only claimed the key
+ *   NOT_RUN_UNANSWERED    a caller is told not-run when no holder answered
+ *   RAN_IF_CLAIMED        a caller is told that the work ran when another call has only claimed the key
  * RUNS_ONLY leaves out the auxiliary assertions, so that a mutant must lead to a second run or a false answer.
  * ARRIVAL_ORDER and RELEASE_ANY_CALL need -DCALLS=3 for that: a key that ran is released, and the third call runs again.
  * STRICT_STALE drops the exception for stale holders. STRICT_CONCURRENT demands that not-run is not said once any call
@@ -182,7 +182,7 @@
 #endif
 #ifndef RUNS_ONLY
 	;
-	assert(STALE || runs == 0)      /* true when it is made; another call may run before the caller hears it */
+	assert(STALE || runs == 0)      /* true when it is made; another call may run before the caller is told */
 #endif
 }
 
@@ -353,13 +353,13 @@
 	fi
 }
 
-/* The caller hears that this call did not run: with unknown of the key, or as a part of not-run. */
+/* The caller is told that this call did not run: with unknown of the key, or as a part of not-run. */
 inline tellNotStarted() {
 	assert(!didRun[call]);
 	toldNotStarted[call] = true
 }
 
-/* The caller hears not-run; byStale tells that a stale holder refused. */
+/* The caller is told not-run; byStale tells that a stale holder refused. */
 inline tellNotRun(byStale) {
 #ifdef STRICT_STALE
 	assert(!ranBefore);
