node: wait in one place, send to a ledger holder in one place

Cause: waiting for a time or a context stood five times, with and without jitter, and three messages to the holder of a key repeated the choice between this node and another.

Change: package internal/wait with For and Backoff; ledger.toHolder for claims, outcomes and releases.

Conclusion: no change of behaviour.

--- a/node/process/ledger/backlog.go
+++ b/node/process/ledger/backlog.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/api/peerpb"
+	"github.com/radishstand/radishstand/node/internal/wait"
 )
 
 const (
@@ -126,7 +127,7 @@
 			return ErrRejected
 		}
 		hint = nextHint(hint, reply.GetHolderNodeId())
-		sleep(ctx, backoff)
+		_ = wait.Backoff(ctx, backoff)
 	}
 	c.count("undelivered")
 	return ErrPending
--- a/node/process/ledger/client.go
+++ b/node/process/ledger/client.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/radishstand/radishstand/api/peerpb"
+	"github.com/radishstand/radishstand/node/internal/wait"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -150,10 +150,11 @@
 	defer cancel()
 	sent, refused, hint := false, false, ""
 	for backoff := minRetry; ctx.Err() == nil; backoff = min(2*backoff, maxRetry) {
-		reply, err := c.sendClaim(ctx, hint, &peerpb.ClaimRequest{
+		send := toHolder(c, &peerpb.ClaimRequest{
 			Key: claim.Key[:], BodyHash: claim.Body[:], CallId: claim.CallID,
 			TimeoutUs: (claim.Timeout - time.Since(start)).Microseconds(),
-		})
+		}, (*Server).HandleClaim, Peers.Claim)
+		reply, err := send(ctx, hint)
 		if !errors.Is(err, errNoHolder) {
 			sent = true
 		}
@@ -165,7 +166,7 @@
 			break
 		}
 		hint = nextHint(hint, reply.GetHolderNodeId())
-		sleep(ctx, backoff)
+		_ = wait.Backoff(ctx, backoff)
 	}
 	c.count("claims-given-up")
 	if sent {
@@ -221,15 +222,23 @@
 	return member, self, nil
 }
 
-func (c *Client) sendClaim(ctx context.Context, hint string, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
-	member, self, err := c.target(r.GetKey(), hint)
-	switch {
-	case err != nil:
-		return nil, err
-	case self:
-		return c.local.HandleClaim(ctx, r)
+// toHolder returns a function that has a request handled by the holder of its key, which may be this node. The holder is the
+// hint if there is one.
+func toHolder[Request interface{ GetKey() []byte }, Reply any](
+	c *Client, r Request,
+	local func(*Server, context.Context, Request) (Reply, error),
+	remote func(Peers, context.Context, string, Request) (Reply, error),
+) func(ctx context.Context, hint string) (Reply, error) {
+	return func(ctx context.Context, hint string) (reply Reply, err error) {
+		member, self, err := c.target(r.GetKey(), hint)
+		switch {
+		case err != nil:
+			return reply, err
+		case self:
+			return local(c.local, ctx, r)
+		}
+		return remote(c.peers, ctx, member, r)
 	}
-	return c.peers.Claim(ctx, member, r)
 }
 
 // Complete implements Ledger.
@@ -237,16 +246,7 @@
 	r := &peerpb.CompleteRequest{Key: key[:], CallId: callID, Answer: answer}
 	return c.await(ctx, &task{
 		key: key, call: callID, size: len(answer.GetBody()), limit: completeLimit,
-		send: func(ctx context.Context, hint string) (*peerpb.LedgerReply, error) {
-			member, self, err := c.target(r.GetKey(), hint)
-			switch {
-			case err != nil:
-				return nil, err
-			case self:
-				return c.local.HandleComplete(ctx, r)
-			}
-			return c.peers.Complete(ctx, member, r)
-		},
+		send: toHolder(c, r, (*Server).HandleComplete, Peers.Complete),
 	})
 }
 
@@ -267,21 +267,10 @@
 	r := &peerpb.ReleaseRequest{Key: key[:], CallId: callID}
 	return &task{
 		key: key, call: callID, limit: limit,
-		send: func(ctx context.Context, hint string) (*peerpb.LedgerReply, error) {
-			member, self, err := c.target(r.GetKey(), hint)
-			switch {
-			case err != nil:
-				return nil, err
-			case self:
-				return c.local.HandleRelease(ctx, r)
-			}
-			return c.peers.Release(ctx, member, r)
-		},
+		send: toHolder(c, r, (*Server).HandleRelease, Peers.Release),
 	}
 }
 
 func (c *Client) count(name string) {
 	metrics.GetOrRegisterCounter("ledger.client."+name, c.metrics).Inc(1)
 }
-
-func sleep(ctx context.Context, d time.Duration) { sleepFor(ctx, d/2+rand.N(d/2)) }
--- a/node/process/ledger/server.go
+++ b/node/process/ledger/server.go
@@ -77,7 +77,7 @@
 	coolState peerpb.ClaimState
 	coolDown  time.Duration
 	takenAt   time.Time
-	// known is the highest epoch that this node has heard of or tried to take.
+	// known is the highest epoch that this node knows of or tried to take.
 	known int64
 	// settled is the last tenure of this node since whose beginning no earlier holder has evidence.
 	settled int64
--- a/node/process/ledger/takeover.go
+++ b/node/process/ledger/takeover.go
@@ -9,6 +9,7 @@
 
 	"github.com/radishstand/radishstand/api/peerpb"
 	"github.com/radishstand/radishstand/node/connection/platform"
+	"github.com/radishstand/radishstand/node/internal/wait"
 )
 
 // errLostRange means that another node took the range at the same time.
@@ -121,7 +122,7 @@
 	return r, err
 }
 
-// noteEpoch takes note of an epoch before this node tries to take it, so that a holder that asks meanwhile hears of it.
+// noteEpoch takes note of an epoch before this node tries to take it, so that a holder that asks meanwhile learns of it.
 func (s *Server) noteEpoch(index int, epoch int64) {
 	slot := &s.slots[index]
 	slot.mu.Lock()
@@ -160,7 +161,7 @@
 	asking, expire := context.WithCancel(ctx)
 	go func() {
 		s.announce(ctx, index, r)
-		sleepFor(ctx, evidenceBound+evidenceMargin)
+		_ = wait.For(ctx, evidenceBound+evidenceMargin)
 		expire()
 	}()
 	for {
@@ -179,15 +180,6 @@
 	}
 }
 
-func sleepFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (s *Server) lastHolderGaveUp(ctx context.Context, index int, r raised) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/node/request/entry/keyed.go
+++ b/node/request/entry/keyed.go
@@ -8,6 +8,7 @@
 
 	"github.com/radishstand/radishstand/api/contract"
 	"github.com/radishstand/radishstand/api/peerpb"
+	"github.com/radishstand/radishstand/node/internal/wait"
 	"github.com/radishstand/radishstand/node/process/ledger"
 	"github.com/radishstand/radishstand/node/request/attempt"
 )
@@ -31,7 +32,7 @@
 		h.refuse(w, c, run, refusalOf(err))
 		return
 	}
-	// The answer is not held back until it is recorded. A repeat that comes first hears that the call is in progress.
+	// The answer is not held back until it is recorded. A repeat that comes first is told that the call is in progress.
 	_ = h.Ledger.Complete(ended, c.ledgerKey(), c.claimID, recorded(answer))
 	h.answer(w, c, run, answer)
 }
@@ -55,15 +56,15 @@
 		CallID: c.claimID, Timeout: c.deadline.Sub(h.Now()),
 	}
 	patience := c.deadline.Sub(h.Now()) / 2
-	for wait := firstRepeat; ; wait *= 2 {
+	for interval := firstRepeat; ; interval *= 2 {
 		result, err := h.Ledger.Claim(ctx, claim)
 		if err != nil {
 			return result, ledgerRefusal(err)
 		}
-		if result.State != ledger.InProgress || patience < wait || sleep(ctx, wait) != nil {
+		if result.State != ledger.InProgress || patience < interval || wait.For(ctx, interval) != nil {
 			return result, refusalOfClaim(result.State)
 		}
-		patience -= wait
+		patience -= interval
 	}
 }
 
@@ -71,17 +72,6 @@
 // repeats a request early gets the answer of the first one instead of a conflict.
 const firstRepeat = 30 * time.Millisecond
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func refusalOfClaim(state ledger.ClaimState) *refusal {
 	switch state {
 	case ledger.Granted, ledger.Replay:
--- a/node/version/commit/commit.go
+++ b/node/version/commit/commit.go
@@ -12,7 +12,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,6 +19,7 @@
 
 	"github.com/radishstand/radishstand/api/settings"
 	"github.com/radishstand/radishstand/node/connection/platform"
+	"github.com/radishstand/radishstand/node/internal/wait"
 )
 
 // Change is an edit that an operator submits.
@@ -133,7 +133,7 @@
 			}
 			return result, err
 		}
-		if !sleep(ctx, backoff/2+rand.N(backoff/2)) {
+		if wait.Backoff(ctx, backoff) != nil {
 			break
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -147,18 +147,6 @@
 	return Result{}, eris.Wrapf(ErrBusy, "change %s lost %d races", c.ID, maxAttempts)
 }
 
-// sleep reports whether it slept to the end.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func check(c Change) error {
 	if c.ID == "" || len(c.ID) > maxNameBytes || c.Author == "" || len(c.Author) > maxNameBytes {
 		return eris.Wrapf(ErrBadChange, "id of %d and author of %d bytes, allowed 1 to %d", len(c.ID), len(c.Author), maxNameBytes)
