platform: serve the users' platform through a small adapter

Cause: nothing was served on the users' platform.

Change: package sidecar assembles a node for a platform whose store keeps the operators' routing and the nodes' addresses. New: routing by host and longest prefix with exact splits, links between nodes with a framing of their own, HTTP exchanges with the server that never repeat a request, a queue by rank and objective beside each server, the choice among servers, a share of the fleet's retry budget, and the handler of callers' requests. platform/ translates names and formats.

Before: nothing was served.

--- /dev/null
+++ b/node/connection/link/server.go
@@ -0,0 +1,170 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/radishstand/radishstand/api/linkpb"
+)
+
+// Handler answers the calls of other nodes.
+type Handler interface {
+	// Serve runs a call and returns the frame that ends it. The context ends when the caller gives the call up or the link
+	// breaks.
+	Serve(ctx context.Context, call *linkpb.Call) *linkpb.Frame
+	// Hello is called with the introduction of a node that opened a link.
+	Hello(*linkpb.Hello)
+	// State returns the state of this node.
+	State() *linkpb.State
+	// Routing returns the document of the routing version in force, or nil.
+	Routing() []byte
+	// Local returns the number of the routing version in force, or 0.
+	Local() uint64
+	// Remote is called with the version number of another node.
+	Remote(uint64)
+}
+
+// Server takes links of other nodes. It is safe for concurrent use.
+type Server struct {
+	handler Handler
+
+	mu    sync.Mutex
+	links map[*serverLink]struct{}
+}
+
+// NewServer returns a server that passes calls to handler.
+func NewServer(handler Handler) *Server {
+	return &Server{handler: handler, links: map[*serverLink]struct{}{}}
+}
+
+// Serve accepts links until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		l := &serverLink{server: s, wire: newWire(conn), calls: map[uint64]context.CancelFunc{}}
+		s.add(l)
+		go l.run()
+	}
+}
+
+// Broadcast sends the state of this node to all nodes that have a link to it.
+func (s *Server) Broadcast() {
+	state := s.handler.State()
+	for _, l := range s.all() {
+		l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: state}})
+	}
+}
+
+// Close ends all links.
+func (s *Server) Close() {
+	for _, l := range s.all() {
+		l.wire.close()
+	}
+}
+
+func (s *Server) all() []*serverLink {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	links := make([]*serverLink, 0, len(s.links))
+	for l := range s.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+func (s *Server) add(l *serverLink) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links[l] = struct{}{}
+}
+
+func (s *Server) remove(l *serverLink) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.links, l)
+}
+
+// serverLink is a link that another node opened.
+type serverLink struct {
+	server *Server
+	wire   *wire
+
+	mu    sync.Mutex
+	calls map[uint64]context.CancelFunc
+}
+
+func (l *serverLink) run() {
+	defer l.end()
+	for {
+		f, err := l.wire.read()
+		if err != nil {
+			return
+		}
+		l.handle(f)
+	}
+}
+
+func (l *serverLink) end() {
+	l.server.remove(l)
+	l.wire.close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, cancel := range l.calls {
+		cancel()
+	}
+}
+
+func (l *serverLink) handle(f *linkpb.Frame) {
+	if f.Version != 0 {
+		l.server.handler.Remote(f.Version)
+	}
+	switch body := f.Body.(type) {
+	case *linkpb.Frame_Hello:
+		l.server.handler.Hello(body.Hello)
+		l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: l.server.handler.State()}})
+	case *linkpb.Frame_Call:
+		ctx, cancel := context.WithCancel(context.Background())
+		l.start(f.Stream, cancel)
+		go l.serve(ctx, f.Stream, body.Call)
+	case *linkpb.Frame_Cancel:
+		l.cancel(f.Stream)
+	case *linkpb.Frame_Ping:
+		l.send(&linkpb.Frame{Body: &linkpb.Frame_Pong{Pong: &linkpb.Pong{}}})
+	case *linkpb.Frame_RoutingRequest:
+		if document := l.server.handler.Routing(); document != nil {
+			l.send(&linkpb.Frame{Body: &linkpb.Frame_Routing{Routing: &linkpb.Routing{Document: document}}})
+		}
+	}
+}
+
+func (l *serverLink) serve(ctx context.Context, stream uint64, call *linkpb.Call) {
+	f := l.server.handler.Serve(ctx, call)
+	f.Stream = stream
+	l.cancel(stream)
+	l.send(f)
+}
+
+func (l *serverLink) start(stream uint64, cancel context.CancelFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls[stream] = cancel
+}
+
+func (l *serverLink) cancel(stream uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cancel := l.calls[stream]; cancel != nil {
+		cancel()
+		delete(l.calls, stream)
+	}
+}
+
+// send writes a frame. A link that cannot be written to is closed by the wire, and the other node sees it end.
+func (l *serverLink) send(f *linkpb.Frame) {
+	f.Version = l.server.handler.Local()
+	_ = l.wire.write(f)
+}
--- /dev/null
+++ b/node/process/dispatch/dispatch.go
@@ -0,0 +1,370 @@
+// Package dispatch decides which calls run at the backend server beside the node, and when. All calls to the server pass
+// through it, so it knows the calls in progress exactly: a call that it refuses has not run.
+//
+// Calls wait by rank. Among calls of a rank those go first that can still meet their objective, in the order of their
+// objectives: an answer after its objective is worth little to a caller. A call is refused on arrival when it would wait
+// here although another server may have room, and when it cannot be answered in time.
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// fullShare is the share of a server's slots that calls are given. Servers slow down when nearly all slots are taken, so
+	// that the last slots make every call slower and let none through sooner.
+	fullShare = 0.8
+	// referWait is the expected wait from which a call is referred to another server.
+	referWait = 10 * time.Millisecond
+	// referSlowness is the slowness in percent from which a call is referred to another server.
+	referSlowness = 200
+	// slownessAge is the time for which an observed slowness is believed.
+	slownessAge = 100 * time.Millisecond
+	// hopelessShare is the share of the usual service time that must be left until the deadline.
+	hopelessShare = 0.6
+	// lateHold is the share of the time until the deadline for which a call waits that can no longer meet its objective.
+	lateHold = 0.25
+	// lateBacklog is the number of late calls that wait, as a share of the limit.
+	lateBacklog = 0.5
+	// smoothing is the weight of a new service time.
+	smoothing = 0.05
+)
+
+// Reason is why a call was refused.
+type Reason int
+
+// Reasons.
+const (
+	// Busy calls would wait here; another server may have room.
+	Busy Reason = iota + 1
+	// Late calls cannot be answered in time here.
+	Late
+	// NoServer means that the server takes no calls.
+	NoServer
+	// Cancelled calls were given up by the caller.
+	Cancelled
+)
+
+func (r Reason) String() string {
+	return [...]string{"none", "busy", "late", "no-server", "cancelled"}[r]
+}
+
+// Refused is the refusal of a call that has not run.
+type Refused struct {
+	Reason Reason
+	// RetryAfter is the time after which there should be room.
+	RetryAfter time.Duration
+}
+
+func (e *Refused) Error() string { return fmt.Sprintf("refused: %s", e.Reason) }
+
+// Job is a call that asks for a slot.
+type Job struct {
+	Route string
+	// Rank is the priority; 0 is the highest.
+	Rank      int
+	Objective time.Time
+	Deadline  time.Time
+	// Stay keeps the call from being referred to another server.
+	Stay bool
+
+	decide  func(error)
+	arrived time.Time
+	waiting bool
+	started time.Time
+}
+
+// Load describes the server for choosers.
+type Load struct {
+	InProgress  int
+	Queued      int
+	Limit       int
+	Slowness    int
+	ServiceTime time.Duration
+}
+
+// Dispatcher is the queue in front of the server. It is safe for concurrent use.
+type Dispatcher struct {
+	now func() time.Time
+
+	mu         sync.Mutex
+	ready      bool
+	slots      int
+	inProgress int
+	waiting    []*Job
+	routes     map[string]*estimate
+	overall    estimate
+	slowness   int
+	slownessAt time.Time
+	decided    []func()
+}
+
+// New returns a Dispatcher for a server that takes no calls yet.
+func New(now func() time.Time) *Dispatcher {
+	return &Dispatcher{now: now, routes: map[string]*estimate{}, slots: 1, slowness: usualSlowness}
+}
+
+// usualSlowness is the slowness of a host that nobody disturbs, in percent.
+const usualSlowness = 100
+
+// Open lets calls through to a server with the given number of slots.
+func (d *Dispatcher) Open(slots int) {
+	defer d.announce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ready = true
+	d.slots = max(slots, 1)
+	d.dispatch(d.now())
+}
+
+// Shut refuses waiting and new calls. Calls in progress go on.
+func (d *Dispatcher) Shut() {
+	defer d.announce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ready = false
+	for _, j := range d.waiting {
+		d.refuse(j, NoServer, 0)
+	}
+	d.waiting = nil
+}
+
+// Reset forgets the calls in progress and the estimates: another server has taken the place of the one before.
+func (d *Dispatcher) Reset() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.routes = map[string]*estimate{}
+	d.overall = estimate{}
+	d.slowness = usualSlowness
+}
+
+// Submit asks for a slot. The function decide is called once, with nil when the call may run or a *Refused, before
+// Submit returns or later. A call that may run has to be ended with Done.
+func (d *Dispatcher) Submit(j *Job, decide func(error)) {
+	defer d.announce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	j.decide, j.arrived = decide, now
+	if reason, wait := d.unfit(j, now); reason != 0 {
+		d.refuse(j, reason, wait)
+		return
+	}
+	j.waiting = true
+	d.waiting = append(d.waiting, j)
+	d.dispatch(now)
+}
+
+// Cancel refuses a waiting call and reports whether it was waiting.
+func (d *Dispatcher) Cancel(j *Job) bool {
+	defer d.announce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !j.waiting {
+		return false
+	}
+	d.remove(j)
+	d.refuse(j, Cancelled, 0)
+	return true
+}
+
+// Done ends a call that ran. Only answered calls say how long work takes.
+func (d *Dispatcher) Done(j *Job, answered bool) {
+	defer d.announce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	d.inProgress--
+	if answered {
+		took := now.Sub(j.started)
+		d.route(j.Route).add(took)
+		d.overall.add(took)
+	}
+	d.dispatch(now)
+}
+
+// Observe takes the slowness that the server reported, in percent of the usual time of work.
+func (d *Dispatcher) Observe(slowness int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slowness = slowness
+	d.slownessAt = d.now()
+}
+
+// Sweep refuses the waiting calls that should not wait any longer, and reports whether calls still wait.
+func (d *Dispatcher) Sweep() bool {
+	defer d.announce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dispatch(d.now())
+	return len(d.waiting) > 0
+}
+
+// Load returns the load of the server.
+func (d *Dispatcher) Load() Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Load{
+		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.limit(lowRank),
+		Slowness: d.currentSlowness(d.now()), ServiceTime: d.overall.value(),
+	}
+}
+
+// lowRank is a rank that gets no slots beyond the usual ones.
+const lowRank = math.MaxInt
+
+// limit returns the number of calls that may be in progress for a call of a rank to start. Calls of the highest rank are
+// calls that servers make while they hold a slot elsewhere; they may take all slots.
+func (d *Dispatcher) limit(rank int) int {
+	if rank == 0 {
+		return d.slots
+	}
+	return max(int(math.Ceil(float64(d.slots)*fullShare-0.5)), 1)
+}
+
+func (d *Dispatcher) currentSlowness(now time.Time) int {
+	if now.Sub(d.slownessAt) > slownessAge {
+		return usualSlowness
+	}
+	return d.slowness
+}
+
+func (d *Dispatcher) route(name string) *estimate {
+	e := d.routes[name]
+	if e == nil {
+		e = &estimate{}
+		d.routes[name] = e
+	}
+	return e
+}
+
+// unfit returns why a call should not wait here, and when there is room; 0 when it may wait or run.
+func (d *Dispatcher) unfit(j *Job, now time.Time) (Reason, time.Duration) {
+	if !d.ready {
+		return NoServer, 0
+	}
+	service := d.route(j.Route).value()
+	wait := d.expectedWait(j, now)
+	if now.Add(wait + time.Duration(hopelessShare*float64(service))).After(j.Deadline) {
+		return Late, wait
+	}
+	if !j.Stay && (wait > referWait || d.currentSlowness(now) >= referSlowness) {
+		return Busy, wait
+	}
+	if wait > 0 && j.late(now.Add(wait), service) && d.lateWaiting(now) >= int(lateBacklog*float64(d.limit(j.Rank))) {
+		return Late, wait
+	}
+	return 0, 0
+}
+
+// expectedWait returns the time until a slot becomes free for a call.
+func (d *Dispatcher) expectedWait(j *Job, now time.Time) time.Duration {
+	limit := d.limit(j.Rank)
+	ahead := d.inProgress - limit + 1
+	for _, w := range d.waiting {
+		if d.before(w, j, now) {
+			ahead++
+		}
+	}
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) * float64(d.overall.value()) / float64(limit))
+}
+
+// late reports whether a call that starts at a time would be answered after its objective.
+func (j *Job) late(start time.Time, service time.Duration) bool {
+	return start.Add(service).After(j.Objective)
+}
+
+func (d *Dispatcher) lateWaiting(now time.Time) int {
+	n := 0
+	for _, w := range d.waiting {
+		if w.late(now, d.route(w.Route).value()) {
+			n++
+		}
+	}
+	return n
+}
+
+// before reports whether a goes before b.
+func (d *Dispatcher) before(a, b *Job, now time.Time) bool {
+	lateA, lateB := a.late(now, d.route(a.Route).value()), b.late(now, d.route(b.Route).value())
+	if lateA != lateB {
+		return lateB
+	}
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	return a.Objective.Before(b.Objective)
+}
+
+// dispatch refuses the calls that cannot be answered in time and starts others while slots are free.
+func (d *Dispatcher) dispatch(now time.Time) {
+	d.expire(now)
+	for len(d.waiting) > 0 {
+		next := d.waiting[0]
+		for _, w := range d.waiting[1:] {
+			if d.before(w, next, now) {
+				next = w
+			}
+		}
+		if d.inProgress >= d.limit(next.Rank) {
+			return
+		}
+		d.remove(next)
+		d.start(next, now)
+	}
+}
+
+func (d *Dispatcher) expire(now time.Time) {
+	kept := d.waiting[:0]
+	for _, w := range d.waiting {
+		service := d.route(w.Route).value()
+		hopeless := now.Add(time.Duration(hopelessShare * float64(service))).After(w.Deadline)
+		held := w.late(now, service) && float64(now.Sub(w.arrived)) > lateHold*float64(w.Deadline.Sub(w.arrived))
+		if hopeless || held {
+			w.waiting = false
+			d.refuse(w, Late, d.expectedWait(w, now))
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(d.waiting[len(kept):])
+	d.waiting = kept
+}
+
+func (d *Dispatcher) remove(j *Job) {
+	for i, w := range d.waiting {
+		if w == j {
+			d.waiting = append(d.waiting[:i], d.waiting[i+1:]...)
+			break
+		}
+	}
+	j.waiting = false
+}
+
+func (d *Dispatcher) start(j *Job, now time.Time) {
+	j.started = now
+	d.inProgress++
+	d.decided = append(d.decided, func() { j.decide(nil) })
+}
+
+func (d *Dispatcher) refuse(j *Job, reason Reason, wait time.Duration) {
+	j.waiting = false
+	d.decided = append(d.decided, func() { j.decide(&Refused{Reason: reason, RetryAfter: wait}) })
+}
+
+// announce calls the decide functions without the lock.
+func (d *Dispatcher) announce() {
+	d.mu.Lock()
+	decided := d.decided
+	d.decided = nil
+	d.mu.Unlock()
+	for _, call := range decided {
+		call()
+	}
+}
--- /dev/null
+++ b/node/process/peers/peers.go
@@ -0,0 +1,214 @@
+// Package peers keeps a link to every other node that this node has heard of and what their backend servers report.
+//
+// The store holds the nodes' addresses only. Whether a node lives and whether its server takes calls is known from the
+// link: the other node tells a change of its server's state at once, and a link that ends takes the server out.
+package peers
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/connection/link"
+	"github.com/radishstand/radishstand/node/process/choice"
+)
+
+// betweenPlaces is the time between two places, there and back, that the choice assumes.
+const betweenPlaces = 3 * time.Millisecond
+
+// ErrNoServer means that no server of the service takes calls.
+var ErrNoServer = errors.New("no server available")
+
+// Log takes log lines with alternating keys and values.
+type Log interface {
+	Info(message any, keyvals ...any)
+	Warn(message any, keyvals ...any)
+}
+
+// Config configures a Set.
+type Config struct {
+	// Hello introduces this node to others.
+	Hello *linkpb.Hello
+	// Serve runs a call at the server beside this node.
+	Serve func(ctx context.Context, call *linkpb.Call) *linkpb.Frame
+	// LocalVersion returns the number of the routing version in force.
+	LocalVersion func() uint64
+	// Routing takes the document of a routing version of another node.
+	Routing func(document []byte)
+	Log     Log
+}
+
+// Set is the nodes that this node knows. It is safe for concurrent use.
+type Set struct {
+	config Config
+	ctx    context.Context
+	local  *Server
+	asking atomic.Bool
+
+	mu    sync.RWMutex
+	peers map[string]*peer
+}
+
+type peer struct {
+	server *Server
+	cancel context.CancelFunc
+}
+
+// New returns a Set that keeps links until ctx ends.
+func New(ctx context.Context, c Config) *Set {
+	return &Set{config: c, ctx: ctx, local: &Server{}, peers: map[string]*peer{}}
+}
+
+// SetLocal takes the state of the server beside this node.
+func (p *Set) SetLocal(state *linkpb.State) { p.local.setState(state, time.Now()) }
+
+// Learn adds a node and begins to link to it.
+func (p *Set) Learn(address string) {
+	if address == p.config.Hello.Address || address == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers[address] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(p.ctx)
+	s := &Server{address: address}
+	p.peers[address] = &peer{server: s, cancel: cancel}
+	go p.keepLinked(ctx, s)
+}
+
+// Retain forgets the nodes that are neither listed nor linked.
+func (p *Set) Retain(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, known := range p.peers {
+		if !slices.Contains(addresses, address) && !known.server.linked() {
+			known.cancel()
+			delete(p.peers, address)
+		}
+	}
+}
+
+func (s *Server) linked() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client != nil
+}
+
+// noteState logs a change of another node's server.
+func (p *Set) noteState(address string, state *linkpb.State) {
+	p.config.Log.Info("peer state", "peer", address, "service", state.Service, "server", state.ServerId, "ready", state.Ready)
+}
+
+// Linked returns the number of known nodes and of those that are linked.
+func (p *Set) Linked() (known, linked int) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, peer := range p.peers {
+		if peer.server.linked() {
+			linked++
+		}
+	}
+	return len(p.peers), linked
+}
+
+// servers returns the servers that take calls for a service.
+func (p *Set) servers(service string) []*Server {
+	now := time.Now()
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var usable []*Server
+	if p.local.usable(service, now) {
+		usable = append(usable, p.local)
+	}
+	for _, known := range p.peers {
+		if known.server.usable(service, now) {
+			usable = append(usable, known.server)
+		}
+	}
+	return usable
+}
+
+// Available reports whether a server takes calls for a service.
+func (p *Set) Available(service string) bool { return len(p.servers(service)) > 0 }
+
+// Pick chooses a server of a service. Servers in exclude are left out; those in refused come last. The
+// second result is the number of other servers that have not refused the call.
+func (p *Set) Pick(service string, call choice.Call, exclude, refused []*Server) (server *Server, others int, err error) {
+	now := time.Now()
+	servers := slices.DeleteFunc(p.servers(service), func(s *Server) bool { return slices.Contains(exclude, s) })
+	if len(servers) == 0 {
+		return nil, 0, ErrNoServer
+	}
+	candidates := make([]choice.Candidate, 0, len(servers))
+	usable := servers[:0]
+	for _, s := range servers {
+		c, ok := s.candidate(service, p.config.Hello.Place, now)
+		if !ok {
+			continue // its state has changed meanwhile
+		}
+		if c.Refused = slices.Contains(refused, s); !c.Refused {
+			others++
+		}
+		usable = append(usable, s)
+		candidates = append(candidates, c)
+	}
+	if len(usable) == 0 {
+		return nil, 0, ErrNoServer
+	}
+	picked := choice.Pick(candidates, call)
+	if !candidates[picked].Refused {
+		others--
+	}
+	return usable[picked], others, nil
+}
+
+// Send has a server run a call and returns the frame that ends it. The error is a *link.NotSentError when the call did not
+// leave this node.
+func (s *Server) Send(ctx context.Context, p *Set, call *linkpb.Call) (*linkpb.Frame, error) {
+	client, id := s.begin()
+	call.ServerId = id
+	f, err := p.carry(ctx, s, client, call)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	s.observe(f.GetAnswer().GetLoad(), now)
+	s.observe(f.GetRefusal().GetLoad(), now)
+	if f.GetRefusal().GetReason() == linkpb.Refusal_REASON_NO_SERVER {
+		s.stopped(id)
+	}
+	return f, nil
+}
+
+func (p *Set) carry(ctx context.Context, s *Server, client *link.Client, call *linkpb.Call) (*linkpb.Frame, error) {
+	if s.address == "" {
+		return p.config.Serve(ctx, call), nil
+	}
+	if client == nil {
+		return nil, &link.NotSentError{Cause: link.ErrClosed}
+	}
+	return client.Do(ctx, call)
+}
+
+// stopped leaves the server out until its node has told whether it takes calls.
+func (s *Server) stopped(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state.GetServerId() == id && s.address != "" {
+		s.heldUntil = time.Now().Add(holdStopped)
+	}
+}
+
+// Address returns the address of the server's node, or "local".
+func (s *Server) Address() string {
+	if s.address == "" {
+		return "local"
+	}
+	return s.address
+}
--- /dev/null
+++ b/node/process/sidecar/loops.go
@@ -0,0 +1,142 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/radishstand/radishstand/node/process/localserver"
+)
+
+const (
+	// awaitRouting is the longest time that the store holds a question for a change.
+	awaitRouting = 20 * time.Second
+	// routingPause is the time between two questions for changes, so that a series of changes costs few calls.
+	routingPause = 250 * time.Millisecond
+	// minStoreRetry and maxStoreRetry bound the pause after a failed call to the store.
+	minStoreRetry = 100 * time.Millisecond
+	maxStoreRetry = 500 * time.Millisecond
+	// membersEvery is the time between two readings of the nodes' addresses. Nodes that join introduce themselves; this
+	// finds those whose introduction was lost.
+	membersEvery = 15 * time.Second
+	// probeEvery is the time between two health checks of a server that is not known or not reachable.
+	probeEvery = 250 * time.Millisecond
+)
+
+// watchRouting keeps the newest routing version in force.
+func (n *Node) watchRouting(ctx context.Context) {
+	var revision uint64
+	retry := newRetry()
+	for ctx.Err() == nil {
+		document, next, err := n.nextRouting(ctx, revision)
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			n.log.Info("routing history gone", "revision", revision)
+			revision = 0
+			continue
+		case err != nil:
+			n.dependency(ctx, "routing", err)
+			retry.pause(ctx)
+			continue
+		}
+		n.regained("routing")
+		retry = newRetry()
+		revision = next
+		if document != nil {
+			n.offer(document)
+			sleep(ctx, routingPause)
+		} else if n.routing.Current() == nil {
+			sleep(ctx, minStoreRetry)
+		}
+	}
+}
+
+func (n *Node) nextRouting(ctx context.Context, revision uint64) ([]byte, uint64, error) {
+	if revision == 0 {
+		return n.store.Routing(ctx)
+	}
+	return n.store.AwaitRouting(ctx, revision, awaitRouting)
+}
+
+// dependency logs a failed call to the store, the first one of a series only.
+func (n *Node) dependency(ctx context.Context, what string, err error) {
+	if ctx.Err() == nil {
+		if _, failing := n.failing.LoadOrStore(what, true); !failing {
+			n.log.Warn("store lost", "call", what, "error", err)
+		}
+	}
+}
+
+func (n *Node) regained(what string) {
+	if _, failing := n.failing.LoadAndDelete(what); failing {
+		n.log.Info("store regained", "call", what)
+	}
+}
+
+// keepMember keeps this node's entry in the store and learns those of others.
+func (n *Node) keepMember(ctx context.Context) {
+	retry := newRetry()
+	for ctx.Err() == nil {
+		if err := n.syncMembers(ctx); err != nil {
+			n.dependency(ctx, "members", err)
+			retry.pause(ctx)
+			continue
+		}
+		n.regained("members")
+		retry = newRetry()
+		sleep(ctx, membersEvery/2+rand.N(membersEvery))
+	}
+}
+
+func (n *Node) syncMembers(ctx context.Context) error {
+	members, err := n.store.Members(ctx)
+	if err != nil {
+		return err
+	}
+	addresses := make([]string, 0, len(members))
+	for address := range members {
+		addresses = append(addresses, address)
+		n.peers.Learn(address)
+	}
+	n.peers.Retain(addresses)
+	c := n.config.Load()
+	self := Member{Address: c.Listen.Peers, Name: c.Name, Place: c.Place}
+	if members[self.Address] == self || n.stopping.Load() {
+		return nil
+	}
+	return n.store.PutMember(ctx, self)
+}
+
+// findServer looks for the backend server while no announcement says what runs at its address.
+func (n *Node) findServer(ctx context.Context) {
+	for ctx.Err() == nil {
+		v := n.routing.Current()
+		c := n.config.Load()
+		if v != nil && n.server.Missing() && c.ServerAddress != "" {
+			if err := n.server.Probe(ctx, c.Service, v.Services[c.Service].HealthPath); errors.Is(err, localserver.ErrInvalid) {
+				n.log.Warn("health check refused", "error", err)
+			}
+		}
+		sleep(ctx, probeEvery)
+	}
+}
+
+// retry is the growing pause after failed calls.
+type retry struct{ next time.Duration }
+
+func newRetry() *retry { return &retry{next: minStoreRetry} }
+
+func (r *retry) pause(ctx context.Context) {
+	sleep(ctx, r.next/2+rand.N(r.next))
+	r.next = min(2*r.next, maxStoreRetry)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/node/version/routing/split.go
@@ -0,0 +1,66 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+)
+
+// maxStart bounds the random number of turns after which a split begins.
+const maxStart = 100
+
+// Part is a service with its weight in a split.
+type Part struct {
+	Service string
+	Weight  int
+}
+
+// Split distributes calls over services in proportion to their weights. It is a smooth weighted round robin: any run of
+// calls keeps to the weights, whether or not a service has room.
+type Split struct {
+	parts []Part
+
+	mu      *sync.Mutex
+	credits []int
+	total   int
+}
+
+// NewSplit returns a split. The weights must not be negative and at least one must be positive.
+func NewSplit(parts ...Part) (Split, error) {
+	s := Split{parts: parts, mu: &sync.Mutex{}, credits: make([]int, len(parts))}
+	for _, p := range parts {
+		if p.Weight < 0 {
+			return Split{}, fmt.Errorf("service %q: weight %d is negative", p.Service, p.Weight)
+		}
+		s.total += p.Weight
+	}
+	if s.total == 0 {
+		return Split{}, fmt.Errorf("no service with a positive weight")
+	}
+	// Nodes that all began at the same point would together send the first calls to the heaviest part.
+	for range rand.IntN(min(s.total, maxStart)) {
+		s.Next()
+	}
+	return s, nil
+}
+
+// Parts returns the services and their weights.
+func (s *Split) Parts() []Part { return s.parts }
+
+// Next returns the service of the next call.
+func (s *Split) Next() string {
+	if len(s.parts) == 1 {
+		return s.parts[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := 0
+	for i, p := range s.parts {
+		s.credits[i] += p.Weight
+		if s.credits[i] > s.credits[best] {
+			best = i
+		}
+	}
+	s.credits[best] -= s.total
+	return s.parts[best].Service
+}
