--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -77,19 +77,30 @@
 // keepMember keeps this node's entry in the store and learns those of others.
 func (n *Node) keepMember(ctx context.Context) {
 	retry := newRetry()
+	registered := false
 	for ctx.Err() == nil {
-		if err := n.syncMembers(ctx); err != nil {
+		if err := n.syncMembers(ctx, registered); err != nil {
 			n.dependency(ctx, "members", err)
 			retry.pause(ctx)
 			continue
 		}
 		n.regained("members")
+		registered = true
 		retry = newRetry()
 		sleep(ctx, membersEvery/2+rand.N(membersEvery))
 	}
 }
 
-func (n *Node) syncMembers(ctx context.Context) error {
+// syncMembers learns the other nodes and makes sure that they can learn this one. The first time the entry is written before
+// the others are read: of two nodes that start together, at least one then sees the other.
+func (n *Node) syncMembers(ctx context.Context, registered bool) error {
+	c := n.config.Load()
+	self := Member{Address: c.Listen.Peers, Name: c.Name, Place: c.Place}
+	if !registered {
+		if err := n.store.PutMember(ctx, self); err != nil {
+			return err
+		}
+	}
 	members, err := n.store.Members(ctx)
 	if err != nil {
 		return err
@@ -100,8 +111,6 @@
 		n.peers.Learn(address)
 	}
 	n.peers.Retain(addresses)
-	c := n.config.Load()
-	self := Member{Address: c.Listen.Peers, Name: c.Name, Place: c.Place}
 	if members[self.Address] == self || n.stopping.Load() {
 		return nil
 	}
