dispatch: use all slots of a server; choice: stay in the place while the objective can be met; front: refuse late requests of a stopping node

Cause: (1) Only 0.8 of a server's slots were used, to stay below the load at which servers slow down. Calls hold a slot also while they wait for calls of their own, so that the missing slots cost more than the slowdown.

Change: the limit is the number of slots; a call leaves its place only when it would miss its objective there and another place is clearly faster; requests that come 2.5 s after the signal to stop are refused with 503 and the connection closed.

--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -13,7 +13,7 @@
 
 const (
 	// nearShare is the share of the time left to the objective within which a server of the same place has to answer.
-	nearShare = 0.6
+	nearShare = 1.0
 	// slowSpell is the usual time for which a neighbour on a host slows work down, and the time in which a report of it ages.
 	slowSpell = 150 * time.Millisecond
 	// failureWeight is the share of the objective by which a server that always fails is put behind one that never does.
--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -8,15 +8,11 @@
 
 import (
 	"fmt"
-	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// fullShare is the share of a server's slots that calls are given. Servers slow down when nearly all slots are taken, so
-	// that the last slots make every call slower and let none through sooner.
-	fullShare = 0.8
 	// referWait is the expected wait from which a call is referred to another server.
 	referWait = 10 * time.Millisecond
 	// referSlowness is the slowness in percent from which a call is referred to another server.
@@ -27,7 +23,7 @@
 	hopelessShare = 0.6
 	// lateHold is the share of the time until the deadline for which a call waits that can no longer meet its objective.
 	lateHold = 0.25
-	// lateBacklog is the number of late calls that wait, as a share of the limit.
+	// lateBacklog is the number of late calls that wait, as a share of the slots.
 	lateBacklog = 0.5
 	// smoothing is the weight of a new service time.
 	smoothing = 0.05
@@ -208,23 +204,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return Load{
-		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.limit(lowRank),
+		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.slots,
 		Slowness: d.currentSlowness(d.now()), ServiceTime: d.overall.value(),
 	}
 }
 
-// lowRank is a rank that gets no slots beyond the usual ones.
-const lowRank = math.MaxInt
-
-// limit returns the number of calls that may be in progress for a call of a rank to start. Calls of the highest rank are
-// calls that servers make while they hold a slot elsewhere; they may take all slots.
-func (d *Dispatcher) limit(rank int) int {
-	if rank == 0 {
-		return d.slots
-	}
-	return max(int(math.Ceil(float64(d.slots)*fullShare-0.5)), 1)
-}
-
 func (d *Dispatcher) currentSlowness(now time.Time) int {
 	if now.Sub(d.slownessAt) > slownessAge {
 		return usualSlowness
@@ -254,7 +238,7 @@
 	if !j.Stay && (wait > referWait || d.currentSlowness(now) >= referSlowness) {
 		return Busy, wait
 	}
-	if wait > 0 && j.late(now.Add(wait), service) && d.lateWaiting(now) >= int(lateBacklog*float64(d.limit(j.Rank))) {
+	if wait > 0 && j.late(now.Add(wait), service) && d.lateWaiting(now) >= int(lateBacklog*float64(d.slots)) {
 		return Late, wait
 	}
 	return 0, 0
@@ -262,8 +246,7 @@
 
 // expectedWait returns the time until a slot becomes free for a call.
 func (d *Dispatcher) expectedWait(j *Job, now time.Time) time.Duration {
-	limit := d.limit(j.Rank)
-	ahead := d.inProgress - limit + 1
+	ahead := d.inProgress - d.slots + 1
 	for _, w := range d.waiting {
 		if d.before(w, j, now) {
 			ahead++
@@ -272,7 +255,7 @@
 	if ahead <= 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) * float64(d.overall.value()) / float64(limit))
+	return time.Duration(float64(ahead) * float64(d.overall.value()) / float64(d.slots))
 }
 
 // late reports whether a call that starts at a time would be answered after its objective.
@@ -312,7 +295,7 @@
 				next = w
 			}
 		}
-		if d.inProgress >= d.limit(next.Rank) {
+		if d.inProgress >= d.slots {
 			return
 		}
 		d.remove(next)
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -20,8 +20,15 @@
 	"github.com/radishstand/radishstand/node/version/routing"
 )
 
-// startRetryAfter is told to callers while the node has no routing yet.
-const startRetryAfter = 300 * time.Millisecond
+const (
+	// startRetryAfter is told to callers while the node has no routing yet.
+	startRetryAfter = 300 * time.Millisecond
+	// refuseAfter is the time after the signal to stop from which new requests are refused. Callers that have seen the
+	// readiness check fail are gone by then, and a request that came later might not end before the process does.
+	refuseAfter = 2500 * time.Millisecond
+	// stopRetryAfter is told to callers of a node that stops. They come back on a new connection, to another node.
+	stopRetryAfter = 20 * time.Millisecond
+)
 
 // Log takes log lines with alternating keys and values.
 type Log interface {
@@ -52,7 +59,8 @@
 	times      *routeTimes
 	inProgress atomic.Int64
 	lastAt     atomic.Int64
-	stopping   atomic.Bool
+	// stoppedAt is the Unix time of the signal to stop in nanoseconds; 0 before it.
+	stoppedAt atomic.Int64
 }
 
 // New returns a Front.
@@ -64,7 +72,7 @@
 }
 
 // Stop has callers told to leave their connections.
-func (f *Front) Stop() { f.stopping.Store(true) }
+func (f *Front) Stop() { f.stoppedAt.Store(time.Now().UnixNano()) }
 
 // ServeHTTP answers one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -72,7 +80,7 @@
 	defer f.inProgress.Add(-1)
 	now := time.Now()
 	f.lastAt.Store(now.UnixNano())
-	if f.stopping.Load() {
+	if f.stoppedAt.Load() != 0 {
 		w.Header().Set("Connection", "close")
 	}
 	c, problem := f.accept(w, r, now)
@@ -101,6 +109,9 @@
 
 // accept reads a request and matches its route.
 func (f *Front) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*call, *problem) {
+	if stopped := f.stoppedAt.Load(); stopped != 0 && now.Sub(time.Unix(0, stopped)) > refuseAfter {
+		return nil, &problem{status: http.StatusServiceUnavailable, cause: "stopping", retryAfter: stopRetryAfter}
+	}
 	version := f.config.Routing.Current()
 	if version == nil {
 		return nil, &problem{status: http.StatusServiceUnavailable, cause: "no routing", retryAfter: startRetryAfter}
