choice: keep calls with large answers in their place

The referral of a busy or slow server sent them away at a delay of 10 ms.

Change: the delay from which on a call is referred to another place grows with the usual size of a call on its route; the entry node says from which delay on it wants to be told.

--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -14,6 +14,8 @@
 const (
 	// nearShare is the share of the time left to the objective within which a server of the same place has to answer.
 	nearShare = 1.0
+	// bytesPerMillisecond is the number of bytes between places that weigh as much as a delay of a millisecond.
+	bytesPerMillisecond = 100.0
 	// slowSpell is the usual time for which a neighbour on a host slows work down, and the time in which a report of it ages.
 	slowSpell = 150 * time.Millisecond
 	// failureWeight is the share of the objective by which a server that always fails is put behind one that never does.
@@ -61,6 +63,14 @@
 	ObjectiveLeft time.Duration
 	// RouteTime is the usual time of a call on the route; 0 when unknown.
 	RouteTime time.Duration
+	// RouteBytes is the usual size of a call on the route and its answer.
+	RouteBytes int
+}
+
+// Distance returns the time that a call is worth keeping in its place: large calls leave it less readily, since bytes between
+// places are dear.
+func (c Call) Distance() time.Duration {
+	return time.Duration(float64(c.RouteBytes) / bytesPerMillisecond * float64(time.Millisecond))
 }
 
 // Pick returns the index of the candidate to use, or -1 without candidates.
--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -13,10 +13,8 @@
 )
 
 const (
-	// referWait is the expected wait from which a call is referred to another server.
-	referWait = 10 * time.Millisecond
-	// referSlowness is the slowness in percent from which a call is referred to another server.
-	referSlowness = 200
+	// slowSpell is the usual time for which a neighbour on the host slows work down.
+	slowSpell = 150 * time.Millisecond
 	// slownessAge is the time for which an observed slowness is believed.
 	slownessAge = 100 * time.Millisecond
 	// hopelessShare is the share of the usual service time that must be left until the deadline.
@@ -66,6 +64,8 @@
 	Deadline  time.Time
 	// Stay keeps the call from being referred to another server.
 	Stay bool
+	// ReferFrom is the expected delay from which on the call is referred to another server.
+	ReferFrom time.Duration
 
 	decide  func(error)
 	arrived time.Time
@@ -216,6 +216,15 @@
 	return d.slowness
 }
 
+// slowDelay returns the time that a call is expected to lose while the host is slow.
+func (d *Dispatcher) slowDelay(now time.Time) time.Duration {
+	slowness := d.currentSlowness(now)
+	if slowness <= usualSlowness {
+		return 0
+	}
+	return time.Duration((1 - float64(usualSlowness)/float64(slowness)) * float64(slowSpell))
+}
+
 func (d *Dispatcher) route(name string) *estimate {
 	e := d.routes[name]
 	if e == nil {
@@ -235,7 +244,7 @@
 	if now.Add(wait + time.Duration(hopelessShare*float64(service))).After(j.Deadline) {
 		return Late, wait
 	}
-	if !j.Stay && (wait > referWait || d.currentSlowness(now) >= referSlowness) {
+	if !j.Stay && wait+d.slowDelay(now) > j.ReferFrom {
 		return Busy, wait
 	}
 	if wait > 0 && j.late(now.Add(wait), service) && d.lateWaiting(now) >= int(lateBacklog*float64(d.slots)) {
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -137,14 +137,18 @@
 // Available reports whether a server takes calls for a service.
 func (p *Set) Available(service string) bool { return len(p.servers(service)) > 0 }
 
-// Pick chooses a server of a service. Servers in exclude are left out; those in refused come last. The
-// second result is the number of other servers that have not refused the call.
-func (p *Set) Pick(service string, call choice.Call, exclude, refused []*Server) (server *Server, others int, err error) {
+// Picked is a server to try.
+type Picked struct {
+	Server *Server
+	// NearOthers and Others are the numbers of other servers that have not refused the call, in this place and in all.
+	NearOthers int
+	Others     int
+}
+
+// Pick chooses a server of a service. Servers in exclude are left out; those in refused come last.
+func (p *Set) Pick(service string, call choice.Call, exclude, refused []*Server) (Picked, error) {
 	now := time.Now()
 	servers := slices.DeleteFunc(p.servers(service), func(s *Server) bool { return slices.Contains(exclude, s) })
-	if len(servers) == 0 {
-		return nil, 0, ErrNoServer
-	}
 	candidates := make([]choice.Candidate, 0, len(servers))
 	usable := servers[:0]
 	for _, s := range servers {
@@ -152,20 +156,25 @@
 		if !ok {
 			continue // its state has changed meanwhile
 		}
-		if c.Refused = slices.Contains(refused, s); !c.Refused {
-			others++
-		}
+		c.Refused = slices.Contains(refused, s)
 		usable = append(usable, s)
 		candidates = append(candidates, c)
 	}
 	if len(usable) == 0 {
-		return nil, 0, ErrNoServer
+		return Picked{}, ErrNoServer
 	}
-	picked := choice.Pick(candidates, call)
-	if !candidates[picked].Refused {
-		others--
+	i := choice.Pick(candidates, call)
+	picked := Picked{Server: usable[i]}
+	for j, c := range candidates {
+		if j == i || c.Refused {
+			continue
+		}
+		picked.Others++
+		if c.Near {
+			picked.NearOthers++
+		}
 	}
-	return usable[picked], others, nil
+	return picked, nil
 }
 
 // Send has a server run a call and returns the frame that ends it. The error is a *link.NotSentError when the call did not
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/link"
 	"github.com/radishstand/radishstand/node/connection/protocol"
@@ -20,6 +22,8 @@
 const (
 	// maxReferrals is the number of busy servers after which a call waits at the next one.
 	maxReferrals = 3
+	// referFrom is the expected delay at a server from which on a call is better tried elsewhere in its place.
+	referFrom = 10 * time.Millisecond
 	// minRetryAfter is the least time after which a refused caller is asked back.
 	minRetryAfter = 40 * time.Millisecond
 	// retrySpread varies the time after which refused callers come back, so that they do not come back together.
@@ -77,14 +81,14 @@
 func (c *call) run(ctx context.Context) *result {
 	c.front.config.Budget.Earn(c.service)
 	for {
-		server, others, err := c.pick()
+		picked, err := c.pick()
 		if err != nil {
 			return c.refusal("no server", minRetryAfter)
 		}
 		if c.arrivals > 0 && !c.front.config.Budget.Spend(c.service) {
 			return c.refusal("retry budget spent", minRetryAfter)
 		}
-		if r := c.attempt(ctx, server, others); r != nil {
+		if r := c.attempt(ctx, picked); r != nil {
 			return r
 		}
 		if ctx.Err() != nil {
@@ -93,16 +97,30 @@
 	}
 }
 
-func (c *call) pick() (*peers.Server, int, error) {
-	return c.front.config.Peers.Pick(c.service, choice.Call{
-		ObjectiveLeft: time.Until(c.objective), RouteTime: c.front.times.get(c.route.Name),
-	}, c.excluded, c.refused)
+func (c *call) pick() (peers.Picked, error) {
+	return c.front.config.Peers.Pick(c.service, c.choice(), c.excluded, c.refused)
+}
+
+// choice describes the call to the choice of a server.
+func (c *call) choice() choice.Call {
+	usual := c.front.usual.get(c.route.Name)
+	return choice.Call{ObjectiveLeft: time.Until(c.objective), RouteTime: usual.time, RouteBytes: usual.bytes}
+}
+
+// referFrom returns the expected delay from which on a server should refer the call to another one.
+func (c *call) referFrom(p peers.Picked) time.Duration {
+	if p.NearOthers > 0 {
+		return referFrom
+	}
+	return referFrom + c.choice().Distance()
 }
 
 // attempt sends the call to a server. It returns nil when another server is to be tried.
-func (c *call) attempt(ctx context.Context, server *peers.Server, others int) *result {
+func (c *call) attempt(ctx context.Context, picked peers.Picked) *result {
 	now := time.Now()
-	c.message.Stay = others == 0 || len(c.refused) >= maxReferrals
+	server := picked.Server
+	c.message.Stay = picked.Others == 0 || len(c.refused) >= maxReferrals
+	c.message.ReferMs = uint32(c.referFrom(picked).Milliseconds())
 	c.message.LeftMs = uint32(max(c.deadline.Sub(now).Milliseconds(), 1))
 	c.message.ObjectiveMs = uint32(max(c.objective.Sub(now).Milliseconds(), 0))
 	f, err := server.Send(ctx, c.front.config.Peers, c.message)
@@ -138,14 +156,14 @@
 	failed := answer.Status >= http.StatusInternalServerError
 	server.Result(failed, time.Now())
 	if !failed {
-		c.front.times.add(c.route.Name, took)
+		c.front.usual.add(c.route.Name, took, proto.Size(c.message)+proto.Size(answer))
 	}
 	final := &result{status: int(answer.Status), answer: answer, server: server}
 	if !failed || !c.mayRepeat() {
 		return final
 	}
 	c.excluded = append(c.excluded, server)
-	if _, _, err := c.pick(); err != nil {
+	if _, err := c.pick(); err != nil {
 		return final
 	}
 	c.log("attempt failed", server, "status", answer.Status)
@@ -218,7 +236,7 @@
 // mayRepeat reports whether a call that may have run may be sent again.
 func (c *call) mayRepeat() bool {
 	left := time.Until(c.deadline)
-	usual := float64(c.front.times.get(c.route.Name))
+	usual := float64(c.front.usual.get(c.route.Name).time)
 	return c.route.Idempotent && c.arrivals < c.route.MaxAttempts && float64(left) > repeatShare*usual
 }
 
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -56,7 +56,7 @@
 // Front is the handler of callers' requests. It is safe for concurrent use.
 type Front struct {
 	config     Config
-	times      *routeTimes
+	usual      *usualRoutes
 	inProgress atomic.Int64
 	lastAt     atomic.Int64
 	// stoppedAt is the Unix time of the signal to stop in nanoseconds; 0 before it.
@@ -64,7 +64,7 @@
 }
 
 // New returns a Front.
-func New(c Config) *Front { return &Front{config: c, times: newRouteTimes()} }
+func New(c Config) *Front { return &Front{config: c, usual: newUsualRoutes()} }
 
 // InProgress returns the number of requests without an answer, and the time of the last arrival.
 func (f *Front) InProgress() (requests int64, lastArrival time.Time) {
