dispatch: start calls only while the host is not slow

Cause: a call takes as long as its host is slow at the moment at which it starts.

Change: before a call starts, the slowness must be known from an answer or a probe of the last 10 ms. Calls wait up to 300 ms for the end of a slow spell, or are referred.

--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -15,8 +15,16 @@
 const (
 	// slowSpell is the usual time for which a neighbour on the host slows work down.
 	slowSpell = 150 * time.Millisecond
-	// slownessAge is the time for which an observed slowness is believed.
+	// slownessAge is the time for which an observed slowness counts in estimates.
 	slownessAge = 100 * time.Millisecond
+	// freshFor is the age up to which an observed slowness decides whether a call starts. It changes every 150 ms or so.
+	freshFor = 10 * time.Millisecond
+	// slowFrom is the slowness in percent from which calls are not started.
+	slowFrom = 200
+	// holdSlow is the longest time for which a call waits for the end of a slow spell.
+	holdSlow = 300 * time.Millisecond
+	// blindFor is the time after a failed probe in which calls start without asking.
+	blindFor = 500 * time.Millisecond
 	// hopelessShare is the share of the usual service time that must be left until the deadline.
 	hopelessShare = 0.6
 	// lateHold is the share of the time until the deadline for which a call waits that can no longer meet its objective.
@@ -84,7 +92,8 @@
 
 // Dispatcher is the queue in front of the server. It is safe for concurrent use.
 type Dispatcher struct {
-	now func() time.Time
+	now   func() time.Time
+	probe func()
 
 	mu         sync.Mutex
 	ready      bool
@@ -95,12 +104,15 @@
 	overall    estimate
 	slowness   int
 	slownessAt time.Time
+	probing    bool
+	blindUntil time.Time
 	decided    []func()
 }
 
-// New returns a Dispatcher for a server that takes no calls yet.
-func New(now func() time.Time) *Dispatcher {
-	return &Dispatcher{now: now, routes: map[string]*estimate{}, slots: 1, slowness: usualSlowness}
+// New returns a Dispatcher for a server that takes no calls yet. The function probe asks the server for its slowness without
+// blocking; its end is told with Observe or ProbeFailed. Nil means that the server cannot be asked.
+func New(now func() time.Time, probe func()) *Dispatcher {
+	return &Dispatcher{now: now, probe: probe, routes: map[string]*estimate{}, slots: 1, slowness: usualSlowness}
 }
 
 // usualSlowness is the slowness of a host that nobody disturbs, in percent.
@@ -182,12 +194,29 @@
 	d.dispatch(now)
 }
 
-// Observe takes the slowness that the server reported, in percent of the usual time of work.
-func (d *Dispatcher) Observe(slowness int) {
+// Observe takes the slowness that the server reported, in percent of the usual time of work; probed is set when the report
+// answers a probe.
+func (d *Dispatcher) Observe(slowness int, probed bool) {
+	defer d.announce()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.slowness = slowness
-	d.slownessAt = d.now()
+	now := d.now()
+	d.slowness, d.slownessAt = slowness, now
+	if probed {
+		d.probing = false
+	}
+	d.dispatch(now)
+}
+
+// ProbeFailed is called when the server did not tell its slowness. For a while calls start without it.
+func (d *Dispatcher) ProbeFailed() {
+	defer d.announce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	d.probing = false
+	d.blindUntil = now.Add(blindFor)
+	d.dispatch(now)
 }
 
 // Sweep refuses the waiting calls that should not wait any longer, and reports whether calls still wait.
@@ -244,7 +273,7 @@
 	if now.Add(wait + time.Duration(hopelessShare*float64(service))).After(j.Deadline) {
 		return Late, wait
 	}
-	if !j.Stay && wait+d.slowDelay(now) > j.ReferFrom {
+	if d.refers(j, wait, now) {
 		return Busy, wait
 	}
 	if wait > 0 && j.late(now.Add(wait), service) && d.lateWaiting(now) >= int(lateBacklog*float64(d.slots)) {
@@ -253,6 +282,11 @@
 	return 0, 0
 }
 
+// refers reports whether a call is better tried at another server.
+func (d *Dispatcher) refers(j *Job, wait time.Duration, now time.Time) bool {
+	return !j.Stay && wait+d.slowDelay(now) > j.ReferFrom
+}
+
 // expectedWait returns the time until a slot becomes free for a call.
 func (d *Dispatcher) expectedWait(j *Job, now time.Time) time.Duration {
 	ahead := d.inProgress - d.slots + 1
@@ -304,7 +338,7 @@
 				next = w
 			}
 		}
-		if d.inProgress >= d.slots {
+		if d.inProgress >= d.slots || !d.mayStart(next, now) {
 			return
 		}
 		d.remove(next)
@@ -312,16 +346,36 @@
 	}
 }
 
+// mayStart reports whether the host is known not to be slow. A call takes as long as the host is slow at its start, so that
+// the wait for the end of a slow spell is shorter than the time that is lost by starting in it.
+func (d *Dispatcher) mayStart(j *Job, now time.Time) bool {
+	if d.probe == nil || now.Before(d.blindUntil) {
+		return true
+	}
+	if now.Sub(d.slownessAt) <= freshFor {
+		return d.slowness < slowFrom || now.Sub(j.arrived) > holdSlow
+	}
+	if !d.probing {
+		d.probing = true
+		d.decided = append(d.decided, d.probe)
+	}
+	return false
+}
+
+// expire refuses the calls that should not wait any longer.
 func (d *Dispatcher) expire(now time.Time) {
 	kept := d.waiting[:0]
 	for _, w := range d.waiting {
 		service := d.route(w.Route).value()
 		hopeless := now.Add(time.Duration(hopelessShare * float64(service))).After(w.Deadline)
 		held := w.late(now, service) && float64(now.Sub(w.arrived)) > lateHold*float64(w.Deadline.Sub(w.arrived))
-		if hopeless || held {
-			w.waiting = false
+		switch {
+		case hopeless || held:
 			d.refuse(w, Late, d.expectedWait(w, now))
 			continue
+		case d.slowDelay(now) > 0 && d.refers(w, 0, now):
+			d.refuse(w, Busy, d.slowDelay(now))
+			continue
 		}
 		kept = append(kept, w)
 	}
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/looplab/fsm"
+	"golang.org/x/time/rate"
 
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/exchange"
@@ -66,8 +67,10 @@
 	Address func() string
 	// Known reports whether a service is configured.
 	Known func(service string) bool
-	Names protocol.Names
-	Now   func() time.Time
+	// HealthPath returns the path of the health check of a service, or "" while it is not known.
+	HealthPath func(service string) string
+	Names      protocol.Names
+	Now        func() time.Time
 	// Changed is called without locks after the server's state changed.
 	Changed func(Status)
 }
@@ -86,6 +89,7 @@
 type Server struct {
 	config     Config
 	dispatcher *dispatch.Dispatcher
+	probes     *rate.Limiter
 
 	mu       sync.Mutex
 	life     *fsm.FSM
@@ -97,7 +101,9 @@
 
 // New returns a Server of which nothing is known yet.
 func New(c Config) *Server {
-	return &Server{config: c, dispatcher: dispatch.New(c.Now), life: newLife(absent)}
+	s := &Server{config: c, life: newLife(absent), probes: rate.NewLimiter(probesPerSecond, probeBurst)}
+	s.dispatcher = dispatch.New(c.Now, s.probeSlowness)
+	return s
 }
 
 func newLife(state string) *fsm.FSM {
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -144,7 +144,7 @@
 func (s *Server) answer(id string, r *exchange.Response) *linkpb.Frame {
 	names := s.config.Names
 	if load, ok := names.ParseLoad(r.Header.Get(names.ServerLoad)); ok && load.Slowness > 0 {
-		s.dispatcher.Observe(load.Slowness)
+		s.dispatcher.Observe(load.Slowness, false)
 	}
 	if r.Status == http.StatusMisdirectedRequest {
 		s.lost(id)
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -52,8 +52,8 @@
 	n.config.Store(&c)
 	n.server = localserver.New(localserver.Config{
 		Address: func() string { return n.config.Load().ServerAddress },
-		Known:   n.knownService,
-		Names:   adapter.Names(), Now: time.Now, Changed: n.serverChanged,
+		Known:   n.knownService, HealthPath: n.healthPath,
+		Names: adapter.Names(), Now: time.Now, Changed: n.serverChanged,
 	})
 	n.links = link.NewServer(n)
 	n.peers = peers.New(ctx, peers.Config{
@@ -86,6 +86,14 @@
 	return known
 }
 
+// healthPath returns the path of the health check of a service, or "" while it is not known.
+func (n *Node) healthPath(service string) string {
+	if v := n.routing.Current(); v != nil {
+		return v.Services[service].HealthPath
+	}
+	return ""
+}
+
 // serverChanged tells the other nodes of a change of the backend server's state.
 func (n *Node) serverChanged(status localserver.Status) {
 	n.log.Info("server state", "server", status.ID, "service", status.Service, "state", status.State, "slots", status.Slots)
