dispatch: compare the slowness with the least of late

Cause: servers that have just started report 200 for some seconds.

Change: a spell is a slowness of 1.8 times the least one of the last seconds.

--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -19,8 +19,9 @@
 	slownessAge = 100 * time.Millisecond
 	// freshFor is the age up to which an observed slowness decides whether a call starts. It changes every 150 ms or so.
 	freshFor = 10 * time.Millisecond
-	// slowFrom is the slowness in percent from which calls are not started.
-	slowFrom = 200
+	// slowFrom is the slowness, as a multiple of the least one of late, from which calls are not started. A server that is
+	// slow all the time, as after its start, has no better moment to wait for.
+	slowFrom = 1.8
 	// holdSlow is the longest time for which a call waits for the end of a slow spell.
 	holdSlow = 300 * time.Millisecond
 	// blindFor is the time after a failed probe in which calls start without asking.
@@ -104,6 +105,7 @@
 	overall    estimate
 	slowness   int
 	slownessAt time.Time
+	least      recentMinimum
 	probing    bool
 	blindUntil time.Time
 	decided    []func()
@@ -147,6 +149,7 @@
 	d.routes = map[string]*estimate{}
 	d.overall = estimate{}
 	d.slowness = usualSlowness
+	d.least = recentMinimum{}
 }
 
 // Submit asks for a slot. The function decide is called once, with nil when the call may run or a *Refused, before
@@ -202,6 +205,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	d.slowness, d.slownessAt = slowness, now
+	d.least.add(slowness, now)
 	if probed {
 		d.probing = false
 	}
@@ -247,11 +251,15 @@
 
 // slowDelay returns the time that a call is expected to lose while the host is slow.
 func (d *Dispatcher) slowDelay(now time.Time) time.Duration {
-	slowness := d.currentSlowness(now)
-	if slowness <= usualSlowness {
+	if now.Sub(d.slownessAt) > slownessAge || !d.slow(now) {
 		return 0
 	}
-	return time.Duration((1 - float64(usualSlowness)/float64(slowness)) * float64(slowSpell))
+	return time.Duration((1 - float64(d.least.value(now))/float64(d.slowness)) * float64(slowSpell))
+}
+
+// slow reports whether the last known slowness is that of a spell.
+func (d *Dispatcher) slow(now time.Time) bool {
+	return float64(d.slowness) >= slowFrom*float64(d.least.value(now))
 }
 
 func (d *Dispatcher) route(name string) *estimate {
@@ -353,7 +361,7 @@
 		return true
 	}
 	if now.Sub(d.slownessAt) <= freshFor {
-		return d.slowness < slowFrom || now.Sub(j.arrived) > holdSlow
+		return !d.slow(now) || now.Sub(j.arrived) > holdSlow
 	}
 	if !d.probing {
 		d.probing = true
