--- /dev/null
+++ b/node/connection/exchange/exchange_test.go
@@ -0,0 +1,213 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishstand/radishstand/node/connection/exchange"
+)
+
+const idHeader = "X-Id"
+
+// rawServer answers each request on a connection with the bytes that reply returns, and closes the connection when it
+// returns false.
+type rawServer struct {
+	listener    net.Listener
+	connections atomic.Int32
+	requests    atomic.Int32
+}
+
+func startRaw(t *testing.T, reply func(n int32, r *http.Request, conn net.Conn) bool) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &rawServer{listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.serve(conn, reply)
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) serve(conn net.Conn, reply func(int32, *http.Request, net.Conn) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !reply(s.requests.Add(1), r, conn) {
+			return
+		}
+	}
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
+}
+
+func (s *rawServer) client() *exchange.Client {
+	return exchange.New(s.listener.Addr().String(), idHeader)
+}
+
+func get(id string) *exchange.Request {
+	return &exchange.Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{idHeader: {id}}, ID: id}
+}
+
+// Each case is an answer from which a caller must not get a success.
+func TestAnswerThatIsNotWholeOrNotOursIsBroken(t *testing.T) {
+	cases := map[string]string{
+		"the connection ends within the body":            "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\n\r\nhalf",
+		"the connection ends within the chunks":          "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"a length and chunks":                            "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"two lengths":                                    "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+		"a negative length":                              "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: -1\r\n\r\n",
+		"another request's id":                           ok("b", "x"),
+		"a success without an id":                        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+		"bytes that are no answer":                       "garbage\r\n\r\n",
+		"an encoding that is not chunked":                "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+		"no byte before the end of the connection":       "",
+		"the connection ends within the header":          "HTTP/1.1 200 OK\r\nX-Id: a\r\n",
+		"a chunk whose size is not a hexadecimal number": "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	}
+	for name, bytes := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := startRaw(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+				_, _ = conn.Write([]byte(bytes))
+				return false
+			})
+			_, err := s.client().Do(context.Background(), get("a"))
+			var broken *exchange.BrokenError
+			assert.ErrorAs(t, err, &broken)
+			assert.EqualValues(t, 1, s.requests.Load(), "the request must not be repeated")
+		})
+	}
+}
+
+func TestWholeAnswers(t *testing.T) {
+	cases := map[string]string{
+		"a length":                           ok("a", "body"),
+		"chunks with a trailer":              "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\nT: 1\r\n\r\n",
+		"the orderly end of the connection":  "HTTP/1.0 200 OK\r\nX-Id: a\r\n\r\nbody",
+		"an interim answer before":           "HTTP/1.1 103 Early Hints\r\n\r\n" + ok("a", "body"),
+		"a late answer to another request":   ok("z", "late") + ok("a", "body"),
+		"bytes after the end of the answer":  ok("a", "body") + ok("a", "second"),
+		"a failure without an id is allowed": "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbody",
+	}
+	for name, bytes := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := startRaw(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+				_, _ = conn.Write([]byte(bytes))
+				return false
+			})
+			response, err := s.client().Do(context.Background(), get("a"))
+			require.NoError(t, err)
+			assert.Equal(t, "body", string(response.Body))
+		})
+	}
+}
+
+// Guards against the answer of one request that is given to the next one on the same connection.
+func TestLateSecondAnswerIsNotTakenForTheNextOne(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "while the connection is idle": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			s := startRaw(t, func(n int32, r *http.Request, conn net.Conn) bool {
+				id := r.Header.Get(idHeader)
+				_, _ = conn.Write([]byte(ok(id, id)))
+				time.Sleep(pause)
+				_, _ = conn.Write([]byte(ok(id, "second answer")))
+				return true
+			})
+			client := s.client()
+			for _, id := range []string{"a", "b", "c"} {
+				response, err := client.Do(context.Background(), get(id))
+				require.NoError(t, err)
+				assert.Equal(t, id, string(response.Body))
+				time.Sleep(2 * pause)
+			}
+		})
+	}
+}
+
+func TestConnectionIsKeptForTheNextRequestUnlessTheServerSaysOtherwise(t *testing.T) {
+	cases := map[string]struct {
+		header      string
+		connections int32
+	}{
+		"kept":                          {"", 1},
+		"the server closes":             {"Connection: close\r\n", 2},
+		"the idle timeout is too short": {"Keep-Alive: timeout=1\r\n", 2},
+		"the idle timeout is long":      {"Keep-Alive: timeout=5, max=100\r\n", 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := startRaw(t, func(_ int32, r *http.Request, conn net.Conn) bool {
+				id := r.Header.Get(idHeader)
+				_, _ = conn.Write([]byte(strings.Replace(ok(id, id), "\r\n", "\r\n"+c.header, 1)))
+				return true
+			})
+			client := s.client()
+			for _, id := range []string{"a", "b"} {
+				_, err := client.Do(context.Background(), get(id))
+				require.NoError(t, err)
+			}
+			assert.Equal(t, c.connections, s.connections.Load())
+		})
+	}
+}
+
+// Guards against a refusal that promises "not run" for a request that left.
+func TestErrorSaysWhetherAByteHasLeft(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = exchange.New(address, idHeader).Do(context.Background(), get("a"))
+	var notSent *exchange.NotSentError
+	assert.ErrorAs(t, err, &notSent, "nobody listens")
+
+	s := startRaw(t, func(int32, *http.Request, net.Conn) bool { time.Sleep(time.Second); return false })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err = s.client().Do(ctx, get("a"))
+	var broken *exchange.BrokenError
+	require.ErrorAs(t, err, &broken, "the server does not answer")
+	assert.True(t, errors.Is(err, context.DeadlineExceeded))
+}
+
+// Guards against the rest of a long body that a server takes for the next request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	s := startRaw(t, func(_ int32, r *http.Request, conn net.Conn) bool {
+		_, _ = conn.Write([]byte(ok(r.Header.Get(idHeader), "early")))
+		time.Sleep(50 * time.Millisecond)
+		return r.ContentLength == 0
+	})
+	client := s.client()
+	long := get("a")
+	long.Method, long.Body = http.MethodPost, make([]byte, 16<<20)
+	response, err := client.Do(context.Background(), long)
+	require.NoError(t, err)
+	assert.Equal(t, "early", string(response.Body))
+	_, err = client.Do(context.Background(), get("b"))
+	require.NoError(t, err)
+	assert.EqualValues(t, 2, s.connections.Load())
+}
