choice, dispatch, routing: tests; the distance counts against servers of other places

Cause: the test of large answers failed: the choice did not count the distance.

Change: a call leaves its place when it would miss its objective there and another place is faster by more than the distance.

--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// nearShare is the share of the time left to the objective within which a server of the same place has to answer.
-	nearShare = 1.0
 	// bytesPerMillisecond is the number of bytes between places that weigh as much as a delay of a millisecond.
 	bytesPerMillisecond = 100.0
 	// slowSpell is the usual time for which a neighbour on a host slows work down, and the time in which a report of it ages.
@@ -91,7 +89,7 @@
 	if near < 0 || candidates[near].Refused || candidates[near].Suspect {
 		return any
 	}
-	if float64(estimates[near]) <= nearShare*float64(call.ObjectiveLeft) {
+	if estimates[near] <= call.ObjectiveLeft || estimates[near] <= estimates[any]+call.Distance() {
 		return near
 	}
 	return any
--- /dev/null
+++ b/node/version/routing/routing_test.go
@@ -0,0 +1,97 @@
+package routing_test
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/radishstand/radishstand/node/version/routing"
+)
+
+func split(t require.TestingT, parts ...routing.Part) routing.Split {
+	s, err := routing.NewSplit(parts...)
+	require.NoError(t, err)
+	return s
+}
+
+func route(t *testing.T, name, prefix string) *routing.Route {
+	return &routing.Route{Name: name, Host: "Co-op.example", Prefix: prefix, Split: split(t, routing.Part{Service: "s", Weight: 1})}
+}
+
+func TestLongestPrefixOfTheHostMatches(t *testing.T) {
+	v, err := routing.New(1, nil, routing.Limits{}, []*routing.Route{route(t, "short", "/a/"), route(t, "long", "/a/b/"), route(t, "other", "/c/")})
+	require.NoError(t, err)
+	cases := map[string]struct{ host, path, want string }{
+		"a short prefix":         {"co-op.example", "/a/x", "short"},
+		"the longer prefix":      {"co-op.example", "/a/b/x", "long"},
+		"a host with a port":     {"co-op.example:8080", "/c/", "other"},
+		"a host in capitals":     {"CO-OP.EXAMPLE", "/c/", "other"},
+		"no prefix":              {"co-op.example", "/d/", ""},
+		"a prefix without slash": {"co-op.example", "/a", ""},
+		"another host":           {"yatai.example", "/a/x", ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			if r := v.Match(c.host, c.path); r != nil {
+				got = r.Name
+			}
+			assert.Equal(t, c.want, got)
+		})
+	}
+}
+
+// Guards against shares that drift from the weights: any run of calls keeps to them within one call a part.
+func TestSplitKeepsToItsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 1, 5).Draw(t, "weights")
+		weights[0] = max(weights[0], 1)
+		parts, total := make([]routing.Part, len(weights)), 0
+		for i, w := range weights {
+			parts[i] = routing.Part{Service: string(rune('a' + i)), Weight: w}
+			total += w
+		}
+		s := split(t, parts...)
+		calls := rapid.IntRange(1, 500).Draw(t, "calls")
+		got := map[string]int{}
+		for range calls {
+			got[s.Next()]++
+		}
+		for i, p := range parts {
+			want := float64(calls) * float64(p.Weight) / float64(total)
+			assert.InDelta(t, want, got[p.Service], float64(len(parts))+1, "part %d of %v", i, weights)
+		}
+	})
+}
+
+func TestSplitWithoutPositiveWeightIsRefused(t *testing.T) {
+	for name, parts := range map[string][]routing.Part{
+		"no part": nil, "no weight": {{Service: "a"}}, "a negative weight": {{Service: "a", Weight: -1}, {Service: "b", Weight: 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := routing.NewSplit(parts...)
+			assert.Error(t, err)
+		})
+	}
+}
+
+// Guards against a version that reverts when several arrive at once.
+func TestVersionInForceOnlyRises(t *testing.T) {
+	var h routing.Holder
+	var group sync.WaitGroup
+	for number := range uint64(100) {
+		group.Go(func() {
+			v, err := routing.New(number, nil, routing.Limits{}, nil)
+			assert.NoError(t, err)
+			h.Offer(v)
+		})
+	}
+	group.Wait()
+	assert.EqualValues(t, 99, h.Number())
+	v, err := routing.New(42, nil, routing.Limits{}, nil)
+	require.NoError(t, err)
+	assert.False(t, h.Offer(v))
+}
