--- /dev/null
+++ b/node/connection/link/link_test.go
@@ -0,0 +1,189 @@
+package link_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/connection/link"
+)
+
+// handler answers calls with their target; calls to /wait end with their context.
+type handler struct {
+	version   atomic.Uint64
+	hello     chan *linkpb.Hello
+	cancelled chan struct{}
+}
+
+func (h *handler) Serve(ctx context.Context, call *linkpb.Call) *linkpb.Frame {
+	if call.Target == "/wait" {
+		<-ctx.Done()
+		close(h.cancelled)
+	}
+	return &linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: &linkpb.Answer{Status: 200, Body: []byte(call.Target)}}}
+}
+
+func (h *handler) Hello(hello *linkpb.Hello) { h.hello <- hello }
+func (h *handler) State() *linkpb.State      { return &linkpb.State{Service: "quotes", Ready: true} }
+func (h *handler) Routing() []byte           { return []byte("document") }
+func (h *handler) Local() uint64             { return h.version.Load() }
+func (h *handler) Remote(uint64)             {}
+
+// events collects what a client hears outside its calls.
+type events struct {
+	states   chan *linkpb.State
+	versions chan uint64
+	routing  chan []byte
+}
+
+func newEvents() *events {
+	return &events{states: make(chan *linkpb.State, 10), versions: make(chan uint64, 100), routing: make(chan []byte, 10)}
+}
+
+func (e *events) link() link.Events {
+	return link.Events{
+		State:   func(s *linkpb.State) { e.states <- s },
+		Version: func(v uint64) { e.versions <- v },
+		Routing: func(d []byte) { e.routing <- d },
+		Local:   func() uint64 { return 1 },
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+func start(t *testing.T) (*handler, *link.Server, *link.Client, *events) {
+	t.Helper()
+	h := &handler{hello: make(chan *linkpb.Hello, 10), cancelled: make(chan struct{})}
+	server, listener, heard := link.NewServer(h), listen(t), newEvents()
+	go func() { _ = server.Serve(listener) }()
+	client, err := link.Dial(context.Background(), listener.Addr().String(), &linkpb.Hello{Address: "me"}, heard.link())
+	require.NoError(t, err)
+	t.Cleanup(client.Close)
+	return h, server, client, heard
+}
+
+func TestLinkIntroducesItselfAndHearsTheState(t *testing.T) {
+	h, server, _, heard := start(t)
+	assert.Equal(t, "me", (<-h.hello).Address)
+	assert.Equal(t, "quotes", (<-heard.states).Service)
+	server.Broadcast()
+	assert.True(t, (<-heard.states).Ready)
+}
+
+// Guards against answers that go to another call of the same link.
+func TestCallsInParallelGetTheirOwnAnswers(t *testing.T) {
+	_, _, client, _ := start(t)
+	errs := make(chan error, 100)
+	for i := range cap(errs) {
+		go func() {
+			target := "/" + string(rune('a'+i%26))
+			f, err := client.Do(context.Background(), &linkpb.Call{Target: target})
+			if err == nil && string(f.GetAnswer().GetBody()) != target {
+				err = io.ErrUnexpectedEOF
+			}
+			errs <- err
+		}()
+	}
+	for range cap(errs) {
+		assert.NoError(t, <-errs)
+	}
+}
+
+// Guards against work that goes on for a caller that has left.
+func TestEndOfTheContextCancelsTheCallAtTheOtherNode(t *testing.T) {
+	h, _, client, _ := start(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := client.Do(ctx, &linkpb.Call{Target: "/wait"})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	<-h.cancelled
+}
+
+// Guards against a promise of "not run" for a call that was under way when the link broke, and against a call that waits
+// for a link that is gone.
+func TestBrokenLinkSaysWhetherTheCallWasSent(t *testing.T) {
+	h, server, client, _ := start(t)
+	broken := make(chan error, 1)
+	go func() {
+		_, err := client.Do(context.Background(), &linkpb.Call{Target: "/wait"})
+		broken <- err
+	}()
+	require.Eventually(t, func() bool { return client.InProgress() == 1 }, time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
+	server.Close()
+	var notSent *link.NotSentError
+	assert.NotErrorAs(t, <-broken, &notSent)
+	<-h.cancelled
+	<-client.Done()
+	_, err := client.Do(context.Background(), &linkpb.Call{Target: "/x"})
+	assert.ErrorAs(t, err, &notSent)
+}
+
+// Guards against a node that keeps sending to one that is frozen: its kernel still acknowledges.
+func TestSilentNodeBecomesSuspectAndIsGivenUp(t *testing.T) {
+	listener := listen(t)
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_, _ = io.Copy(io.Discard, conn)
+		}
+	}()
+	client, err := link.Dial(context.Background(), listener.Addr().String(), &linkpb.Hello{}, newEvents().link())
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := client.Do(context.Background(), &linkpb.Call{})
+		ended <- err
+	}()
+	require.Eventually(t, client.Suspect, 2*time.Second, 10*time.Millisecond)
+	select {
+	case err := <-ended:
+		assert.ErrorIs(t, err, link.ErrClosed)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the silent node was not given up")
+	}
+}
+
+func TestVersionTravelsWithFramesAndTheRoutingOnRequest(t *testing.T) {
+	h, _, client, heard := start(t)
+	h.version.Store(7)
+	_, err := client.Do(context.Background(), &linkpb.Call{Target: "/x"})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return <-heard.versions == 7 }, time.Second, time.Millisecond)
+	client.RequestRouting()
+	assert.Equal(t, "document", string(<-heard.routing))
+}
+
+// Guards against a frame that makes the node reserve memory for what never comes.
+func TestFrameThatIsTooLongOrUnreadableEndsTheLink(t *testing.T) {
+	for name, bytes := range map[string][]byte{"too long": {0xff, 0xff, 0xff, 0xff}, "unreadable": {0, 0, 0, 2, 0xff, 0xff}} {
+		t.Run(name, func(t *testing.T) {
+			h := &handler{hello: make(chan *linkpb.Hello, 1)}
+			listener := listen(t)
+			go func() { _ = link.NewServer(h).Serve(listener) }()
+			conn, err := net.Dial("tcp4", listener.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = conn.Write(bytes)
+			require.NoError(t, err)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+			_, err = conn.Read(make([]byte, 1))
+			assert.Error(t, err)
+			assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the node must close the link")
+		})
+	}
+}
--- /dev/null
+++ b/node/process/localserver/localserver_test.go
@@ -0,0 +1,94 @@
+package localserver_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/radishstand/radishstand/node/process/localserver"
+)
+
+const address = "127.0.0.1:9"
+
+func newServer(changed *[]localserver.Status) *localserver.Server {
+	return localserver.New(localserver.Config{
+		Address: func() string { return address },
+		Known:   func(service string) bool { return service == "quotes" || service == "crews" },
+		Now:     time.Now,
+		Changed: func(s localserver.Status) { *changed = append(*changed, s) },
+	})
+}
+
+func announcement(change func(*localserver.Announcement)) localserver.Announcement {
+	a := localserver.Announcement{ID: "i-1", Service: "quotes", Address: address, Slots: 4, Sequence: 5, Born: 100}
+	if change != nil {
+		change(&a)
+	}
+	return a
+}
+
+func draining(a *localserver.Announcement) { a.Draining, a.Sequence = true, a.Sequence+1 }
+
+// Each case is a series of announcements and the state after it.
+func TestLifeOfAServer(t *testing.T) {
+	type step = func(*localserver.Announcement)
+	cases := map[string]struct {
+		steps []step
+		id    string
+		ready bool
+	}{
+		"announced": {[]step{nil}, "i-1", true},
+		"draining":  {[]step{nil, draining}, "i-1", false},
+		"a late announcement does not end a drain": {[]step{nil, draining, func(a *localserver.Announcement) { a.Sequence = 4 }}, "i-1", false},
+		"a drain is final for a start":             {[]step{nil, draining, func(a *localserver.Announcement) { a.Sequence = 9 }}, "i-1", false},
+		"the same id started anew":                 {[]step{nil, draining, func(a *localserver.Announcement) { a.Born, a.Sequence = 200, 1 }}, "i-1", true},
+		"another server has started":               {[]step{nil, func(a *localserver.Announcement) { a.ID, a.Born, a.Sequence = "i-2", 200, 1 }}, "i-2", true},
+		"a late announcement of an earlier server": {[]step{nil, func(a *localserver.Announcement) { a.ID, a.Born, a.Sequence = "i-0", 50, 99 }}, "i-1", true},
+		"a late drain of an earlier server":        {[]step{nil, func(a *localserver.Announcement) { a.ID, a.Born, a.Draining = "i-0", 50, true }}, "i-1", true},
+		"found by a health check, then announced":  {[]step{func(a *localserver.Announcement) { a.Born, a.Sequence = 0, -1 }, nil}, "i-1", true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var changed []localserver.Status
+			s := newServer(&changed)
+			for _, step := range c.steps {
+				assert.NoError(t, s.Announce(announcement(step)))
+			}
+			assert.Equal(t, c.id, s.Status().ID)
+			assert.Equal(t, c.ready, s.Status().Ready)
+		})
+	}
+}
+
+func TestLeaveEndsTheServerThatSaysItOnly(t *testing.T) {
+	var changed []localserver.Status
+	s := newServer(&changed)
+	assert.NoError(t, s.Announce(announcement(nil)))
+	assert.NoError(t, s.Leave("i-0"))
+	assert.True(t, s.Status().Ready)
+	assert.NoError(t, s.Leave("i-1"))
+	assert.False(t, s.Status().Ready)
+	assert.NoError(t, s.Announce(announcement(func(a *localserver.Announcement) { a.Sequence = 99 })))
+	assert.False(t, s.Status().Ready, "a late announcement must not bring the server back")
+	assert.Len(t, changed, 2)
+}
+
+// Guards against announcements of another writer that change which server is used.
+func TestAnnouncementThatNamesNoServerHereIsRefused(t *testing.T) {
+	for name, change := range map[string]func(*localserver.Announcement){
+		"no id":              func(a *localserver.Announcement) { a.ID = "" },
+		"another address":    func(a *localserver.Announcement) { a.Address = "127.0.0.1:10" },
+		"an unknown service": func(a *localserver.Announcement) { a.Service = "tills" },
+		"no slots":           func(a *localserver.Announcement) { a.Slots = 0 },
+		"too many slots":     func(a *localserver.Announcement) { a.Slots = 1 << 30 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var changed []localserver.Status
+			s := newServer(&changed)
+			assert.NoError(t, s.Announce(announcement(nil)))
+			assert.ErrorIs(t, s.Announce(announcement(change)), localserver.ErrInvalid)
+			assert.Len(t, changed, 1)
+		})
+	}
+}
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -62,7 +62,7 @@
 	}
 	context.AfterFunc(ctx, func() { _ = links.Close() })
 	go func() {
-		if err := n.links.Serve(links); err != nil && ctx.Err() == nil {
+		if err := n.links.Serve(links); ctx.Err() == nil {
 			n.log.Warn("listener for peers ended", "error", err)
 		}
 	}()
