--- a/ctl/cmd/radishctl/main_test.go
+++ b/ctl/cmd/radishctl/main_test.go
@@ -166,7 +166,7 @@
 	code, stdout, _ := ctl(t, "", "settings", "reference")
 	require.Equal(t, cli.ExitOK, code)
 	require.Equal(t, stdout, string(page), "run: go generate ./api/settings")
-	guide, err := os.ReadFile("../../../docs/operators.md")
+	guide, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	require.Contains(t, string(guide), "(settings.md)")
 	require.NotContains(t, string(guide), "| `call.timeoutMs` |")
--- a/node/cmd/radishnode/main_test.go
+++ b/node/cmd/radishnode/main_test.go
@@ -186,7 +186,7 @@
 
 // Guards against options that the operators' guide does not explain.
 func TestEveryOptionIsInTheGuide(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/operators.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	flags, _ := (&options{}).flags(io.Discard)
 	flags.VisitAll(func(f *flag.Flag) { require.Contains(t, string(page), "`"+f.Name+"`") })
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -92,7 +92,7 @@
 			return r
 		}
 		if ctx.Err() != nil {
-			return c.timeout()
+			return c.timeout(picked.Server)
 		}
 	}
 }
@@ -136,7 +136,7 @@
 		server.Result(true, time.Now())
 		c.ran()
 		if body.Broken.Timeout {
-			return c.timeout()
+			return c.timeout(server)
 		}
 		return c.again(server, body.Broken.Cause, http.StatusBadGateway)
 	}
@@ -216,7 +216,7 @@
 	case ctx.Err() != nil:
 		c.ran()
 		server.Result(errors.Is(ctx.Err(), context.DeadlineExceeded), time.Now())
-		return c.timeout()
+		return c.timeout(server)
 	}
 	c.ran()
 	server.Result(true, time.Now())
@@ -252,8 +252,8 @@
 	}
 }
 
-func (c *call) timeout() *result {
-	return &result{status: http.StatusGatewayTimeout, cause: "deadline"}
+func (c *call) timeout(server *peers.Server) *result {
+	return &result{status: http.StatusGatewayTimeout, cause: "deadline", server: server}
 }
 
 // finish writes the result to the caller.
