--- a/node/process/budget/budget.go
+++ b/node/process/budget/budget.go
@@ -2,13 +2,11 @@
 // together stay within the share that the fleet may spend, without asking one another.
 package budget
 
-import (
-	"sync"
-)
+import "sync"
 
 const (
-	// ratio is the part of the fleet's ratio that attempts of callers' own calls may use. The rest is for the calls that
-	// repeated runs make at other services.
+	// ownShare is the share of the fleet's limits that nodes spend on repeats. The rest is for the calls that repeated runs
+	// make at other services, which count as repeats there.
 	ownShare = 0.5
 	// minBurst lets a node of a large fleet repeat a call now and then.
 	minBurst = 1.0
--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -1,8 +1,8 @@
 // Package choice picks the backend server for an attempt. What a node knows of a server is a report that came with its last
 // answer and the calls that this node has sent since; the dispatcher beside the server corrects what the choice gets wrong.
 //
-// Calls stay in the caller's place while they are expected to be answered well within their objective there, since bytes
-// between places are dear. Otherwise the server with the shortest expected time is picked, wherever it is.
+// Calls stay in the caller's place while they are expected to meet their objective there, since bytes between places are
+// dear. Otherwise the server with the shortest expected time is picked, with the distance counted against other places.
 package choice
 
 import (
--- a/node/version/routing/routing.go
+++ b/node/version/routing/routing.go
@@ -133,8 +133,7 @@
 	return 0
 }
 
-// Offer puts a version in force if it is higher than the one in force, and reports whether it did. Routes that stay the
-// same keep the position of their split.
+// Offer puts a version in force if it is higher than the one in force, and reports whether it did.
 func (h *Holder) Offer(v *Version) bool {
 	for {
 		old := h.current.Load()
