front: give the server's own failure when no attempt is left

The answer that the server had made was dropped.

Change: the server's failure is kept and is the answer when no further attempt is made.

--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -47,6 +47,8 @@
 	refused  []*peers.Server
 	// arrivals is the number of attempts that may have reached a server, also of those that it refused.
 	arrivals int
+	// failure is a server's own failure, which is the caller's answer when no other attempt is made.
+	failure *result
 	// mayHaveRun is set when an attempt ended without the word that it has not run.
 	mayHaveRun bool
 }
@@ -163,9 +165,7 @@
 		return final
 	}
 	c.excluded = append(c.excluded, server)
-	if _, err := c.pick(); err != nil {
-		return final
-	}
+	c.failure = final
 	c.log("attempt failed", server, "status", answer.Status)
 	return nil
 }
@@ -240,8 +240,12 @@
 	return c.route.Idempotent && c.arrivals < c.route.MaxAttempts && float64(left) > repeatShare*usual
 }
 
-// refusal is the end of a call that has not run and will not run, unless an attempt before may have run.
+// refusal is the end of a call that has not run and will not run, unless an attempt before may have run. A server's own
+// failure goes before one of the node's.
 func (c *call) refusal(cause string, after time.Duration) *result {
+	if c.failure != nil {
+		return c.failure
+	}
 	if c.mayHaveRun {
 		return &result{status: http.StatusBadGateway, cause: cause}
 	}
