front: attempts in a file of their own; a caller that leaves says nothing of the server

Cause: an attempt that ended because its caller left counted as a success of the server, so that a server that never answers looked healthy while callers gave up. Found while reading.

Sending is a method of the set of nodes. docs and the link check cover the incident pages.

--- a/.ci/checks/links.sh
+++ b/.ci/checks/links.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 failed=0
-for page in *.md docs/*.md; do
+for page in *.md docs/*.md docs/*/*.md; do
   while read -r target; do
     if [ ! -e "$(dirname "$page")/${target%%#*}" ]; then
       echo "$page links to $target, which does not exist"
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -179,7 +179,7 @@
 
 // Send has a server run a call and returns the frame that ends it. The error is a *link.NotSentError when the call did not
 // leave this node.
-func (s *Server) Send(ctx context.Context, p *Set, call *linkpb.Call) (*linkpb.Frame, error) {
+func (p *Set) Send(ctx context.Context, s *Server, call *linkpb.Call) (*linkpb.Frame, error) {
 	client, id := s.begin()
 	call.ServerId = id
 	f, err := p.carry(ctx, s, client, call)
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/radishstand/radishstand/api/linkpb"
-	"github.com/radishstand/radishstand/node/connection/link"
 	"github.com/radishstand/radishstand/node/connection/protocol"
 	"github.com/radishstand/radishstand/node/process/choice"
 	"github.com/radishstand/radishstand/node/process/localserver"
@@ -117,122 +113,6 @@
 	return referFrom + c.choice().Distance()
 }
 
-// attempt sends the call to a server. It returns nil when another server is to be tried.
-func (c *call) attempt(ctx context.Context, picked peers.Picked) *result {
-	now := time.Now()
-	server := picked.Server
-	c.message.Stay = picked.Others == 0 || len(c.refused) >= maxReferrals
-	c.message.ReferMs = uint32(c.referFrom(picked).Milliseconds())
-	c.message.LeftMs = uint32(max(c.deadline.Sub(now).Milliseconds(), 1))
-	c.message.ObjectiveMs = uint32(max(c.objective.Sub(now).Milliseconds(), 0))
-	f, err := server.Send(ctx, c.front.config.Peers, c.message)
-	if err != nil {
-		return c.lost(ctx, server, err)
-	}
-	switch body := f.Body.(type) {
-	case *linkpb.Frame_Answer:
-		return c.answered(server, body.Answer, time.Since(now))
-	case *linkpb.Frame_Refusal:
-		return c.turnedAway(server, body.Refusal)
-	case *linkpb.Frame_Broken:
-		server.Result(true, time.Now())
-		c.ran()
-		if body.Broken.Timeout {
-			return c.timeout(server)
-		}
-		return c.again(server, body.Broken.Cause, http.StatusBadGateway)
-	}
-	c.ran()
-	return c.refusal("unreadable frame", 0)
-}
-
-// ran counts an attempt that may have run.
-func (c *call) ran() {
-	c.arrivals++
-	c.mayHaveRun = true
-}
-
-// answered decides on a server's answer.
-func (c *call) answered(server *peers.Server, answer *linkpb.Answer, took time.Duration) *result {
-	c.ran()
-	failed := answer.Status >= http.StatusInternalServerError
-	server.Result(failed, time.Now())
-	if !failed {
-		c.front.usual.add(c.route.Name, took, proto.Size(c.message)+proto.Size(answer))
-	}
-	final := &result{status: int(answer.Status), answer: answer, server: server}
-	if !failed || !c.mayRepeat() {
-		return final
-	}
-	c.excluded = append(c.excluded, server)
-	c.failure = final
-	c.log("attempt failed", server, "status", answer.Status)
-	return nil
-}
-
-// turnedAway decides on a refusal. The call has not run.
-func (c *call) turnedAway(server *peers.Server, refusal *linkpb.Refusal) *result {
-	after := time.Duration(refusal.RetryAfterMs) * time.Millisecond
-	repeated := c.arrivals > 0
-	switch refusal.Reason {
-	case linkpb.Refusal_REASON_SERVER:
-		server.Result(true, time.Now())
-		c.arrivals++
-		c.excluded = append(c.excluded, server)
-		if c.arrivals >= c.route.MaxAttempts {
-			return c.refusal("server refused", after)
-		}
-		c.log("attempt refused by the server", server)
-		return nil
-	case linkpb.Refusal_REASON_BUSY:
-		c.refused = append(c.refused, server)
-	case linkpb.Refusal_REASON_LATE:
-		c.refused = append(c.refused, server)
-		if c.message.Stay {
-			c.returnBudget(repeated)
-			return c.refusal("no room in time", after)
-		}
-	default:
-		c.excluded = append(c.excluded, server)
-	}
-	c.returnBudget(repeated)
-	return nil
-}
-
-func (c *call) returnBudget(repeated bool) {
-	if repeated {
-		c.front.config.Budget.Return(c.service)
-	}
-}
-
-// lost decides on an attempt whose link failed.
-func (c *call) lost(ctx context.Context, server *peers.Server, err error) *result {
-	var notSent *link.NotSentError
-	switch {
-	case errors.As(err, &notSent):
-		c.returnBudget(c.arrivals > 0)
-		c.excluded = append(c.excluded, server)
-		return nil
-	case ctx.Err() != nil:
-		c.ran()
-		server.Result(errors.Is(ctx.Err(), context.DeadlineExceeded), time.Now())
-		return c.timeout(server)
-	}
-	c.ran()
-	server.Result(true, time.Now())
-	return c.again(server, err.Error(), http.StatusBadGateway)
-}
-
-// again excludes a server that failed the call, and returns the failure when the call may not be repeated.
-func (c *call) again(server *peers.Server, cause string, status int) *result {
-	c.excluded = append(c.excluded, server)
-	if !c.mayRepeat() {
-		return &result{status: status, cause: cause, server: server}
-	}
-	c.log("attempt failed", server, "cause", cause)
-	return nil
-}
-
 // mayRepeat reports whether a call that may have run may be sent again.
 func (c *call) mayRepeat() bool {
 	left := time.Until(c.deadline)
