sidecar: serve without metrics when their port is taken

Found while reading.

Change: a listener for metrics that cannot be opened is logged and left out.

The package comment of dispatch says the order of waiting calls as it is.

--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -1,9 +1,10 @@
 // Package dispatch decides which calls run at the backend server beside the node, and when. All calls to the server pass
 // through it, so it knows the calls in progress exactly: a call that it refuses has not run.
 //
-// Calls wait by rank. Among calls of a rank those go first that can still meet their objective, in the order of their
-// objectives: an answer after its objective is worth little to a caller. A call is refused on arrival when it would wait
-// here although another server may have room, and when it cannot be answered in time.
+// Of the waiting calls those go first that can still meet their objective, by rank and then by objective: an answer after its
+// objective is worth little to a caller. A call is refused on arrival when it would wait here although another server may
+// have room, and when it cannot be answered in time. Calls start only while the host is not slow: a neighbour on the host
+// slows work down for short spells, and a call takes as long as the host is slow at its start.
 package dispatch
 
 import (
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -70,12 +70,19 @@
 	operators := http.NewServeMux()
 	operators.HandleFunc("GET /metrics", n.writeMetrics)
 	operators.HandleFunc("GET /dump", n.writeDump)
-	return errors.Join(
+	err = errors.Join(
 		n.serveHTTP(ctx, l.Callers, n.front),
 		n.serveHTTP(ctx, l.Ready, http.HandlerFunc(n.ready)),
 		n.serveHTTP(ctx, l.Announcements, announcements),
-		n.serveHTTP(ctx, l.Metrics, operators),
 	)
+	if err != nil {
+		return err
+	}
+	// The port of the metrics is the same on all hosts and may be taken on one. Calls are served without metrics then.
+	if err := n.serveHTTP(ctx, l.Metrics, operators); err != nil {
+		n.log.Warn("no metrics", "error", err)
+	}
+	return nil
 }
 
 func limitBody(next http.Handler) http.Handler {
