ingress: refuse ambiguous lengths and apply the operators' limits to callers' connections

Cause: net/http takes the chunks of a request that has both a length and chunks and drops the length without a word, so such a request was run. The operators' header and idle limits were read from the configuration and not applied; the node had fixed wider ones. A body whose length alone is over the limit was read up to the limit before it was refused.

Ruled out: a check in the handler (net/http has removed the length by then); other limits on one running http.Server (its fields may not change while it serves).

Change: package ingress follows the framing of requests on a caller's connection and marks the connection; the front answers 400 and closes. An HTTP server for each set of limits takes the connections opened under them. A body that says it is too long is refused at once.

Tests: platform/input_test.go, nodes with raw connections. Before: a request with length and chunks was run and the connection stayed open. After: all pass (3 runs with -race). A wrapped connection without CloseWrite lost the answer 431 to a reset; the test for the limits found that. framing_test.go draws requests in pieces.

--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -10,6 +10,9 @@
 
 	"github.com/justinas/alice"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/radishstand/radishstand/node/connection/ingress"
+	"github.com/radishstand/radishstand/node/version/routing"
 )
 
 const (
@@ -71,7 +74,7 @@
 	operators.HandleFunc("GET /metrics", n.writeMetrics)
 	operators.HandleFunc("GET /dump", n.writeDump)
 	err = errors.Join(
-		n.serveHTTP(ctx, l.Callers, n.front),
+		n.serveCallers(ctx, l.Callers),
 		n.serveHTTP(ctx, l.Ready, http.HandlerFunc(n.ready)),
 		n.serveHTTP(ctx, l.Announcements, announcements),
 	)
@@ -89,6 +92,38 @@
 	return http.MaxBytesHandler(next, maxAnnouncement)
 }
 
+// serveCallers takes the requests of callers under the operators' limits.
+func (n *Node) serveCallers(ctx context.Context, address string) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := ingress.NewServer(listener.(*net.TCPListener), n.front, ingressLimits(n.routing.Current()), n.log)
+	n.callers.Store(server)
+	context.AfterFunc(ctx, server.Close)
+	go server.Serve()
+	return nil
+}
+
+// ingressLimits returns the limits of a routing version. What the operators have not set, and everything while there is no
+// version, is bounded by the node's own limits.
+func ingressLimits(v *routing.Version) ingress.Limits {
+	limits := ingress.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	if v == nil {
+		return limits
+	}
+	if v.Limits.MaxHeaderBytes > 0 {
+		limits.HeaderBytes = v.Limits.MaxHeaderBytes
+	}
+	if v.Limits.HeaderTimeout > 0 {
+		limits.HeaderTimeout = v.Limits.HeaderTimeout
+	}
+	if v.Limits.IdleTimeout > 0 {
+		limits.IdleTimeout = v.Limits.IdleTimeout
+	}
+	return limits
+}
+
 func (n *Node) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
 	if address == "" {
 		return nil
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/link"
 	"github.com/radishstand/radishstand/node/process/budget"
 	"github.com/radishstand/radishstand/node/process/localserver"
@@ -39,6 +40,7 @@
 	peers   *peers.Set
 	front   *front.Front
 	metrics metrics.Registry
+	callers atomic.Pointer[ingress.Server] // nil before the node listens
 
 	stopping  atomic.Bool // readiness is withdrawn
 	handedOff atomic.Bool // the backend server takes no more calls through this node
@@ -116,6 +118,14 @@
 	v.Document = document
 	if n.routing.Offer(v) {
 		n.log.Info("routing in force", "version", v.Number)
+		n.applyLimits()
+	}
+}
+
+// applyLimits bounds what callers may send by the routing in force.
+func (n *Node) applyLimits() {
+	if callers := n.callers.Load(); callers != nil {
+		callers.SetLimits(ingressLimits(n.routing.Current()))
 	}
 }
 
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/protocol"
 	"github.com/radishstand/radishstand/node/process/budget"
 	"github.com/radishstand/radishstand/node/process/peers"
@@ -112,6 +113,9 @@
 	if stopped := f.stoppedAt.Load(); stopped != 0 && now.Sub(time.Unix(0, stopped)) > refuseAfter {
 		return nil, &problem{status: http.StatusServiceUnavailable, cause: "stopping", retryAfter: stopRetryAfter}
 	}
+	if ingress.Ambiguous(r.Context()) {
+		return nil, &problem{status: http.StatusBadRequest, cause: "ambiguous length"}
+	}
 	version := f.config.Routing.Current()
 	if version == nil {
 		return nil, &problem{status: http.StatusServiceUnavailable, cause: "no routing", retryAfter: startRetryAfter}
@@ -140,8 +144,11 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problem) {
-	if r.ContentLength == 0 {
+	switch {
+	case r.ContentLength == 0:
 		return nil, nil
+	case r.ContentLength > limit:
+		return nil, &problem{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
