sidecar: notice questions that the store has lost, and read the members less often

The store was silent from 10.996 s to 15.490 s. The questions for changes that all nodes asked in that time were lost; a node notices that only at the end of a question, after up to 21.5 s. Version 96, acknowledged at 16.444 s, was in force nowhere until a node started anew at 20.1 s.

Ruled out: a lost keep-alive of the connection (the store took bytes, only answers were missing); short questions by all nodes (N times the calls).

To pay for it, the members are read a second time about 15 s after the start, then only every 2 minutes or while a node is missing; the others' questions last 30 s instead of 20.

Not covered: all three nodes refused by the store just after it was silent for all; then the others notice at the end of their own questions.

--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -39,6 +39,8 @@
 	since    int
 	failures float64
 	failedAt time.Time
+	// lostAt is when the link to the server's node ended, or when the node was heard of.
+	lostAt time.Time
 	// heldUntil is the end of the time for which a server that takes no calls is left out.
 	heldUntil time.Time
 }
@@ -129,7 +131,7 @@
 	defer s.mu.Unlock()
 	s.client = client
 	if client == nil {
-		s.state = nil
+		s.state, s.lostAt = nil, time.Now()
 	}
 }
 
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/link"
 	"github.com/radishstand/radishstand/node/process/choice"
@@ -77,7 +79,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(p.ctx)
-	s := &Server{address: address}
+	s := &Server{address: address, lostAt: time.Now()}
 	p.peers[address] = &peer{server: s, cancel: cancel}
 	go p.keepLinked(ctx, s)
 }
@@ -100,6 +102,24 @@
 	return s.client != nil
 }
 
+// Missing reports whether a known node has not been linked for a time.
+func (p *Set) Missing(since time.Duration) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, known := range p.peers {
+		if known.server.missing(since) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) missing(since time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client == nil && time.Since(s.lostAt) > since
+}
+
 // noteState logs a change of another node's server.
 func (p *Set) noteState(address string, state *linkpb.State) {
 	p.config.Log.Info("peer state", "peer", address, "service", state.Service, "server", state.ServerId, "ready", state.Ready)
@@ -117,6 +137,21 @@
 	return len(p.peers), linked
 }
 
+// Among reports whether this node is one of a few that all nodes choose alike from those that are linked. A node without links
+// is always one of them.
+func (p *Set) Among(few int) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	own := xxhash.Sum64String(p.config.Hello.Address)
+	before := 0
+	for address, known := range p.peers {
+		if xxhash.Sum64String(address) < own && known.server.linked() {
+			before++
+		}
+	}
+	return before < few
+}
+
 // servers returns the servers that take calls for a service.
 func (p *Set) servers(service string) []*Server {
 	now := time.Now()
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -11,15 +11,23 @@
 
 const (
 	// awaitRouting is the longest time that the store holds a question for a change.
-	awaitRouting = 20 * time.Second
+	awaitRouting = 30 * time.Second
+	// A question that is lost while the store is away is noticed at its end only. So that changes made after the store's
+	// return are in force in time, a few nodes ask anew in short intervals; the others learn the version from them.
+	frequentReaders = 3
+	frequentAwait   = 800 * time.Millisecond
 	// routingPause is the time between two questions for changes, so that a series of changes costs few calls.
 	routingPause = 250 * time.Millisecond
 	// minStoreRetry and maxStoreRetry bound the pause after a failed call to the store.
 	minStoreRetry = 100 * time.Millisecond
 	maxStoreRetry = 500 * time.Millisecond
-	// membersEvery is the time between two readings of the nodes' addresses. Nodes that join introduce themselves; this
-	// finds those whose introduction was lost.
-	membersEvery = 15 * time.Second
+	// membersSoon is the time after which the nodes' addresses are read again when something may have changed: this node has
+	// just started, or another node has not been reached for missingAfter.
+	membersSoon  = 15 * time.Second
+	missingAfter = 5 * time.Second
+	// membersEvery is the time between two readings otherwise. Nodes that join introduce themselves; this finds those whose
+	// introduction was lost.
+	membersEvery = 2 * time.Minute
 	// probeEvery is the time between two health checks of a server that is not known or not reachable.
 	probeEvery = 250 * time.Millisecond
 )
@@ -56,7 +64,11 @@
 	if revision == 0 {
 		return n.store.Routing(ctx)
 	}
-	return n.store.AwaitRouting(ctx, revision, awaitRouting)
+	wait := awaitRouting
+	if n.peers.Among(frequentReaders) {
+		wait = frequentAwait
+	}
+	return n.store.AwaitRouting(ctx, revision, wait)
 }
 
 // dependency logs a failed call to the store, the first one of a series only.
@@ -85,12 +97,30 @@
 			continue
 		}
 		n.regained("members")
-		registered = true
 		retry = newRetry()
-		sleep(ctx, membersEvery/2+rand.N(membersEvery))
+		if !registered {
+			registered = true
+			sleep(ctx, varied(membersSoon))
+			continue
+		}
+		n.awaitMembersDue(ctx)
+	}
+}
+
+// awaitMembersDue waits until the nodes' addresses are to be read again.
+func (n *Node) awaitMembersDue(ctx context.Context) {
+	due := time.Now().Add(varied(membersEvery))
+	for ctx.Err() == nil && time.Now().Before(due) {
+		sleep(ctx, varied(membersSoon))
+		if n.peers.Missing(missingAfter) {
+			return
+		}
 	}
 }
 
+// varied returns a random time around d, so that nodes that started together do not call the store together.
+func varied(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
 // syncMembers learns the other nodes and makes sure that they can learn this one. The first time the entry is written before
 // the others are read: of two nodes that start together, at least one then sees the other.
 func (n *Node) syncMembers(ctx context.Context, registered bool) error {
@@ -137,7 +167,7 @@
 func newRetry() *retry { return &retry{next: minStoreRetry} }
 
 func (r *retry) pause(ctx context.Context) {
-	sleep(ctx, r.next/2+rand.N(r.next))
+	sleep(ctx, varied(r.next))
 	r.next = min(2*r.next, maxStoreRetry)
 }
 
