dispatch: leave slots free at servers that get less done with all of them

Planned work leaves one server of a service, and its slots are full. A full server does 10.7 units of work where 13 calls would do 12.6.

Change: the dispatcher splits the times of calls, relative to those with few in progress, by the number in progress; limits it where the split is clear and gains a tenth; confirms it with 40 calls; corrects it by single steps; lifts it after 30 s to look again. The nodes of servers of the same kind take it over, from the state on the link and, after all have started anew, from a row in the store. Servers that report no slowness were taken to be slow all the time by one comparison; a test of the knee found that.

The slots above the knee cost more than they serve.

--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -81,6 +81,9 @@
 	arrived time.Time
 	waiting bool
 	started time.Time
+	// inProgress is the number of calls at the server after the start of this one, and slow is set when the host was slow.
+	inProgress int
+	slow       bool
 }
 
 // Load describes the server for choosers.
@@ -100,6 +103,7 @@
 	mu         sync.Mutex
 	ready      bool
 	slots      int
+	knee       *knee
 	inProgress int
 	waiting    []*Job
 	routes     map[string]*estimate
@@ -110,12 +114,17 @@
 	probing    bool
 	blindUntil time.Time
 	decided    []func()
+	othersKnee func(slots int) int
+	kneeFound  func()
 }
 
 // New returns a Dispatcher for a server that takes no calls yet. The function probe asks the server for its slowness without
 // blocking; its end is told with Observe or ProbeFailed. Nil means that the server cannot be asked.
 func New(now func() time.Time, probe func()) *Dispatcher {
-	return &Dispatcher{now: now, probe: probe, routes: map[string]*estimate{}, slots: 1, slowness: usualSlowness}
+	return &Dispatcher{
+		now: now, probe: probe, routes: map[string]*estimate{}, slots: 1, knee: newKnee(1), slowness: usualSlowness,
+		othersKnee: func(int) int { return 0 }, kneeFound: func() {},
+	}
 }
 
 // usualSlowness is the slowness of a host that nobody disturbs, in percent.
@@ -127,7 +136,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ready = true
-	d.slots = max(slots, 1)
+	if slots = max(slots, 1); slots != d.slots {
+		d.slots, d.knee = slots, newKnee(slots)
+	}
 	d.dispatch(d.now())
 }
 
@@ -149,6 +160,7 @@
 	defer d.mu.Unlock()
 	d.routes = map[string]*estimate{}
 	d.overall = estimate{}
+	d.knee = newKnee(d.slots)
 	d.slowness = usualSlowness
 	d.least = recentMinimum{}
 }
@@ -194,10 +206,40 @@
 		took := now.Sub(j.started)
 		d.route(j.Route).add(took)
 		d.overall.add(took)
+		d.learnKnee(j, took, now)
 	}
 	d.dispatch(now)
 }
 
+// learnKnee adds the time of a call to what is known of the knee.
+func (d *Dispatcher) learnKnee(j *Job, took time.Duration, now time.Time) {
+	if j.slow {
+		return
+	}
+	before := d.knee.found
+	d.knee.add(j.Route, j.inProgress, took, now)
+	d.knee.expire(now)
+	if d.knee.found != before {
+		d.decided = append(d.decided, d.kneeFound)
+	}
+}
+
+// ShareKnee makes the dispatcher learn the knee that the nodes of other servers of the same kind have found. The function others
+// returns it for a number of slots, or 0; found is called when this node has found a knee or given it up. The dispatcher is
+// locked while others runs.
+func (d *Dispatcher) ShareKnee(others func(slots int) int, found func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.othersKnee, d.kneeFound = others, found
+}
+
+// Knee returns the number of calls in progress above which the server gets less done, as found here; 0 when none is known.
+func (d *Dispatcher) Knee() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.knee.found
+}
+
 // Observe takes the slowness that the server reported, in percent of the usual time of work; probed is set when the report
 // answers a probe.
 func (d *Dispatcher) Observe(slowness int, probed bool) {
@@ -238,7 +280,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return Load{
-		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.slots,
+		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.knee.limit,
 		Slowness: d.currentSlowness(d.now()), ServiceTime: d.overall.value(),
 	}
 }
@@ -258,9 +300,10 @@
 	return time.Duration((1 - float64(d.least.value(now))/float64(d.slowness)) * float64(slowSpell))
 }
 
-// slow reports whether the last known slowness is that of a spell.
+// slow reports whether the last known slowness is that of a spell. Nothing is known of servers that do not tell it.
 func (d *Dispatcher) slow(now time.Time) bool {
-	return float64(d.slowness) >= slowFrom*float64(d.least.value(now))
+	least := d.least.value(now)
+	return least > 0 && float64(d.slowness) >= slowFrom*float64(least)
 }
 
 func (d *Dispatcher) route(name string) *estimate {
@@ -285,7 +328,7 @@
 	if d.refers(j, wait, now) {
 		return Busy, wait
 	}
-	if wait > 0 && j.late(now.Add(wait), service) && d.lateWaiting(now) >= int(lateBacklog*float64(d.slots)) {
+	if wait > 0 && j.late(now.Add(wait), service) && d.lateWaiting(now) >= int(lateBacklog*float64(d.knee.limit)) {
 		return Late, wait
 	}
 	return 0, 0
@@ -298,7 +341,7 @@
 
 // expectedWait returns the time until a slot becomes free for a call.
 func (d *Dispatcher) expectedWait(j *Job, now time.Time) time.Duration {
-	ahead := d.inProgress - d.slots + 1
+	ahead := d.inProgress - d.knee.limit + 1
 	for _, w := range d.waiting {
 		if d.before(w, j, now) {
 			ahead++
@@ -307,7 +350,7 @@
 	if ahead <= 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) * float64(d.overall.value()) / float64(d.slots))
+	return time.Duration(float64(ahead) * float64(d.overall.value()) / float64(d.knee.limit))
 }
 
 // late reports whether a call that starts at a time would be answered after its objective.
@@ -347,7 +390,7 @@
 				next = w
 			}
 		}
-		if d.inProgress >= d.slots || !d.mayStart(next, now) {
+		if d.inProgress >= d.knee.limit || !d.mayStart(next, now) {
 			return
 		}
 		d.remove(next)
@@ -403,8 +446,11 @@
 }
 
 func (d *Dispatcher) start(j *Job, now time.Time) {
-	j.started = now
 	d.inProgress++
+	j.started, j.inProgress, j.slow = now, d.inProgress, d.slow(now)
+	if d.knee.learns(d.inProgress, now) {
+		d.knee.learn(d.othersKnee(d.slots), now)
+	}
 	d.decided = append(d.decided, func() { j.decide(nil) })
 }
 
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -73,6 +73,11 @@
 	Now        func() time.Time
 	// Changed is called without locks after the server's state changed.
 	Changed func(Status)
+	// OthersKnee returns the knee that the nodes of other servers of the service have found for a number of slots, or 0. It is
+	// called with locks. Nil means that nobody is asked.
+	OthersKnee func(slots int) int
+	// KneeFound is called without locks when the knee of the server was found or given up.
+	KneeFound func()
 }
 
 // Status is the state of the server for other nodes.
@@ -103,6 +108,9 @@
 func New(c Config) *Server {
 	s := &Server{config: c, life: newLife(absent), probes: rate.NewLimiter(probesPerSecond, probeBurst)}
 	s.dispatcher = dispatch.New(c.Now, s.probeSlowness)
+	if c.OthersKnee != nil {
+		s.dispatcher.ShareKnee(c.OthersKnee, c.KneeFound)
+	}
 	return s
 }
 
@@ -268,6 +276,9 @@
 	}
 }
 
+// Knee returns the number of calls in progress above which the server gets less done; 0 when none was found.
+func (s *Server) Knee() int { return s.dispatcher.Knee() }
+
 // Load returns the load of the server.
 func (s *Server) Load() *linkpb.Load {
 	l := s.dispatcher.Load()
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -169,6 +169,29 @@
 	return usable
 }
 
+// Knee returns the least number of calls in progress above which servers of a service with a number of slots get less done, as
+// another node has found; 0 when none has.
+func (p *Set) Knee(service string, slots int) int {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	least := 0
+	for _, known := range p.peers {
+		if knee := known.server.knee(service, slots); knee > 0 && (least == 0 || knee < least) {
+			least = knee
+		}
+	}
+	return least
+}
+
+func (s *Server) knee(service string, slots int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state.GetService() != service || int(s.state.GetSlots()) != slots {
+		return 0
+	}
+	return int(s.state.GetKnee())
+}
+
 // Available reports whether a server takes calls for a service.
 func (p *Set) Available(service string) bool { return len(p.servers(service)) > 0 }
 
--- /dev/null
+++ b/node/process/peers/peers_test.go
@@ -0,0 +1,73 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/connection/link"
+)
+
+// fleet returns the sets of nodes that are linked to each other. No connection is opened.
+func fleet(n int) []*Set {
+	address := func(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+	sets := make([]*Set, n)
+	for i := range sets {
+		sets[i] = New(context.Background(), Config{Hello: &linkpb.Hello{Address: address(i)}})
+		for j := range n {
+			if j != i {
+				sets[i].peers[address(j)] = &peer{server: &Server{address: address(j), client: &link.Client{}}}
+			}
+		}
+	}
+	return sets
+}
+
+func among(sets []*Set, few int) (chosen int) {
+	for _, s := range sets {
+		if s.Among(few) {
+			chosen++
+		}
+	}
+	return chosen
+}
+
+// Guards against nodes that all ask the store in short intervals, and against none that does: a node that has lost its links
+// has nobody to learn from.
+func TestFewNodesAreChosenAlikeAndANodeAloneIsOneOfThem(t *testing.T) {
+	sets := fleet(10)
+	assert.Equal(t, 3, among(sets, 3))
+	for _, known := range sets[0].peers {
+		known.server.connected(nil)
+	}
+	assert.True(t, sets[0].Among(1))
+}
+
+// Guards against a node that never looks for the addresses of others again after it has lost one.
+func TestNodeThatIsNotReachedIsMissing(t *testing.T) {
+	s := fleet(2)[0]
+	assert.False(t, s.Missing(0))
+	s.peers["10.0.0.1:1"].server.connected(nil)
+	assert.False(t, s.Missing(time.Minute))
+	assert.True(t, s.Missing(0))
+}
+
+// Guards against a knee of other servers: of another service, or with another number of slots.
+func TestKneeOfServersOfTheSameKindIsTheLeastFound(t *testing.T) {
+	s := fleet(5)[0]
+	state := func(i int, service string, slots, knee uint32) {
+		known := s.peers[fmt.Sprintf("10.0.0.%d:1", i)].server
+		known.setState(&linkpb.State{Service: service, Slots: slots, Knee: knee}, time.Now())
+	}
+	state(1, "quotes", 17, 0)
+	state(2, "quotes", 9, 5)
+	state(3, "crews", 17, 3)
+	assert.Zero(t, s.Knee("quotes", 17))
+	state(1, "quotes", 17, 14)
+	state(4, "quotes", 17, 13)
+	assert.Equal(t, 13, s.Knee("quotes", 17))
+}
--- a/node/process/sidecar/config.go
+++ b/node/process/sidecar/config.go
@@ -50,10 +50,11 @@
 	Routing(ctx context.Context) (document []byte, revision uint64, err error)
 	// AwaitRouting waits for a change after a revision. The document is nil when there was none. It returns ErrHistoryGone.
 	AwaitRouting(ctx context.Context, after uint64, wait time.Duration) (document []byte, revision uint64, err error)
-	// Members returns the nodes' entries by address.
-	Members(ctx context.Context) (map[string]Member, error)
+	// Fleet returns the nodes' entries and the knees.
+	Fleet(ctx context.Context) (Fleet, error)
 	PutMember(ctx context.Context, m Member) error
 	RemoveMember(ctx context.Context, address string) error
+	PutKnee(ctx context.Context, kind ServerKind, knee int) error
 }
 
 // Member is the entry of a node in the store.
@@ -64,6 +65,21 @@
 	Place   string
 }
 
+// ServerKind is a kind of backend server.
+type ServerKind struct {
+	Service string
+	Slots   int
+}
+
+// Fleet is what the store knows of the nodes.
+type Fleet struct {
+	// Members by address.
+	Members map[string]Member
+	// Knees holds the number of calls in progress above which servers of a kind get less done, where it was found. Nodes know
+	// it from here when all have started anew.
+	Knees map[ServerKind]int
+}
+
 // Adapter speaks the names and formats of a deployment.
 type Adapter interface {
 	// Names returns the header names of callers and backend servers.
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -131,17 +131,18 @@
 			return err
 		}
 	}
-	members, err := n.store.Members(ctx)
+	fleet, err := n.store.Fleet(ctx)
 	if err != nil {
 		return err
 	}
-	addresses := make([]string, 0, len(members))
-	for address := range members {
+	addresses := make([]string, 0, len(fleet.Members))
+	for address := range fleet.Members {
 		addresses = append(addresses, address)
 		n.peers.Learn(address)
 	}
 	n.peers.Retain(addresses)
-	if members[self.Address] == self || n.stopping.Load() {
+	n.knees.stored(fleet.Knees)
+	if fleet.Members[self.Address] == self || n.stopping.Load() {
 		return nil
 	}
 	return n.store.PutMember(ctx, self)
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -29,6 +29,7 @@
 
 // Node is one node of the fleet.
 type Node struct {
+	ctx     context.Context // ends with the process
 	config  atomic.Pointer[Config]
 	adapter Adapter
 	store   Store
@@ -40,6 +41,7 @@
 	peers   *peers.Set
 	front   *front.Front
 	metrics metrics.Registry
+	knees   knees
 	callers atomic.Pointer[ingress.Server] // nil before the node listens
 
 	stopping  atomic.Bool // readiness is withdrawn
@@ -50,12 +52,13 @@
 
 // New returns a node that runs until ctx ends.
 func New(ctx context.Context, c Config, adapter Adapter, log Log) *Node {
-	n := &Node{adapter: adapter, store: adapter.Store(), log: log, routing: &routing.Holder{}, metrics: metrics.NewRegistry()}
+	n := &Node{ctx: ctx, adapter: adapter, store: adapter.Store(), log: log, routing: &routing.Holder{}, metrics: metrics.NewRegistry()}
 	n.config.Store(&c)
 	n.server = localserver.New(localserver.Config{
 		Address: func() string { return n.config.Load().ServerAddress },
 		Known:   n.knownService, HealthPath: n.healthPath,
 		Names: adapter.Names(), Now: time.Now, Changed: n.serverChanged,
+		OthersKnee: n.othersKnee, KneeFound: n.kneeFound,
 	})
 	n.links = link.NewServer(n)
 	n.peers = peers.New(ctx, peers.Config{
@@ -136,6 +139,7 @@
 	return &linkpb.State{
 		Node: c.Name, Place: c.Place, Service: status.Service, ServerId: status.ID, Slots: uint32(max(status.Slots, 0)),
 		Ready: status.Ready && !n.handedOff.Load(), ColdMs: uint32(status.ColdFor.Milliseconds()), Load: n.server.Load(),
+		Knee: uint32(n.server.Knee()),
 	}
 }
 
