dispatch, sidecar: try a limit only where it can gain; tests of knees that cannot be

A server with two slots that is 1.4 times as slow with both in use was limited to one of them for 30 s: a limit was tried wherever calls were a quarter slower with all slots in use, also where fewer calls could not get more done.

Ruled out: a least number of slots for the search; the gain says it better.

Change: a limit is tried only when the server would get a tenth more done with it if calls were as fast as with few in progress. Calls that started before the server changed, and servers with more slots than are followed, are left out.

--- a/node/process/dispatch/knee.go
+++ b/node/process/dispatch/knee.go
@@ -77,8 +77,8 @@
 
 // add takes the time of a call that started with a number of calls in progress, itself included, while the host was not slow.
 func (k *knee) add(route string, inProgress int, took time.Duration, now time.Time) {
-	if inProgress > len(k.current) {
-		return
+	if inProgress < 1 || inProgress > len(k.current) {
+		return // it started before the server changed, or no knee is looked for
 	}
 	usual := k.unhurried[route]
 	if usual == nil {
@@ -139,10 +139,12 @@
 // that rises at once passes over the numbers in between.
 func (k *knee) try(now time.Time) {
 	top, low := k.at(k.slots), k.upTo(k.slots/2)
-	if now.Before(k.aloneUntil) || top.count < kneeSamples || low.count < kneeLevel || top.mean() < kneeStep*low.mean() {
+	limit := int(kneeTry * float64(k.slots))
+	gain := float64(limit) / low.mean() / (float64(k.slots) / top.mean())
+	if now.Before(k.aloneUntil) || top.count < kneeSamples || low.count < kneeLevel || gain < kneeGain {
 		return
 	}
-	k.set(int(kneeTry*float64(k.slots)), k.slots-1, (top.mean()+low.mean())/2, now)
+	k.set(limit, k.slots-1, (top.mean()+low.mean())/2, now)
 }
 
 // set begins to limit the calls in progress. A mean time of doubtful or more refutes the limit.
@@ -188,7 +190,7 @@
 
 // learn takes the limit that the node of a server with as many slots has found.
 func (k *knee) learn(limit int, now time.Time) {
-	if limit >= k.slots || 2*limit < k.slots {
+	if limit >= k.slots || 2*limit < k.slots || k.slots > maxKneeSlots {
 		return
 	}
 	k.limit, k.ceiling, k.since, k.confirmed, k.last = limit, limit, now, true, sample{}
--- a/node/process/dispatch/knee_test.go
+++ b/node/process/dispatch/knee_test.go
@@ -138,3 +138,25 @@
 		assert.Equal(t, 17, s.Load().Limit, "the server has no knee")
 	})
 }
+
+// Guards against entries of other writers: knees that no server has, and servers that announce more slots than are followed.
+func TestImpossibleKneesAreNotTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for slots, knee := range map[int]int{1: 1, 2: 0, 17: 40, 16: -3, 5000: 3000} {
+			s := newKneeServer(slots, slots, 1)
+			s.ShareKnee(func(int) int { return knee }, func() {})
+			s.play(12*float64(min(slots, 20)), 45*time.Second)
+			assert.Equal(t, slots, s.Load().Limit)
+		}
+	})
+}
+
+// Guards against a small server of which half is left free although two slow calls get more done than one.
+func TestSmallServerThatIsSlowerWhenFullIsNotLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newKneeServer(2, 1, 1.4)
+		s.play(4, 20*time.Second)
+		s.play(16, 10*time.Second)
+		assert.Equal(t, 2, s.Load().Limit)
+	})
+}
--- a/node/process/sidecar/knees.go
+++ b/node/process/sidecar/knees.go
@@ -55,17 +55,17 @@
 		return
 	}
 	if n.knees.keeping.CompareAndSwap(false, true) {
-		go n.keepKnee(kind)
+		go n.keepKnee(kind, n.server.Knee)
 	}
 }
 
 func abs(n int) int { return max(n, -n) }
 
-// keepKnee writes the knee to the store, again while the store is away, until it is given up or the node ends.
-func (n *Node) keepKnee(kind ServerKind) {
+// keepKnee writes the present knee to the store, again while the store is away, until it is given up or the node ends.
+func (n *Node) keepKnee(kind ServerKind, present func() int) {
 	defer n.knees.keeping.Store(false)
 	for n.ctx.Err() == nil {
-		knee := n.server.Knee()
+		knee := present()
 		if knee == 0 {
 			return
 		}
