sidecar: ask at once after a lost question and tell the others

A pause followed each question that was given up, and others heard of the version only with traffic. Change: no pause then; the version is told at once.

--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -36,7 +36,9 @@
 func (n *Node) watchRouting(ctx context.Context) {
 	var revision uint64
 	retry := newRetry()
+	failed := false
 	for ctx.Err() == nil {
+		asked := time.Now()
 		document, next, err := n.nextRouting(ctx, revision)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -45,7 +47,10 @@
 			continue
 		case err != nil:
 			n.dependency(ctx, "routing", err)
-			retry.pause(ctx)
+			failed = true
+			if time.Since(asked) < maxStoreRetry { // a question that was given up has waited long enough
+				retry.pause(ctx)
+			}
 			continue
 		}
 		n.regained("routing")
@@ -53,6 +58,10 @@
 		revision = next
 		if document != nil {
 			n.offer(document)
+			if failed { // the others may still wait for the answer to a lost question; frames carry the version
+				n.tell()
+			}
+			failed = false
 			sleep(ctx, routingPause)
 		} else if n.routing.Current() == nil {
 			sleep(ctx, minStoreRetry)
