--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -84,12 +84,13 @@
 	go p.keepLinked(ctx, s)
 }
 
-// Retain forgets the nodes that are neither listed nor linked.
-func (p *Set) Retain(addresses []string) {
+// Retain forgets the nodes that were neither listed nor linked when the list was read. A node that introduced itself meanwhile
+// may not be listed yet.
+func (p *Set) Retain(addresses []string, readAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, known := range p.peers {
-		if !slices.Contains(addresses, address) && !known.server.linked() {
+		if !slices.Contains(addresses, address) && known.server.missingAt(readAt) {
 			known.cancel()
 			delete(p.peers, address)
 		}
@@ -106,18 +107,20 @@
 func (p *Set) Missing(since time.Duration) bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
+	moment := time.Now().Add(-since)
 	for _, known := range p.peers {
-		if known.server.missing(since) {
+		if known.server.missingAt(moment) {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *Server) missing(since time.Duration) bool {
+// missingAt reports whether the node has not been linked since a moment.
+func (s *Server) missingAt(moment time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.client == nil && time.Since(s.lostAt) > since
+	return s.client == nil && s.lostAt.Before(moment)
 }
 
 // noteState logs a change of another node's server.
@@ -137,9 +140,9 @@
 	return len(p.peers), linked
 }
 
-// Among reports whether this node is one of a few that all nodes choose alike from those that are linked. A node without links
+// AmongFirst reports whether this node is one of a few that all nodes choose alike from those that are linked. A node without links
 // is always one of them.
-func (p *Set) Among(few int) bool {
+func (p *Set) AmongFirst(few int) bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	own := xxhash.Sum64String(p.config.Hello.Address)
--- a/node/process/peers/peers_test.go
+++ b/node/process/peers/peers_test.go
@@ -29,7 +29,7 @@
 
 func among(sets []*Set, few int) (chosen int) {
 	for _, s := range sets {
-		if s.Among(few) {
+		if s.AmongFirst(few) {
 			chosen++
 		}
 	}
@@ -44,7 +44,7 @@
 	for _, known := range sets[0].peers {
 		known.server.connected(nil)
 	}
-	assert.True(t, sets[0].Among(1))
+	assert.True(t, sets[0].AmongFirst(1))
 }
 
 // Guards against a node that never looks for the addresses of others again after it has lost one.
@@ -71,3 +71,19 @@
 	state(4, "quotes", 17, 13)
 	assert.Equal(t, 13, s.Knee("quotes", 17))
 }
+
+// Guards against nodes that start together and do not know each other for 15 s: one introduced itself while the other one read a
+// list from before, and was forgotten as neither listed nor linked.
+func TestNodeThatIntroducedItselfDuringAReadingIsKept(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := New(ctx, Config{Hello: &linkpb.Hello{Address: "10.0.0.1:1"}})
+	readAt := time.Now()
+	s.Learn("127.0.0.1:1") // nobody listens there
+	s.Retain(nil, readAt)
+	known, _ := s.Linked()
+	assert.Equal(t, 1, known)
+	s.Retain(nil, time.Now())
+	known, _ = s.Linked()
+	assert.Zero(t, known, "neither listed nor linked")
+}
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -36,7 +36,7 @@
 func (n *Node) watchRouting(ctx context.Context) {
 	var revision uint64
 	retry := newRetry()
-	failed := false
+	var failedAt time.Time
 	for ctx.Err() == nil {
 		asked := time.Now()
 		document, next, err := n.nextRouting(ctx, revision)
@@ -47,7 +47,7 @@
 			continue
 		case err != nil:
 			n.dependency(ctx, "routing", err)
-			failed = true
+			failedAt = time.Now()
 			if time.Since(asked) < maxStoreRetry { // a question that was given up has waited long enough
 				retry.pause(ctx)
 			}
@@ -58,10 +58,11 @@
 		revision = next
 		if document != nil {
 			n.offer(document)
-			if failed { // the others may still wait for the answer to a lost question; frames carry the version
+			// The others may still wait for the answer to a question that was lost at the same time. The version travels with
+			// the state; otherwise a node without traffic would not hear of it.
+			if time.Since(failedAt) < awaitRouting && n.peers.AmongFirst(frequentReaders) {
 				n.tell()
 			}
-			failed = false
 			sleep(ctx, routingPause)
 		} else if n.routing.Current() == nil {
 			sleep(ctx, minStoreRetry)
@@ -74,7 +75,7 @@
 		return n.store.Routing(ctx)
 	}
 	wait := awaitRouting
-	if n.peers.Among(frequentReaders) {
+	if n.peers.AmongFirst(frequentReaders) {
 		wait = frequentAwait
 	}
 	return n.store.AwaitRouting(ctx, revision, wait)
@@ -140,6 +141,7 @@
 			return err
 		}
 	}
+	readAt := time.Now()
 	fleet, err := n.store.Fleet(ctx)
 	if err != nil {
 		return err
@@ -149,7 +151,7 @@
 		addresses = append(addresses, address)
 		n.peers.Learn(address)
 	}
-	n.peers.Retain(addresses)
+	n.peers.Retain(addresses, readAt)
 	n.knees.stored(fleet.Knees)
 	if fleet.Members[self.Address] == self || n.stopping.Load() {
 		return nil
