--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -4,7 +4,8 @@
 // Of the waiting calls those go first that can still meet their objective, by rank and then by objective: an answer after its
 // objective is worth little to a caller. A call is refused on arrival when it would wait here although another server may
 // have room, and when it cannot be answered in time. Calls start only while the host is not slow: a neighbour on the host
-// slows work down for short spells, and a call takes as long as the host is slow at its start.
+// slows work down for short spells, and a call takes as long as the host is slow at its start. Slots stay free when the server
+// gets less done with all of them in use.
 package dispatch
 
 import (
@@ -13,30 +14,6 @@
 	"time"
 )
 
-const (
-	// slowSpell is the usual time for which a neighbour on the host slows work down.
-	slowSpell = 150 * time.Millisecond
-	// slownessAge is the time for which an observed slowness counts in estimates.
-	slownessAge = 100 * time.Millisecond
-	// freshFor is the age up to which an observed slowness decides whether a call starts. It changes every 150 ms or so.
-	freshFor = 10 * time.Millisecond
-	// slowFrom is the slowness, as a multiple of the least one of late, from which calls are not started. A server that is
-	// slow all the time, as after its start, has no better moment to wait for.
-	slowFrom = 1.8
-	// holdSlow is the longest time for which a call waits for the end of a slow spell.
-	holdSlow = 300 * time.Millisecond
-	// blindFor is the time after a failed probe in which calls start without asking.
-	blindFor = 500 * time.Millisecond
-	// hopelessShare is the share of the usual service time that must be left until the deadline.
-	hopelessShare = 0.6
-	// lateHold is the share of the time until the deadline for which a call waits that can no longer meet its objective.
-	lateHold = 0.25
-	// lateBacklog is the number of late calls that wait, as a share of the slots.
-	lateBacklog = 0.5
-	// smoothing is the weight of a new service time.
-	smoothing = 0.05
-)
-
 // Reason is why a call was refused.
 type Reason int
 
@@ -127,9 +104,6 @@
 	}
 }
 
-// usualSlowness is the slowness of a host that nobody disturbs, in percent.
-const usualSlowness = 100
-
 // Open lets calls through to a server with the given number of slots.
 func (d *Dispatcher) Open(slots int) {
 	defer d.announce()
@@ -211,61 +185,6 @@
 	d.dispatch(now)
 }
 
-// learnKnee adds the time of a call to what is known of the knee.
-func (d *Dispatcher) learnKnee(j *Job, took time.Duration, now time.Time) {
-	if j.slow {
-		return
-	}
-	before := d.knee.found
-	d.knee.add(j.Route, j.inProgress, took, now)
-	d.knee.expire(now)
-	if d.knee.found != before {
-		d.decided = append(d.decided, d.kneeFound)
-	}
-}
-
-// ShareKnee makes the dispatcher learn the knee that the nodes of other servers of the same kind have found. The function others
-// returns it for a number of slots, or 0; found is called when this node has found a knee or given it up. The dispatcher is
-// locked while others runs.
-func (d *Dispatcher) ShareKnee(others func(slots int) int, found func()) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.othersKnee, d.kneeFound = others, found
-}
-
-// Knee returns the number of calls in progress above which the server gets less done, as found here; 0 when none is known.
-func (d *Dispatcher) Knee() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.knee.found
-}
-
-// Observe takes the slowness that the server reported, in percent of the usual time of work; probed is set when the report
-// answers a probe.
-func (d *Dispatcher) Observe(slowness int, probed bool) {
-	defer d.announce()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.now()
-	d.slowness, d.slownessAt = slowness, now
-	d.least.add(slowness, now)
-	if probed {
-		d.probing = false
-	}
-	d.dispatch(now)
-}
-
-// ProbeFailed is called when the server did not tell its slowness. For a while calls start without it.
-func (d *Dispatcher) ProbeFailed() {
-	defer d.announce()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.now()
-	d.probing = false
-	d.blindUntil = now.Add(blindFor)
-	d.dispatch(now)
-}
-
 // Sweep refuses the waiting calls that should not wait any longer, and reports whether calls still wait.
 func (d *Dispatcher) Sweep() bool {
 	defer d.announce()
@@ -285,27 +204,6 @@
 	}
 }
 
-func (d *Dispatcher) currentSlowness(now time.Time) int {
-	if now.Sub(d.slownessAt) > slownessAge {
-		return usualSlowness
-	}
-	return d.slowness
-}
-
-// slowDelay returns the time that a call is expected to lose while the host is slow.
-func (d *Dispatcher) slowDelay(now time.Time) time.Duration {
-	if now.Sub(d.slownessAt) > slownessAge || !d.slow(now) {
-		return 0
-	}
-	return time.Duration((1 - float64(d.least.value(now))/float64(d.slowness)) * float64(slowSpell))
-}
-
-// slow reports whether the last known slowness is that of a spell. Nothing is known of servers that do not tell it.
-func (d *Dispatcher) slow(now time.Time) bool {
-	least := d.least.value(now)
-	return least > 0 && float64(d.slowness) >= slowFrom*float64(least)
-}
-
 func (d *Dispatcher) route(name string) *estimate {
 	e := d.routes[name]
 	if e == nil {
@@ -315,71 +213,6 @@
 	return e
 }
 
-// unfit returns why a call should not wait here, and when there is room; 0 when it may wait or run.
-func (d *Dispatcher) unfit(j *Job, now time.Time) (Reason, time.Duration) {
-	if !d.ready {
-		return NoServer, 0
-	}
-	service := d.route(j.Route).value()
-	wait := d.expectedWait(j, now)
-	if now.Add(wait + time.Duration(hopelessShare*float64(service))).After(j.Deadline) {
-		return Late, wait
-	}
-	if d.refers(j, wait, now) {
-		return Busy, wait
-	}
-	if wait > 0 && j.late(now.Add(wait), service) && d.lateWaiting(now) >= int(lateBacklog*float64(d.knee.limit)) {
-		return Late, wait
-	}
-	return 0, 0
-}
-
-// refers reports whether a call is better tried at another server.
-func (d *Dispatcher) refers(j *Job, wait time.Duration, now time.Time) bool {
-	return !j.Stay && wait+d.slowDelay(now) > j.ReferFrom
-}
-
-// expectedWait returns the time until a slot becomes free for a call.
-func (d *Dispatcher) expectedWait(j *Job, now time.Time) time.Duration {
-	ahead := d.inProgress - d.knee.limit + 1
-	for _, w := range d.waiting {
-		if d.before(w, j, now) {
-			ahead++
-		}
-	}
-	if ahead <= 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) * float64(d.overall.value()) / float64(d.knee.limit))
-}
-
-// late reports whether a call that starts at a time would be answered after its objective.
-func (j *Job) late(start time.Time, service time.Duration) bool {
-	return start.Add(service).After(j.Objective)
-}
-
-func (d *Dispatcher) lateWaiting(now time.Time) int {
-	n := 0
-	for _, w := range d.waiting {
-		if w.late(now, d.route(w.Route).value()) {
-			n++
-		}
-	}
-	return n
-}
-
-// before reports whether a goes before b.
-func (d *Dispatcher) before(a, b *Job, now time.Time) bool {
-	lateA, lateB := a.late(now, d.route(a.Route).value()), b.late(now, d.route(b.Route).value())
-	if lateA != lateB {
-		return lateB
-	}
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
-	}
-	return a.Objective.Before(b.Objective)
-}
-
 // dispatch refuses the calls that cannot be answered in time and starts others while slots are free.
 func (d *Dispatcher) dispatch(now time.Time) {
 	d.expire(now)
@@ -398,43 +231,6 @@
 	}
 }
 
-// mayStart reports whether the host is known not to be slow. A call takes as long as the host is slow at its start, so that
-// the wait for the end of a slow spell is shorter than the time that is lost by starting in it.
-func (d *Dispatcher) mayStart(j *Job, now time.Time) bool {
-	if d.probe == nil || now.Before(d.blindUntil) {
-		return true
-	}
-	if now.Sub(d.slownessAt) <= freshFor {
-		return !d.slow(now) || now.Sub(j.arrived) > holdSlow
-	}
-	if !d.probing {
-		d.probing = true
-		d.decided = append(d.decided, d.probe)
-	}
-	return false
-}
-
-// expire refuses the calls that should not wait any longer.
-func (d *Dispatcher) expire(now time.Time) {
-	kept := d.waiting[:0]
-	for _, w := range d.waiting {
-		service := d.route(w.Route).value()
-		hopeless := now.Add(time.Duration(hopelessShare * float64(service))).After(w.Deadline)
-		held := w.late(now, service) && float64(now.Sub(w.arrived)) > lateHold*float64(w.Deadline.Sub(w.arrived))
-		switch {
-		case hopeless || held:
-			d.refuse(w, Late, d.expectedWait(w, now))
-			continue
-		case d.slowDelay(now) > 0 && d.refers(w, 0, now):
-			d.refuse(w, Busy, d.slowDelay(now))
-			continue
-		}
-		kept = append(kept, w)
-	}
-	clear(d.waiting[len(kept):])
-	d.waiting = kept
-}
-
 func (d *Dispatcher) remove(j *Job) {
 	for i, w := range d.waiting {
 		if w == j {
--- a/node/process/dispatch/estimate.go
+++ b/node/process/dispatch/estimate.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// smoothing is the weight of a new service time.
+const smoothing = 0.05
+
 // estimate is a smoothed service time. The first values weigh more, so that it is usable soon.
 type estimate struct {
 	mean  float64
--- a/node/process/dispatch/knee.go
+++ b/node/process/dispatch/knee.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// kneeWindow is the time after which observed times are forgotten, once or twice as long.
@@ -253,44 +250,31 @@
 	k.limit, k.found, k.aloneUntil = k.slots, 0, aloneUntil
 }
 
-// sample is a set of observations.
-type sample struct{ count, sum, squares float64 }
-
-func (s *sample) add(value float64) {
-	s.count++
-	s.sum += value
-	s.squares += value * value
-}
-
-func (s *sample) join(o sample) {
-	s.count += o.count
-	s.sum += o.sum
-	s.squares += o.squares
-}
-
-func (s sample) without(o sample) sample {
-	return sample{count: s.count - o.count, sum: s.sum - o.sum, squares: s.squares - o.squares}
-}
-
-func (s sample) mean() float64 { return s.sum / s.count }
-
-// standardError returns the standard error of the mean.
-func (s sample) standardError() float64 {
-	variance := max(s.squares/s.count-s.mean()*s.mean(), 0)
-	return math.Sqrt(variance / s.count)
+// learnKnee adds the time of a call to what is known of the knee.
+func (d *Dispatcher) learnKnee(j *Job, took time.Duration, now time.Time) {
+	if j.slow {
+		return
+	}
+	before := d.knee.found
+	d.knee.add(j.Route, j.inProgress, took, now)
+	d.knee.expire(now)
+	if d.knee.found != before {
+		d.decided = append(d.decided, d.kneeFound)
+	}
 }
 
-// clearlyAbove reports whether the difference between the means is no accident.
-func (s sample) clearlyAbove(o sample) bool {
-	return s.mean()-o.mean() > kneeErrors*math.Hypot(s.standardError(), o.standardError())
+// ShareKnee makes the dispatcher learn the knee that the nodes of other servers of the same kind have found. The function others
+// returns it for a number of slots, or 0; found is called when this node has found a knee or given it up. The dispatcher is
+// locked while others runs.
+func (d *Dispatcher) ShareKnee(others func(slots int) int, found func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.othersKnee, d.kneeFound = others, found
 }
 
-// split returns the variance between this part of all observations and the rest when the rest is the greater one.
-func (s sample) split(all sample) float64 {
-	rest := all.without(s)
-	if s.count == 0 || rest.count == 0 || rest.mean() <= s.mean() {
-		return 0
-	}
-	difference := rest.mean() - s.mean()
-	return s.count * rest.count / all.count * difference * difference
+// Knee returns the number of calls in progress above which the server gets less done, as found here; 0 when none is known.
+func (d *Dispatcher) Knee() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.knee.found
 }
