localserver: keep the leave of a server that the node does not know

Cause: a leave or drain that reached a node before it knew its server was acknowledged and forgotten: Leave compared the id with the current one (none) and did nothing. The same happened when an earlier process of the node had acknowledged the leave and ended.

Ruled out: not acknowledging such a leave (the server then ends without an acknowledgement); a row in the store for each leave (a leave must be kept while the store is down); using no server before its announcement (after a restart of all nodes each server would be missing for up to one interval of announcements).

Change: leaves are remembered by id and start, also of unknown servers; health checks do not bring them back, and of the announcements only that of a later start does. A server that was found by a health check and has not announced itself after 1.5 intervals is not used until it does: one that leaves announces nothing more. A drain is acknowledged also when its service is not configured any more.

--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -4,7 +4,6 @@
 package localserver
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -19,33 +18,15 @@
 	"github.com/radishstand/radishstand/node/process/dispatch"
 )
 
-// States of the server.
-const (
-	// stateAbsent: no server has been announced or found.
-	stateAbsent = "absent"
-	// stateReady: the server accepts calls.
-	stateReady = "ready"
-	// stateUnreachable: the server is announced but refuses connections.
-	stateUnreachable = "unreachable"
-	// stateDraining: the server completes its calls and accepts no new ones.
-	stateDraining = "draining"
-	// stateGone: the server has left.
-	stateGone = "gone"
-)
-
-// Events of the state machine.
-const (
-	eventAnnounced = "announced"
-	eventDrained   = "drained"
-	eventLeft      = "left"
-	eventLost      = "lost"
-	eventFound     = "found"
-)
-
 // ErrInvalid is wrapped by the errors of announcements that do not describe a usable server.
 var ErrInvalid = errors.New("announcement refused")
 
-const maxSlots = 10_000
+const (
+	maxSlots = 10_000
+	// unannouncedIntervals is the time for which a server that was found by a health check is used without an announcement,
+	// as a multiple of the interval of announcements.
+	unannouncedIntervals = 1.5
+)
 
 // Announcement is the report of a server about itself.
 type Announcement struct {
@@ -63,6 +44,13 @@
 	StartedAtMs int64
 }
 
+// Leave is the announcement that a server ends.
+type Leave struct {
+	ID string
+	// StartedAtMs is the start of the server that ends, as in Announcement; 0 when unknown.
+	StartedAtMs int64
+}
+
 // Config configures a Server.
 type Config struct {
 	// Address returns the address of the server beside this node. Announcements of other addresses are refused.
@@ -73,6 +61,9 @@
 	HealthPath func(service string) string
 	Names      protocol.Names
 	Now        func() time.Time
+	// AnnounceInterval returns the interval of a server's announcements. With 0, a server that was found by a health check
+	// is used without an announcement.
+	AnnounceInterval func() time.Duration
 	// Changed is called without holding locks after the state of the server changed.
 	Changed func(Status)
 	// PeerKnee returns the knee that the nodes of other servers of the service have found for a number of slots, or 0.
@@ -91,6 +82,8 @@
 	State      string
 	Ready      bool
 	WarmUpLeft time.Duration
+	// StartedAtMs is the start of the server, as in Announcement.
+	StartedAtMs int64
 }
 
 // Server is the backend server beside the node. It is safe for concurrent use.
@@ -105,6 +98,9 @@
 	warmUpEnd      time.Time
 	client         *exchange.Client
 	sweepScheduled bool
+	departed       departures
+	// unannouncedSince is when a health check found the current server; zero once the server has announced itself.
+	unannouncedSince time.Time
 }
 
 // New returns a Server in the absent state.
@@ -117,25 +113,21 @@
 	return s
 }
 
-func newStateMachine(initial string) *fsm.FSM {
-	return fsm.NewFSM(initial, fsm.Events{
-		{Name: eventAnnounced, Src: []string{stateAbsent, stateReady, stateUnreachable}, Dst: stateReady},
-		{Name: eventDrained, Src: []string{stateAbsent, stateReady, stateUnreachable}, Dst: stateDraining},
-		{Name: eventLeft, Src: []string{stateAbsent, stateReady, stateUnreachable, stateDraining}, Dst: stateGone},
-		{Name: eventLost, Src: []string{stateReady}, Dst: stateUnreachable},
-		{Name: eventFound, Src: []string{stateUnreachable}, Dst: stateReady},
-	}, fsm.Callbacks{})
-}
-
-// Announce applies an announcement. One of an earlier start, or with a sequence number that is not greater than the
-// last, has no effect. The errors wrap ErrInvalid.
+// Announce applies an announcement. One of an earlier start or of a server that has left, or with a sequence number that is
+// not greater than the last, has no effect. The errors wrap ErrInvalid.
 func (s *Server) Announce(a Announcement) error {
 	if err := s.validate(a); err != nil {
 		return err
 	}
 	return s.updateState(func() error {
-		if a.ID == s.current.ID && s.current.StartedAtMs == 0 {
-			s.current.StartedAtMs = a.StartedAtMs // found by a health check, which does not report the start
+		if s.departed.includes(a.ID, a.StartedAtMs, s.config.Now()) {
+			return nil
+		}
+		if a.ID == s.current.ID {
+			s.unannouncedSince = time.Time{}
+			if s.current.StartedAtMs == 0 {
+				s.current.StartedAtMs = a.StartedAtMs // found by a health check, which does not report the start
+			}
 		}
 		if s.isNewStart(a) {
 			s.replaceServer(a)
@@ -172,6 +164,7 @@
 	s.dispatcher.Reset()
 	s.current = a
 	s.current.Sequence = a.Sequence - 1
+	s.unannouncedSince = time.Time{}
 	s.warmUpEnd = s.config.Now().Add(a.WarmUp)
 	s.client = exchange.New(a.Address, s.config.Names.ID)
 	s.state = newStateMachine(stateAbsent)
@@ -185,18 +178,29 @@
 		return fmt.Errorf("%w: address %q is not the address of the server beside this node", ErrInvalid, a.Address)
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return fmt.Errorf("%w: slots is %d, allowed are 1 to %d", ErrInvalid, a.Slots, maxSlots)
-	case !s.config.HasService(a.Service):
+	case !a.Draining && !s.config.HasService(a.Service): // a drain is acknowledged also after the service was removed
 		return fmt.Errorf("%w: service %q is not configured", ErrInvalid, a.Service)
 	}
 	return nil
 }
 
-// Leave records that a server has announced its end. It has no effect for a server other than the current one.
-func (s *Server) Leave(id string) error {
+// Leave records that a server has announced its end. It is remembered also for a server that this node does not know, since
+// that server may serve on and be found by a health check. The leave of an earlier start has no effect on a later one. The
+// errors wrap ErrInvalid.
+func (s *Server) Leave(l Leave) error {
+	if l.ID == "" {
+		return fmt.Errorf("%w: server id is empty", ErrInvalid)
+	}
 	return s.updateState(func() error {
-		if id != s.current.ID {
+		if l.ID != s.current.ID {
+			s.departed.add(l, s.config.Now())
+			return nil
+		}
+		if l.StartedAtMs != 0 && l.StartedAtMs < s.current.StartedAtMs {
 			return nil
 		}
+		s.current.StartedAtMs = max(s.current.StartedAtMs, l.StartedAtMs)
+		s.departed.add(Leave{ID: l.ID, StartedAtMs: s.current.StartedAtMs}, s.config.Now())
 		return s.fireEvent(eventLeft)
 	})
 }
@@ -218,8 +222,12 @@
 		return err
 	}
 	return s.updateState(func() error {
+		if s.departed.includesAny(a.ID) {
+			return nil
+		}
 		if s.current.ID == "" {
 			s.replaceServer(a)
+			s.unannouncedSince = s.config.Now()
 			return s.fireEvent(eventAnnounced)
 		}
 		if a.ID != s.current.ID {
@@ -229,6 +237,21 @@
 	})
 }
 
+// CheckAnnounced stops the use of a server that a health check has found and that has not announced itself in time. A server
+// that leaves may serve on without announcing itself again, and its leave may have been acknowledged by an earlier process
+// of this node.
+func (s *Server) CheckAnnounced() {
+	_ = s.updateState(func() error {
+		interval := s.config.AnnounceInterval()
+		limit := time.Duration(unannouncedIntervals * float64(interval))
+		if interval == 0 || s.unannouncedSince.IsZero() || s.config.Now().Sub(s.unannouncedSince) < limit {
+			return nil
+		}
+		s.unannouncedSince = time.Time{}
+		return s.fireEvent(eventSilent)
+	})
+}
+
 // NeedsProbe reports whether a health check may find a server to use: none is known, or the current one is unreachable.
 func (s *Server) NeedsProbe() bool {
 	s.mu.Lock()
@@ -236,15 +259,6 @@
 	return s.current.ID == "" || s.state.Is(stateUnreachable)
 }
 
-// fireEvent applies an event to the state machine. An event that is not valid in the current state has no effect.
-func (s *Server) fireEvent(name string) error {
-	err := s.state.Event(context.Background(), name)
-	if errors.As(err, &fsm.NoTransitionError{}) || errors.As(err, &fsm.InvalidEventError{}) {
-		return nil
-	}
-	return err
-}
-
 // updateState runs an update of the state, opens or closes the dispatcher accordingly, and reports the change to
 // Config.Changed.
 func (s *Server) updateState(update func() error) error {
@@ -253,7 +267,7 @@
 	err := update()
 	after := s.status()
 	switch {
-	case after.Ready && (!before.Ready || before.Slots != after.Slots || before.ID != after.ID):
+	case after.Ready && (!before.Ready || before.Slots != after.Slots || before.ID != after.ID || before.StartedAtMs != after.StartedAtMs):
 		s.dispatcher.Open(after.Slots)
 	case !after.Ready && before.Ready:
 		s.dispatcher.Close()
@@ -276,7 +290,7 @@
 func (s *Server) status() Status {
 	return Status{
 		ID: s.current.ID, Service: s.current.Service, Slots: s.current.Slots, State: s.state.Current(),
-		Ready: s.state.Is(stateReady), WarmUpLeft: max(s.warmUpEnd.Sub(s.config.Now()), 0),
+		Ready: s.state.Is(stateReady), WarmUpLeft: max(s.warmUpEnd.Sub(s.config.Now()), 0), StartedAtMs: s.current.StartedAtMs,
 	}
 }
 
--- a/node/process/localserver/localserver_test.go
+++ b/node/process/localserver/localserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -9,14 +10,17 @@
 	"github.com/radishstand/radishstand/node/process/localserver"
 )
 
-const address = "127.0.0.1:9"
+const (
+	address          = "127.0.0.1:9"
+	announceInterval = time.Second
+)
 
 func newServer(changed *[]localserver.Status) *localserver.Server {
 	return localserver.New(localserver.Config{
 		Address:    func() string { return address },
 		HasService: func(service string) bool { return service == "quotes" || service == "crews" },
-		Now:        time.Now,
-		Changed:    func(s localserver.Status) { *changed = append(*changed, s) },
+		Now:        time.Now, AnnounceInterval: func() time.Duration { return announceInterval },
+		Changed: func(s localserver.Status) { *changed = append(*changed, s) },
 	})
 }
 
@@ -67,9 +71,9 @@
 	var changed []localserver.Status
 	s := newServer(&changed)
 	assert.NoError(t, s.Announce(announcement(nil)))
-	assert.NoError(t, s.Leave("i-0"))
+	assert.NoError(t, s.Leave(localserver.Leave{ID: "i-0"}))
 	assert.True(t, s.Status().Ready)
-	assert.NoError(t, s.Leave("i-1"))
+	assert.NoError(t, s.Leave(localserver.Leave{ID: "i-1"}))
 	assert.False(t, s.Status().Ready)
 	assert.NoError(t, s.Announce(announcement(func(a *localserver.Announcement) { a.Sequence = 99 })))
 	assert.False(t, s.Status().Ready, "a late announcement must not bring the server back")
@@ -94,3 +98,72 @@
 		})
 	}
 }
+
+// Guards against a server that has left and is used again: after the leave, a health check finds it or a late announcement
+// arrives. A later start under the same ID is used.
+func TestServerThatHasLeftIsNotUsedAgain(t *testing.T) {
+	found := announcement(func(a *localserver.Announcement) { a.StartedAtMs, a.Sequence = 0, -1 })
+	late := announcement(nil)
+	restarted := announcement(func(a *localserver.Announcement) { a.StartedAtMs, a.Sequence = 200, 1 })
+	cases := map[string]struct {
+		leave  localserver.Leave
+		before *localserver.Announcement
+		after  func(*localserver.Server) error
+		ready  bool
+	}{
+		"unknown, found by a health check":    {localserver.Leave{ID: "i-1"}, nil, func(s *localserver.Server) error { return s.HandleProbeResult(found) }, false},
+		"unknown, announced late":             {localserver.Leave{ID: "i-1"}, nil, func(s *localserver.Server) error { return s.Announce(late) }, false},
+		"its start is known, announced late":  {localserver.Leave{ID: "i-1", StartedAtMs: 100}, nil, func(s *localserver.Server) error { return s.Announce(late) }, false},
+		"its start is known, started again":   {localserver.Leave{ID: "i-1", StartedAtMs: 100}, nil, func(s *localserver.Server) error { return s.Announce(restarted) }, true},
+		"the current one, started again":      {localserver.Leave{ID: "i-1"}, &late, func(s *localserver.Server) error { return s.Announce(restarted) }, true},
+		"the current one, found afterwards":   {localserver.Leave{ID: "i-1"}, &late, func(s *localserver.Server) error { return s.HandleProbeResult(found) }, false},
+		"an earlier start, by a late request": {localserver.Leave{ID: "i-1", StartedAtMs: 100}, &restarted, func(*localserver.Server) error { return nil }, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var changed []localserver.Status
+			s := newServer(&changed)
+			if c.before != nil {
+				assert.NoError(t, s.Announce(*c.before))
+			}
+			assert.NoError(t, s.Leave(c.leave))
+			assert.NoError(t, c.after(s))
+			assert.Equal(t, c.ready, s.Status().Ready)
+		})
+	}
+}
+
+// Guards against a server that is unusable for ever because its leave did not tell which start it ended.
+func TestLeaveOfAnUnknownStartDoesNotBlockALaterOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var changed []localserver.Status
+		s := newServer(&changed)
+		assert.NoError(t, s.Leave(localserver.Leave{ID: "i-1"}))
+		time.Sleep(11 * time.Second)
+		assert.NoError(t, s.Announce(announcement(nil)))
+		assert.True(t, s.Status().Ready)
+	})
+}
+
+// Guards against a server that was found by a health check and is used although it announces nothing: its leave may have
+// been acknowledged by an earlier process of the node.
+func TestFoundServerMustAnnounceItself(t *testing.T) {
+	found := announcement(func(a *localserver.Announcement) { a.StartedAtMs, a.Sequence = 0, -1 })
+	synctest.Test(t, func(t *testing.T) {
+		var changed []localserver.Status
+		s := newServer(&changed)
+		assert.NoError(t, s.HandleProbeResult(found))
+		time.Sleep(announceInterval)
+		s.CheckAnnounced()
+		assert.True(t, s.Status().Ready, "its announcement may still come")
+		time.Sleep(announceInterval)
+		s.CheckAnnounced()
+		assert.False(t, s.Status().Ready)
+		assert.NoError(t, s.HandleProbeResult(found))
+		assert.False(t, s.Status().Ready, "a health check does not show whether it has left")
+		assert.NoError(t, s.Announce(announcement(nil)))
+		time.Sleep(10 * announceInterval)
+		s.CheckAnnounced()
+		assert.True(t, s.Status().Ready)
+	})
+}
--- a/node/process/sidecar/config.go
+++ b/node/process/sidecar/config.go
@@ -21,8 +21,10 @@
 	Service string
 	// ServerAddress is the address at which the backend server listens.
 	ServerAddress string
-	Listen        Listen
-	Limits        budget.Limits
+	// AnnounceInterval is the interval at which the backend server announces itself.
+	AnnounceInterval time.Duration
+	Listen           Listen
+	Limits           budget.Limits
 	// StopGrace is the longest time between the signal to stop and the end of the process.
 	StopGrace time.Duration
 }
@@ -101,6 +103,6 @@
 type AnnouncementHandler interface {
 	// Announce applies an announcement of the state of a server.
 	Announce(a localserver.Announcement) error
-	// Leave applies the announcement that a server has left.
-	Leave(id string) error
+	// Leave applies the announcement that a server ends.
+	Leave(l localserver.Leave) error
 }
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -163,8 +163,9 @@
 	return n.store.PutMember(ctx, self)
 }
 
-// probeServer sends health checks to the backend server's address while no reachable server is known there.
-func (n *Node) probeServer(ctx context.Context) {
+// superviseServer sends health checks to the backend server's address while no reachable server is known there, and checks
+// that a server found in this way announces itself.
+func (n *Node) superviseServer(ctx context.Context) {
 	for ctx.Err() == nil {
 		v := n.routing.Current()
 		c := n.config.Load()
@@ -173,6 +174,7 @@
 				n.log.Warn("invalid health check response", "error", err)
 			}
 		}
+		n.server.CheckAnnounced()
 		sleep(ctx, probeInterval)
 	}
 }
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -57,7 +57,8 @@
 	n.server = localserver.New(localserver.Config{
 		Address:    func() string { return n.config.Load().ServerAddress },
 		HasService: n.knownService, HealthPath: n.healthPath,
-		Names: adapter.Names(), Now: time.Now, Changed: n.serverChanged,
+		AnnounceInterval: func() time.Duration { return n.config.Load().AnnounceInterval },
+		Names:            adapter.Names(), Now: time.Now, Changed: n.serverChanged,
 		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
 	n.links = link.NewServer(n)
