ingress: handle pipelined idempotent requests together

Weighed: a wrapper of the connection below net/http that keeps reading into a buffer and cancels the context (sees the close, but requests still wait for each other, and a node hands out more time than is left for a request that it has not read); a virtual connection for each pipelined request (two parsers and more goroutines a request).

Change: an own loop a connection; net/http still parses the heads. One goroutine reads and sees the close; each request is handled in a goroutine of its own; responses are written in order. A request is started before those ahead of it are answered only if all of them, and it, are valid, idempotent and without a body; 16 at most are read ahead. A response closes the connection only while nothing behind it has started, and nothing behind it is started then. Shutdown answers what was read, and closes idle connections. Requests with two lengths, two hosts, folded headers or control characters are rejected on their own. The framing parser beside net/http is gone; its rapid test checks the new reader now (exact bodies too, not only the flag).

Tests: TestPipelinedRequestsRunTogether and TestCallerThatLeavesWithAFurtherRequestSentCancelsItsCall failed before, pass now; those of package ingress are new with it.

--- a/node/connection/ingress/ingress.go
+++ b/node/connection/ingress/ingress.go
@@ -1,5 +1,9 @@
-// Package ingress serves the connections of callers under limits that operators can change at run time, and detects
-// requests whose body length is ambiguous.
+// Package ingress serves the HTTP/1.1 connections of callers.
+//
+// It is used instead of the server of net/http, which serves pipelined requests one after the other, does not notice that a
+// caller has left once bytes of a further request have arrived, and does not tell when a response has been written. Requests
+// are parsed by net/http. A request with an ambiguous length is rejected, since a proxy in front of the node may have
+// determined another end of it (request smuggling).
 package ingress
 
 import (
@@ -8,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,56 +30,63 @@
 	IdleTimeout time.Duration
 }
 
+// Handler handles requests. It must be safe for concurrent use.
+type Handler interface {
+	// Handle returns the response to a request. It may read the body. The request's context ends when the caller has
+	// left; the response is then dropped and may be nil.
+	Handle(r *http.Request) *Response
+	// Repeatable reports whether the request is valid and may run more than once. Such requests may be handled before
+	// the requests ahead of them on their connection have been answered.
+	Repeatable(r *http.Request) bool
+}
+
+// Response is a complete response. Header must not contain the headers that concern the connection or the length.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Close closes the connection after the response.
+	Close bool
+}
+
 // Log is a structured logger; keyvals are alternating keys and values.
 type Log interface {
+	Info(message any, keyvals ...any)
 	Warn(message any, keyvals ...any)
 }
 
-// Server serves connections with the limits that were set when they were accepted. It is safe for concurrent use.
+// Server serves the connections of a listener. It is safe for concurrent use.
 type Server struct {
-	handler  http.Handler
+	handler  Handler
 	listener *net.TCPListener
 	log      Log
+	limits   atomic.Pointer[Limits]
+	draining atomic.Bool
+	// unanswered is the number of requests of which the first byte was read and whose response is not written.
+	unanswered  atomic.Int64
+	lastArrival atomic.Int64 // Unix time in nanoseconds
 
-	mu      sync.Mutex
-	closed  bool
-	current *queue
-	// byLimits holds one HTTP server for all connections with the same limits.
-	byLimits map[Limits]*queue
+	mu          sync.Mutex
+	closed      bool
+	connections map[*connection]struct{}
+	// allClosed is closed when no connection is left after a Shutdown.
+	allClosed chan struct{}
 }
 
 // NewServer returns a server for the connections of a listener.
-func NewServer(listener *net.TCPListener, handler http.Handler, limits Limits, log Log) *Server {
-	s := &Server{handler: handler, listener: listener, log: log, byLimits: map[Limits]*queue{}}
+func NewServer(listener *net.TCPListener, handler Handler, limits Limits, log Log) *Server {
+	s := &Server{
+		handler: handler, listener: listener, log: log,
+		connections: map[*connection]struct{}{}, allClosed: make(chan struct{}),
+	}
 	s.SetLimits(limits)
 	return s
 }
 
 // SetLimits sets the limits of connections that are accepted later.
-func (s *Server) SetLimits(limits Limits) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return
-	}
-	if s.byLimits[limits] == nil {
-		s.byLimits[limits] = s.startServer(limits)
-	}
-	s.current = s.byLimits[limits]
-}
+func (s *Server) SetLimits(limits Limits) { s.limits.Store(&limits) }
 
-// startServer starts an HTTP server that accepts its connections from a queue.
-func (s *Server) startServer(limits Limits) *queue {
-	q := &queue{connections: make(chan net.Conn), done: make(chan struct{}), address: s.listener.Addr()}
-	q.server = &http.Server{
-		Handler: s.handler, MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout: limits.IdleTimeout, ConnContext: withConnection, DisableGeneralOptionsHandler: true,
-	}
-	go func() { _ = q.server.Serve(q) }() // returns when the queue is closed
-	return q
-}
-
-// Serve accepts connections until Close is called.
+// Serve accepts connections until Shutdown or Close is called.
 func (s *Server) Serve() {
 	for {
 		accepted, err := s.listener.AcceptTCP()
@@ -86,86 +98,78 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.mu.Lock()
-		q := s.current
-		s.mu.Unlock()
-		q.put(&connection{TCPConn: accepted})
+		c := newConnection(s, accepted, *s.limits.Load())
+		if !s.add(c) {
+			_ = accepted.Close()
+			return
+		}
+		go c.serve()
 	}
 }
 
-// Close closes the listener and all connections.
-func (s *Server) Close() {
-	_ = s.listener.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	for _, q := range s.byLimits {
-		_ = q.server.Close()
-	}
-}
+// Drain closes connections after the response that is written next. Requests behind it are not handled.
+func (s *Server) Drain() { s.draining.Store(true) }
 
-// queue passes accepted connections to the HTTP server for their limits, as its net.Listener.
-type queue struct {
-	server      *http.Server
-	connections chan net.Conn
-	address     net.Addr
-	closeOnce   sync.Once
-	done        chan struct{}
+// InProgress returns the number of requests whose response is not written yet, and the time of the last arrival.
+func (s *Server) InProgress() (requests int64, lastArrival time.Time) {
+	return s.unanswered.Load(), time.Unix(0, s.lastArrival.Load())
 }
 
-// put passes a connection to Accept, or closes it when the queue is closed.
-func (q *queue) put(c net.Conn) {
-	select {
-	case q.connections <- c:
-	case <-q.done:
-		_ = c.Close()
+// Shutdown closes the listener and the connections without a request in progress, and waits until the responses to all
+// requests that were read are written, or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.Drain()
+	_ = s.listener.Close()
+	for _, c := range s.closeAdmission() {
+		c.interruptIdle()
 	}
-}
-
-// Accept returns the next connection.
-func (q *queue) Accept() (net.Conn, error) {
 	select {
-	case c := <-q.connections:
-		return c, nil
-	case <-q.done:
-		return nil, net.ErrClosed
+	case <-s.allClosed:
+	case <-ctx.Done():
 	}
 }
 
-// Close closes the queue. Accept then returns net.ErrClosed.
-func (q *queue) Close() error {
-	q.closeOnce.Do(func() { close(q.done) })
-	return nil
-}
-
-// Addr returns the address of the listener that accepted the connections.
-func (q *queue) Addr() net.Addr { return q.address }
-
-// connection parses the framing of the requests on a caller's connection. It embeds the TCP connection, since net/http uses
-// CloseWrite after it rejects a request, so that a reset does not discard the answer.
-type connection struct {
-	*net.TCPConn
-	framing framingParser
+// closeAdmission prevents further connections from being added and returns the open ones.
+func (s *Server) closeAdmission() []*connection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.closed = true
+		if len(s.connections) == 0 {
+			close(s.allClosed)
+		}
+	}
+	open := make([]*connection, 0, len(s.connections))
+	for c := range s.connections {
+		open = append(open, c)
+	}
+	return open
 }
 
-// Read reads bytes and passes them to the framing parser.
-func (c *connection) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	c.framing.parse(p[:n])
-	return n, err
+// Close closes the listener and all connections at once.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	for _, c := range s.closeAdmission() {
+		c.abort()
+	}
 }
 
-// connectionKey is the context key of the connection of a request.
-type connectionKey struct{}
-
-func withConnection(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, c)
+// add reports false when the server is closed.
+func (s *Server) add(c *connection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.connections[c] = struct{}{}
+	return true
 }
 
-// AmbiguousLength reports whether a request on the connection of ctx had both a length and chunks. net/http silently uses
-// the chunks and drops the length. A proxy in front of the node may have used the length, so that the bytes after the
-// request may be part of its body (request smuggling).
-func AmbiguousLength(ctx context.Context) bool {
-	c, ok := ctx.Value(connectionKey{}).(*connection)
-	return ok && c.framing.ambiguous.Load()
+func (s *Server) remove(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+	if s.closed && len(s.connections) == 0 {
+		close(s.allClosed)
+	}
 }
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -98,7 +98,7 @@
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	server := ingress.NewServer(listener.(*net.TCPListener), n.front, ingressLimits(n.routing.Current()), n.log)
-	n.callerServer.Store(server)
+	n.callers.Store(server)
 	context.AfterFunc(ctx, server.Close)
 	go server.Serve()
 	return nil
@@ -151,6 +151,7 @@
 	started := time.Now()
 	n.stopping.Store(true)
 	n.front.StartDrain()
+	n.callers.Load().Drain()
 	n.log.Info("stopping", "graceMs", n.config.Load().StopGrace.Milliseconds())
 	removed := make(chan struct{})
 	go func() {
@@ -166,13 +167,16 @@
 	for time.Since(started) < limit && !n.idle(started) {
 		sleep(ctx, stopPollInterval)
 	}
-	requests, _ := n.front.InProgress()
+	shutdown, cancel := context.WithDeadline(ctx, started.Add(limit))
+	defer cancel()
+	n.callers.Load().Shutdown(shutdown)
+	requests, _ := n.callers.Load().InProgress()
 	n.log.Info("stopped", "requests", requests, "calls", n.activeCalls.Load(), "afterMs", time.Since(started).Milliseconds())
 }
 
 // idle reports whether no requests or calls are in progress and callers are assumed to have left.
 func (n *Node) idle(stopped time.Time) bool {
-	requests, last := n.front.InProgress()
+	requests, last := n.callers.Load().InProgress()
 	return requests == 0 && n.activeCalls.Load() == 0 && time.Since(stopped) > minStopTime && time.Since(last) > quietPeriod
 }
 
@@ -182,7 +186,7 @@
 // writeDump serves the state of the process as text.
 func (n *Node) writeDump(w http.ResponseWriter, _ *http.Request) {
 	known, linked := n.peers.Linked()
-	requests, _ := n.front.InProgress()
+	requests, _ := n.callers.Load().InProgress()
 	fmt.Fprintf(w, "version %d\nstate %v\npeers %d linked %d\nrequests %d calls %d\n",
 		n.routing.Number(), n.State(), known, linked, requests, n.activeCalls.Load())
 }
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -35,14 +35,14 @@
 	store   Store
 	log     Log
 
-	routing      *routing.Holder
-	server       *localserver.Server
-	links        *link.Server
-	peers        *peers.Set
-	front        *front.Handler
-	metrics      metrics.Registry
-	knees        knees
-	callerServer atomic.Pointer[ingress.Server] // nil before the node listens
+	routing *routing.Holder
+	server  *localserver.Server
+	links   *link.Server
+	peers   *peers.Set
+	front   *front.Handler
+	metrics metrics.Registry
+	knees   knees
+	callers atomic.Pointer[ingress.Server] // nil before the node listens
 
 	stopping       atomic.Bool // readiness is withdrawn
 	stoppedServing atomic.Bool // this node accepts no more calls for the backend server
@@ -128,7 +128,7 @@
 
 // applyLimits sets the ingress limits for callers to those of the current routing version.
 func (n *Node) applyLimits() {
-	if callers := n.callerServer.Load(); callers != nil {
+	if callers := n.callers.Load(); callers != nil {
 		callers.SetLimits(ingressLimits(n.routing.Current()))
 	}
 }
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/protocol"
 	"github.com/radishstand/radishstand/node/process/choice"
 	"github.com/radishstand/radishstand/node/process/localserver"
@@ -62,22 +64,29 @@
 	server     *peers.Server
 }
 
-func (h *Handler) newCall(r *http.Request, route *routing.Route, id string, body []byte, now time.Time, timeout time.Duration) *call {
-	protocol.StripConnection(r.Header)
-	names := h.config.Names
-	for _, reserved := range []string{names.ID, names.DeadlineMs, names.ServerID, names.CallerService, "Expect"} {
-		delete(r.Header, reserved)
-	}
+func (h *Handler) newCall(r *http.Request, a accepted, body []byte, now time.Time) *call {
 	return &call{
-		handler: h, route: route, service: route.Split.Next(), arrived: now,
-		objective: now.Add(route.Objective), deadline: now.Add(timeout),
+		handler: h, route: a.route, service: a.route.Split.Next(), arrived: now,
+		objective: now.Add(a.route.Objective), deadline: now.Add(a.timeout),
 		message: &linkpb.Call{
-			Method: r.Method, Target: r.RequestURI, Host: r.Host, Id: id, Header: localserver.Headers(r.Header), Body: body,
-			Rank: uint32(max(route.Rank, 0)), Idempotent: route.Idempotent, CallerService: h.config.Service(), Route: route.Name,
+			Method: r.Method, Target: r.RequestURI, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header), Body: body,
+			Rank: uint32(max(a.route.Rank, 0)), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
 		},
 	}
 }
 
+// forwardedHeader returns the header lines of a request that are sent to a server. It does not change the header, since the
+// connection may use it for requests behind this one.
+func (h *Handler) forwardedHeader(header http.Header) []*linkpb.Header {
+	header = maps.Clone(header)
+	protocol.StripConnection(header)
+	names := h.config.Names
+	for _, reserved := range []string{names.ID, names.DeadlineMs, names.ServerID, names.CallerService, "Expect"} {
+		delete(header, reserved)
+	}
+	return localserver.Headers(header)
+}
+
 // run makes attempts until one ends the call, the retry budget is spent, no server is left or ctx ends.
 func (c *call) run(ctx context.Context) *result {
 	c.handler.config.Budget.Earn(c.service)
@@ -143,27 +152,22 @@
 	return &result{status: http.StatusGatewayTimeout, cause: "deadline", server: server}
 }
 
-// finish writes the result to the caller.
-func (c *call) finish(w http.ResponseWriter, r *result) {
-	h := w.Header()
-	h["Date"] = nil
-	h.Set(c.handler.config.Names.ID, c.message.Id)
+// finish returns the response with the result.
+func (c *call) finish(r *result) *ingress.Response {
+	header := http.Header{}
+	header.Set(c.handler.config.Names.ID, c.message.Id)
 	c.handler.config.Counters.Time("call", time.Since(c.arrived))
 	if r.answer == nil {
 		c.log("call failed", r.server, "status", r.status, "cause", r.cause, "attempts", c.attempts, "referrals", len(c.refused),
 			"tookMs", time.Since(c.arrived).Milliseconds())
 		c.handler.config.Counters.Count("failed." + strconv.Itoa(r.status))
-		c.handler.reply(w, &problem{status: r.status, retryAfter: r.retryAfter})
-		return
+		return (&problem{status: r.status, retryAfter: r.retryAfter}).response(header)
 	}
 	c.handler.config.Counters.Count("answered")
-	h["Content-Type"] = nil
 	for _, line := range r.answer.Header {
-		h[line.Name] = append(h[line.Name], line.Value)
+		header[line.Name] = append(header[line.Name], line.Value)
 	}
-	h.Set("Content-Length", strconv.Itoa(len(r.answer.Body)))
-	w.WriteHeader(r.status)
-	_, _ = w.Write(r.answer.Body) // an error means that the caller has left
+	return &ingress.Response{Status: r.status, Header: header, Body: r.answer.Body}
 }
 
 func (c *call) log(message string, server *peers.Server, keyvals ...any) {
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -54,12 +54,10 @@
 	Counters Counters
 }
 
-// Handler is the http.Handler of callers' requests. It is safe for concurrent use.
+// Handler is the ingress.Handler of callers' requests. It is safe for concurrent use.
 type Handler struct {
-	config      Config
-	averages    *routeAverages
-	inProgress  atomic.Int64
-	lastArrival atomic.Int64
+	config   Config
+	averages *routeAverages
 	// stoppedAt is the Unix time of the signal to stop in nanoseconds; 0 before it.
 	stoppedAt atomic.Int64
 }
@@ -67,38 +65,32 @@
 // New returns a Handler.
 func New(c Config) *Handler { return &Handler{config: c, averages: newRouteAverages()} }
 
-// InProgress returns the number of requests without an answer, and the time of the last arrival.
-func (h *Handler) InProgress() (requests int64, lastArrival time.Time) {
-	return h.inProgress.Load(), time.Unix(0, h.lastArrival.Load())
-}
-
-// StartDrain makes all further responses close their connections, and refuses new requests after rejectAfterStop.
+// StartDrain refuses new requests after rejectAfterStop.
 func (h *Handler) StartDrain() { h.stoppedAt.Store(time.Now().UnixNano()) }
 
-// ServeHTTP handles one request.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.inProgress.Add(1)
-	defer h.inProgress.Add(-1)
+// Handle returns the response to a request, or nil when the caller has left.
+func (h *Handler) Handle(r *http.Request) *ingress.Response {
 	now := time.Now()
-	h.lastArrival.Store(now.UnixNano())
-	if h.stoppedAt.Load() != 0 {
-		w.Header().Set("Connection", "close")
-	}
-	c, problem := h.accept(w, r, now)
+	c, problem := h.accept(r, now)
 	if problem != nil {
 		h.config.Log.Info("request refused", "id", r.Header.Get(h.config.Names.ID), "status", problem.status, "cause", problem.cause)
 		h.config.Counters.Count("refused." + problem.cause)
-		h.reply(w, problem)
-		return
+		return problem.response(http.Header{})
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	result := c.run(ctx)
 	if r.Context().Err() != nil {
 		h.config.Counters.Count("caller.left")
-		return
+		return nil
 	}
-	c.finish(w, result)
+	return c.finish(result)
+}
+
+// Repeatable reports whether a request is valid and may run more than once.
+func (h *Handler) Repeatable(r *http.Request) bool {
+	a, problem := h.acceptHead(r, time.Now())
+	return problem == nil && a.route.Idempotent
 }
 
 // problem is the response to a request that is not sent to any server.
@@ -108,49 +100,62 @@
 	retryAfter time.Duration
 }
 
-// accept validates and reads a request and matches its route.
-func (h *Handler) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*call, *problem) {
+// accepted is what a valid head of a request determines.
+type accepted struct {
+	version *routing.Version
+	route   *routing.Route
+	id      string
+	timeout time.Duration
+}
+
+// acceptHead validates the head of a request and matches its route.
+func (h *Handler) acceptHead(r *http.Request, now time.Time) (accepted, *problem) {
+	var a accepted
 	if stopped := h.stoppedAt.Load(); stopped != 0 && now.Sub(time.Unix(0, stopped)) > rejectAfterStop {
-		return nil, &problem{status: http.StatusServiceUnavailable, cause: "stopping", retryAfter: stoppingRetryAfter}
+		return a, &problem{status: http.StatusServiceUnavailable, cause: "stopping", retryAfter: stoppingRetryAfter}
 	}
-	if ingress.AmbiguousLength(r.Context()) {
-		return nil, &problem{status: http.StatusBadRequest, cause: "ambiguous length"}
+	if a.version = h.config.Routing.Current(); a.version == nil {
+		return a, &problem{status: http.StatusServiceUnavailable, cause: "no routing", retryAfter: noRoutingRetryAfter}
 	}
-	version := h.config.Routing.Current()
-	if version == nil {
-		return nil, &problem{status: http.StatusServiceUnavailable, cause: "no routing", retryAfter: noRoutingRetryAfter}
+	a.id = r.Header.Get(h.config.Names.ID)
+	if a.id == "" || len(r.Header.Values(h.config.Names.ID)) > 1 {
+		return a, &problem{status: http.StatusBadRequest, cause: "no request id"}
 	}
-	id := r.Header.Get(h.config.Names.ID)
-	if id == "" || len(r.Header.Values(h.config.Names.ID)) > 1 {
-		return nil, &problem{status: http.StatusBadRequest, cause: "no request id"}
+	if a.route = a.version.Match(r.Host, r.URL.Path); a.route == nil {
+		return a, &problem{status: http.StatusNotFound, cause: "no route"}
 	}
-	route := version.Match(r.Host, r.URL.Path)
-	if route == nil {
-		return nil, &problem{status: http.StatusNotFound, cause: "no route"}
-	}
-	timeout := route.Timeout
+	a.timeout = a.route.Timeout
 	if value := r.Header.Get(h.config.Names.DeadlineMs); value != "" {
 		ms, err := strconv.ParseFloat(value, 64)
 		if err != nil || ms < 0 {
-			return nil, &problem{status: http.StatusBadRequest, cause: "bad deadline"}
+			return a, &problem{status: http.StatusBadRequest, cause: "bad deadline"}
 		}
-		timeout = min(timeout, time.Duration(ms*float64(time.Millisecond)))
+		a.timeout = min(a.timeout, time.Duration(ms*float64(time.Millisecond)))
 	}
-	body, failed := readBody(w, r, version.Limits.MaxBodyBytes)
+	return a, nil
+}
+
+// accept validates and reads a request.
+func (h *Handler) accept(r *http.Request, now time.Time) (*call, *problem) {
+	a, failed := h.acceptHead(r, now)
 	if failed != nil {
 		return nil, failed
 	}
-	return h.newCall(r, route, id, body, now, timeout), nil
+	body, failed := readBody(r, a.version.Limits.MaxBodyBytes)
+	if failed != nil {
+		return nil, failed
+	}
+	return h.newCall(r, a, body, now), nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problem) {
+func readBody(r *http.Request, limit int64) ([]byte, *problem) {
 	switch {
 	case r.ContentLength == 0:
 		return nil, nil
 	case r.ContentLength > limit:
 		return nil, &problem{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -161,15 +166,11 @@
 	return body, nil
 }
 
-// reply writes a response of the node itself.
-func (h *Handler) reply(w http.ResponseWriter, p *problem) {
-	header := w.Header()
-	header["Date"] = nil
+// response returns the response of the node itself, with additional headers.
+func (p *problem) response(header http.Header) *ingress.Response {
 	if p.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(p.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if p.status == http.StatusBadRequest || p.status == http.StatusRequestEntityTooLarge {
-		header.Set("Connection", "close")
-	}
-	w.WriteHeader(p.status)
+	invalid := p.status == http.StatusBadRequest || p.status == http.StatusRequestEntityTooLarge
+	return &ingress.Response{Status: p.status, Header: header, Close: invalid}
 }
