exchange: bound what is read of an answer, and the bytes of all answers together

Cause: the head of an answer had no bound (status line, header, headers, interim answers, trailer), and the bound of 64 MiB on a body held for each call alone: one server could take all memory of its host.

Second copies: an answer without an id is accepted for a request when its status is a failure. A late second copy of such an answer (a refusal, or a health check's 503 on a connection that calls use too) was the answer to the next request; as a refusal it said that this one had not run, so that a booking could run twice.

False promises: 503, 429, 408 and 421 of a server were passed on although the server had not said that the request has not run.

Change: heads, interim answers and trailer of an answer have 64 KiB together; bodies of requests and answers above 64 KiB share a quarter of the process's memory (settings), held until the frame is written; a body that finds no memory is broken off (answer) or refused with 503 (request). The buffer of a body or a frame grows with the bytes that arrive. After one answer without an id on a connection, another one is no answer to a request with an id. The four statuses count as broken without the server's word.

Open: answers that the entry node holds for a slow caller, and frames while they are read, are not in the budget.

--- a/node/connection/exchange/answer.go
+++ b/node/connection/exchange/answer.go
@@ -5,22 +5,29 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
-// maxBodyBytes bounds the body of an answer.
-const maxBodyBytes = 64 << 20
+const (
+	// maxBodyBytes bounds the body of an answer.
+	maxBodyBytes = 64 << 20
+	// maxHeadBytes bounds the heads of an answer and of the interim answers before it together, and its trailer.
+	maxHeadBytes = 64 << 10
+)
 
 // Errors of an answer that cannot be read. Their texts are sent to the entry node as the cause of a broken call.
 var (
-	errStatusLine   = errors.New("malformed status line")
-	errFraming      = errors.New("ambiguous length of the body")
-	errBodyTooLarge = errors.New("body is longer than allowed")
+	errStatusLine = errors.New("malformed status line")
+	errFraming    = errors.New("ambiguous length of the body")
+	errTooLong    = errors.New("headers or trailer are longer than allowed")
 )
 
 // answer is an answer as read from the connection.
@@ -32,18 +39,27 @@
 	mustClose bool
 	// idleTimeout is the time for which the connection may be kept unused.
 	idleTimeout time.Duration
+	// memory holds the share of the body in the memory budget.
+	memory *membudget.Reservation
 }
 
 // readAnswer reads the next final answer with its whole body. Interim answers (1xx) are skipped.
-func readAnswer(r *bufio.Reader, method string) (*answer, error) {
+func readAnswer(c *conn, method string, memory *membudget.Budget) (*answer, error) {
+	c.allowed = maxHeadBytes
 	for {
-		a, err := readHead(r)
+		a, err := readHead(c.reader)
 		if err != nil {
 			return nil, err
 		}
-		if a.status >= http.StatusOK {
-			return a, a.readBody(r, method)
+		if a.status < http.StatusOK {
+			continue
 		}
+		a.memory = memory.Reserve()
+		if err := a.readBody(c, method); err != nil {
+			a.memory.Release()
+			return nil, err
+		}
+		return a, nil
 	}
 }
 
@@ -103,7 +119,7 @@
 
 // readBody reads the body. Its end must be unambiguous: a single Content-Length, chunked encoding, or the orderly close of
 // the connection.
-func (a *answer) readBody(r *bufio.Reader, method string) error {
+func (a *answer) readBody(c *conn, method string) error {
 	lengths := a.header.Values("Content-Length")
 	encodings := a.header.Values("Transfer-Encoding")
 	switch {
@@ -112,43 +128,43 @@
 	case method == http.MethodHead || a.status == http.StatusNoContent || a.status == http.StatusNotModified:
 		return nil
 	case len(encodings) == 1:
-		return a.readChunks(r, encodings[0])
+		return a.readChunks(c, encodings[0])
 	case len(lengths) == 1:
-		return a.readLength(r, lengths[0])
+		return a.readLength(c, lengths[0])
 	default:
 		a.mustClose = true
-		return a.readAll(r)
+		return a.readAll(c, c.reader)
 	}
 }
 
-func (a *answer) readLength(r *bufio.Reader, value string) error {
+func (a *answer) readLength(c *conn, value string) error {
 	length, err := strconv.ParseUint(value, 10, 63)
 	if err != nil {
 		return fmt.Errorf("%w: %q", errFraming, value)
 	}
 	if length > maxBodyBytes {
-		return errBodyTooLarge
+		return membudget.ErrTooLarge
 	}
-	a.body = make([]byte, length)
-	_, err = io.ReadFull(r, a.body)
+	c.allowed = int64(length)
+	a.body, err = membudget.ReadExactly(c.reader, int64(length), a.memory)
 	return err
 }
 
-func (a *answer) readChunks(r *bufio.Reader, encoding string) error {
+func (a *answer) readChunks(c *conn, encoding string) error {
 	if !strings.EqualFold(encoding, "chunked") {
 		return fmt.Errorf("%w: encoding %q", errFraming, encoding)
 	}
-	if err := a.readAll(httputil.NewChunkedReader(r)); err != nil {
+	if err := a.readAll(c, httputil.NewChunkedReader(c.reader)); err != nil {
 		return err
 	}
-	_, err := textproto.NewReader(r).ReadMIMEHeader() // the trailer and the empty line that ends it
+	c.allowed = maxHeadBytes
+	_, err := textproto.NewReader(c.reader).ReadMIMEHeader() // the trailer and the empty line that ends it
 	return err
 }
 
-func (a *answer) readAll(r io.Reader) (err error) {
-	a.body, err = io.ReadAll(io.LimitReader(r, maxBodyBytes+1))
-	if err == nil && len(a.body) > maxBodyBytes {
-		return errBodyTooLarge
-	}
+// readAll reads a body of unknown length. It is bounded by its decoded size; the chunked reader bounds what is added to that.
+func (a *answer) readAll(c *conn, r io.Reader) (err error) {
+	c.allowed = math.MaxInt64
+	a.body, err = membudget.ReadAll(r, maxBodyBytes, a.memory)
 	return err
 }
--- a/node/connection/exchange/exchange.go
+++ b/node/connection/exchange/exchange.go
@@ -18,6 +18,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
 const (
@@ -46,13 +48,21 @@
 	ID string
 }
 
-// Response is a complete answer.
+// Response is a complete answer. Release must be called when the body is not needed any more.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+
+	memory *membudget.Reservation
 }
 
+// Release returns the memory of the body to the budget.
+func (r *Response) Release() { r.memory.Release() }
+
+// errAmbiguousAnswer reports that an answer may belong to an earlier request.
+var errAmbiguousAnswer = errors.New("answer without an id on a connection that had one before")
+
 // NotSentError reports that no byte of the request was sent to the server.
 type NotSentError struct{ Cause error }
 
@@ -73,6 +83,7 @@
 type Client struct {
 	address  string
 	idHeader string
+	memory   *membudget.Budget
 
 	mu     sync.Mutex
 	idle   []*conn // the most recently used one is last
@@ -84,11 +95,26 @@
 	net.Conn
 	reader  *bufio.Reader
 	expires time.Time
+	// allowed is the number of bytes that may still be read for the current part of an answer.
+	allowed int64
+	// withoutID is set when an answer without an id was received: a second copy of it may follow.
+	withoutID bool
 }
 
-// New returns a client for the server at address, which echoes the id of a request in idHeader.
-func New(address, idHeader string) *Client {
-	return &Client{address: address, idHeader: idHeader}
+// Read reads up to the allowed number of bytes.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.allowed <= 0 {
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(p[:min(int64(len(p)), c.allowed)])
+	c.allowed -= int64(n)
+	return n, err
+}
+
+// New returns a client for the server at address, which echoes the id of a request in idHeader. The bodies of answers take
+// their memory from a budget.
+func New(address, idHeader string, memory *membudget.Budget) *Client {
+	return &Client{address: address, idHeader: idHeader, memory: memory}
 }
 
 // Address returns the server's address.
@@ -190,27 +216,44 @@
 // readMatchingAnswer reads answers until the one to the request and reports whether the connection can be reused.
 func (c *Client) readMatchingAnswer(conn *conn, r *Request) (*Response, bool, error) {
 	for range maxAnswersRead {
-		a, err := readAnswer(conn.reader, r.Method)
+		a, err := readAnswer(conn, r.Method, c.memory)
 		if err != nil {
 			return nil, false, err
 		}
-		if !c.matches(a, r) {
-			if a.mustClose {
-				break
-			}
-			continue
+		matches, err := c.matches(conn, a, r)
+		if matches {
+			conn.expires = time.Now().Add(a.idleTimeout)
+			response := &Response{Status: a.status, Header: a.header, Body: a.body, memory: a.memory}
+			return response, !a.mustClose && conn.reader.Buffered() == 0, nil
+		}
+		a.memory.Release()
+		if err != nil {
+			return nil, false, err
+		}
+		if a.mustClose {
+			break
 		}
-		conn.expires = time.Now().Add(a.idleTimeout)
-		return &Response{Status: a.status, Header: a.header, Body: a.body}, !a.mustClose && conn.reader.Buffered() == 0, nil
 	}
 	return nil, false, errors.New("only answers to other requests")
 }
 
-// matches reports whether an answer is the one to a request. A server that refuses a request early may omit the id. An
-// answer to another request always has one.
-func (c *Client) matches(a *answer, r *Request) bool {
+// matches reports whether an answer is the one to a request. A server that refuses a request early may omit the id. If an
+// answer without an id was received before on the connection, the next one may be a second copy of it, and nothing is known
+// of the request.
+func (c *Client) matches(conn *conn, a *answer, r *Request) (bool, error) {
 	id := a.header.Get(c.idHeader)
-	return id == r.ID || id == "" && a.status >= http.StatusMultipleChoices
+	if id != "" || r.ID == "" {
+		conn.withoutID = conn.withoutID || id == ""
+		return id == r.ID, nil
+	}
+	if a.status < http.StatusMultipleChoices {
+		return false, nil
+	}
+	if conn.withoutID {
+		return false, errAmbiguousAnswer
+	}
+	conn.withoutID = true
+	return true, nil
 }
 
 // acquire returns an idle connection that can be reused, or a new one. Idle connections that cannot be reused are closed.
@@ -230,7 +273,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	created := &conn{Conn: opened}
+	created.reader = bufio.NewReaderSize(created, readBufferBytes)
+	return created, nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or returns nil.
--- a/node/connection/exchange/exchange_test.go
+++ b/node/connection/exchange/exchange_test.go
@@ -16,9 +16,14 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/radishstand/radishstand/node/connection/exchange"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
-const idHeader = "X-Id"
+const (
+	idHeader = "X-Id"
+	// testMemory is the memory for the bodies of answers, in bytes.
+	testMemory = 8 << 20
+)
 
 // rawServer calls reply for each request on a connection; reply writes the answer. The connection is closed when reply
 // returns false.
@@ -66,7 +71,7 @@
 }
 
 func (s *rawServer) client() *exchange.Client {
-	return exchange.New(s.listener.Addr().String(), idHeader)
+	return exchange.New(s.listener.Addr().String(), idHeader, membudget.New(testMemory))
 }
 
 func get(id string) *exchange.Request {
@@ -181,7 +186,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	_, err = exchange.New(address, idHeader).Do(context.Background(), get("a"))
+	_, err = exchange.New(address, idHeader, membudget.New(testMemory)).Do(context.Background(), get("a"))
 	var notSent *exchange.NotSentError
 	assert.ErrorAs(t, err, &notSent, "no server listens at the address")
 
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
 const (
@@ -90,8 +91,8 @@
 	if size > maxFrameBytes {
 		return nil, fmt.Errorf("frame of %d bytes is longer than %d", size, maxFrameBytes)
 	}
-	encoded := make([]byte, size)
-	if _, err := io.ReadFull(c.reader, encoded); err != nil {
+	encoded, err := membudget.ReadIncrementally(c.reader, int64(size))
+	if err != nil {
 		return nil, err
 	}
 	f := &linkpb.Frame{}
--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -23,12 +23,12 @@
 	cancelled chan struct{}
 }
 
-func (h *handler) Serve(ctx context.Context, call *linkpb.Call) *linkpb.Frame {
+func (h *handler) Serve(ctx context.Context, call *linkpb.Call, reply func(*linkpb.Frame)) {
 	if call.Target == "/wait" {
 		<-ctx.Done()
 		close(h.cancelled)
 	}
-	return &linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: &linkpb.Answer{Status: 200, Body: []byte(call.Target)}}}
+	reply(&linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: &linkpb.Answer{Status: 200, Body: []byte(call.Target)}}})
 }
 
 func (h *handler) Hello(hello *linkpb.Hello) { h.hello <- hello }
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -10,9 +10,9 @@
 
 // Handler answers the calls of other nodes.
 type Handler interface {
-	// Serve runs a call and returns the frame that ends it. The context ends when the other node cancels the call or the
-	// link is closed.
-	Serve(ctx context.Context, call *linkpb.Call) *linkpb.Frame
+	// Serve runs a call and passes the frame that ends it to reply, which returns when the frame is written. The context
+	// ends when the other node cancels the call or the link is closed.
+	Serve(ctx context.Context, call *linkpb.Call, reply func(*linkpb.Frame))
 	// Hello is called with the first frame of a node that opened a link.
 	Hello(*linkpb.Hello)
 	// State returns the state of this node.
@@ -143,10 +143,11 @@
 }
 
 func (l *serverLink) serve(ctx context.Context, stream uint64, call *linkpb.Call) {
-	f := l.server.handler.Serve(ctx, call)
-	f.Stream = stream
-	l.cancel(stream)
-	l.send(f)
+	l.server.handler.Serve(ctx, call, func(f *linkpb.Frame) {
+		f.Stream = stream
+		l.cancel(stream)
+		l.send(f)
+	})
 }
 
 func (l *serverLink) register(stream uint64, cancel context.CancelFunc) {
--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -139,8 +139,9 @@
 	d.routeTimes = map[string]*ewma{}
 	d.overallTime = ewma{}
 	d.knee = newKneeDetector(d.slots)
-	d.slowness = normalSlowness
+	d.slowness, d.slownessAt = normalSlowness, time.Time{}
 	d.minSlowness = recentMinimum{}
+	d.probeBackoffUntil = time.Time{}
 }
 
 // Submit requests a slot. The function onDecision is called once, before Submit returns or later, with nil when the call
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -15,6 +15,7 @@
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/exchange"
 	"github.com/radishstand/radishstand/node/connection/protocol"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/dispatch"
 )
 
@@ -60,7 +61,9 @@
 	// HealthPath returns the path of the health check of a service, or "" while it is unknown.
 	HealthPath func(service string) string
 	Names      protocol.Names
-	Now        func() time.Time
+	// Memory bounds the bytes of the answers that are held.
+	Memory *membudget.Budget
+	Now    func() time.Time
 	// AnnounceInterval returns the interval of a server's announcements. With 0, a server that was found by a health check
 	// is used without an announcement.
 	AnnounceInterval func() time.Duration
@@ -166,7 +169,7 @@
 	s.current.Sequence = a.Sequence - 1
 	s.unannouncedSince = time.Time{}
 	s.warmUpEnd = s.config.Now().Add(a.WarmUp)
-	s.client = exchange.New(a.Address, s.config.Names.ID)
+	s.client = exchange.New(a.Address, s.config.Names.ID, s.config.Memory)
 	s.state = newStateMachine(stateAbsent)
 }
 
--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -25,12 +25,13 @@
 	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
 	defer cancel()
 	address := s.config.Address()
-	client := exchange.New(address, s.config.Names.ID)
+	client := exchange.New(address, s.config.Names.ID, s.config.Memory)
 	defer client.Close()
 	response, err := client.Do(ctx, &exchange.Request{Method: http.MethodGet, Target: healthPath, Host: address})
 	if err != nil {
 		return err
 	}
+	defer response.Release()
 	if response.Status != http.StatusOK {
 		return nil
 	}
@@ -70,6 +71,7 @@
 	if err != nil {
 		return 0, false
 	}
+	defer response.Release()
 	load, ok := s.config.Names.ParseLoad(response.Header.Get(s.config.Names.ServerLoad))
 	return load.Slowness, ok && load.Slowness > 0
 }
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -20,9 +20,19 @@
 	sweepInterval = 20 * time.Millisecond
 )
 
-// Serve runs a call at the server and returns the frame that ends it. When ctx ends, a waiting call is removed from the
-// queue and an idempotent one is aborted; other calls continue until their deadline, so that their outcome is known.
-func (s *Server) Serve(ctx context.Context, call *linkpb.Call) *linkpb.Frame {
+// Serve runs a call at the server and passes the frame that ends it to reply. The memory of an answer is held until reply
+// returns. When ctx ends, a waiting call is removed from the queue and an idempotent one is aborted; other calls continue
+// until their deadline, so that their outcome is known.
+func (s *Server) Serve(ctx context.Context, call *linkpb.Call, reply func(*linkpb.Frame)) {
+	frame, response := s.run(ctx, call)
+	if response != nil {
+		defer response.Release()
+	}
+	reply(frame)
+}
+
+// run waits for a slot and runs a call. The response is nil when there was no answer.
+func (s *Server) run(ctx context.Context, call *linkpb.Call) (*linkpb.Frame, *exchange.Response) {
 	now := s.config.Now()
 	job := &dispatch.Job{
 		Route: call.Route, Rank: int(call.Rank), NoRedirect: call.Stay,
@@ -31,21 +41,21 @@
 		Deadline:      now.Add(time.Duration(call.LeftMs) * time.Millisecond),
 	}
 	if err := s.admit(ctx, job); err != nil {
-		return s.refusalOf(err)
+		return s.refusalOf(err), nil
 	}
 	answered := false
 	defer func() { s.dispatcher.Done(job, answered) }()
 	client := s.clientFor(call.ServerId)
 	if client == nil {
-		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer})
+		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer}), nil
 	}
 	response, err := s.send(ctx, client, call, job.Deadline)
 	if err != nil {
-		return s.failureFrame(call.ServerId, err)
+		return s.failureFrame(call.ServerId, err), nil
 	}
 	f := s.answerFrame(call.ServerId, response)
 	answered = f.GetAnswer() != nil && response.Status < http.StatusInternalServerError
-	return f
+	return f, response
 }
 
 // admit waits for a slot.
@@ -155,7 +165,10 @@
 		return refusalFrame(linkpb.Refusal_REASON_SERVER, retryAfter(r.Header), s.Load())
 	}
 	if r.Status < http.StatusMultipleChoices && r.Header.Get(names.Signature) == "" {
-		return &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: "success without the server's signature"}}}
+		return brokenFrame("success without the server's signature")
+	}
+	if promisesNotRun(r.Status) {
+		return brokenFrame("status " + strconv.Itoa(r.Status) + " of a server that does not say that the request has not run")
 	}
 	protocol.StripConnection(r.Header)
 	for _, name := range []string{names.ServerLoad, names.ID, "Date"} {
@@ -165,6 +178,19 @@
 	return &linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: a}}
 }
 
+// promisesNotRun reports whether callers take a status as a promise that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func brokenFrame(cause string) *linkpb.Frame {
+	return &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: cause}}}
+}
+
 // Headers converts header lines to their form between nodes.
 func Headers(h http.Header) []*linkpb.Header {
 	lines := make([]*linkpb.Header, 0, len(h))
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -35,8 +35,8 @@
 type Config struct {
 	// Hello introduces this node to others.
 	Hello *linkpb.Hello
-	// Serve runs a call at the server beside this node.
-	Serve func(ctx context.Context, call *linkpb.Call) *linkpb.Frame
+	// Serve runs a call at the server beside this node and passes the frame that ends it to reply.
+	Serve func(ctx context.Context, call *linkpb.Call, reply func(*linkpb.Frame))
 	// LocalVersion returns the number of the current routing version.
 	LocalVersion func() uint64
 	// Routing handles the document of a routing version from another node.
@@ -258,7 +258,9 @@
 
 func (p *Set) transmit(ctx context.Context, s *Server, client *link.Client, call *linkpb.Call) (*linkpb.Frame, error) {
 	if s.address == "" {
-		return p.config.Serve(ctx, call), nil
+		var frame *linkpb.Frame
+		p.config.Serve(ctx, call, func(f *linkpb.Frame) { frame = f })
+		return frame, nil
 	}
 	if client == nil {
 		return nil, &link.NotSentError{Cause: link.ErrClosed}
--- a/node/process/sidecar/config.go
+++ b/node/process/sidecar/config.go
@@ -25,6 +25,8 @@
 	AnnounceInterval time.Duration
 	Listen           Listen
 	Limits           budget.Limits
+	// MemoryBytes is the memory that the process may use; 0 when it is not limited.
+	MemoryBytes int64
 	// StopGrace is the longest time between the signal to stop and the end of the process.
 	StopGrace time.Duration
 }
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/link"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/budget"
 	"github.com/radishstand/radishstand/node/process/localserver"
 	"github.com/radishstand/radishstand/node/process/peers"
@@ -54,11 +55,12 @@
 func New(ctx context.Context, c Config, adapter Adapter, log Log) *Node {
 	n := &Node{ctx: ctx, adapter: adapter, store: adapter.Store(), log: log, routing: &routing.Holder{}, metrics: metrics.NewRegistry()}
 	n.config.Store(&c)
+	memory := membudget.New(bodyBytes(c.MemoryBytes))
 	n.server = localserver.New(localserver.Config{
 		Address:    func() string { return n.config.Load().ServerAddress },
 		HasService: n.knownService, HealthPath: n.healthPath,
 		AnnounceInterval: func() time.Duration { return n.config.Load().AnnounceInterval },
-		Names:            adapter.Names(), Now: time.Now, Changed: n.serverChanged,
+		Names:            adapter.Names(), Memory: memory, Now: time.Now, Changed: n.serverChanged,
 		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
 	n.links = link.NewServer(n)
@@ -69,11 +71,26 @@
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
-		Service: func() string { return n.config.Load().Service }, Log: log, Counters: counters{n.metrics},
+		Service: func() string { return n.config.Load().Service }, Memory: memory, Log: log, Counters: counters{n.metrics},
 	})
 	return n
 }
 
+const (
+	// bodyShare is the divisor that determines which part of the process's memory the bodies of requests and answers may take.
+	bodyShare = 4
+	// defaultBodyBytes bounds them when the memory of the process is not configured.
+	defaultBodyBytes = 64 << 20
+)
+
+// bodyBytes returns the number of bytes of bodies that a process with the given memory may hold.
+func bodyBytes(memory int64) int64 {
+	if memory <= 0 {
+		return defaultBodyBytes
+	}
+	return memory / bodyShare
+}
+
 // Reload applies a changed configuration. Changed listen addresses take effect only after a restart.
 func (n *Node) Reload(c Config) {
 	old := n.config.Swap(&c)
@@ -144,11 +161,11 @@
 	}
 }
 
-// Serve runs a call at the backend server.
-func (n *Node) Serve(ctx context.Context, call *linkpb.Call) *linkpb.Frame {
+// Serve runs a call at the backend server and passes the frame that ends it to reply.
+func (n *Node) Serve(ctx context.Context, call *linkpb.Call, reply func(*linkpb.Frame)) {
 	n.activeCalls.Add(1)
 	defer n.activeCalls.Add(-1)
-	return n.server.Serve(ctx, call)
+	n.server.Serve(ctx, call, reply)
 }
 
 // Hello adds another node that introduced itself to the peers.
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 
 	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/protocol"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/budget"
 	"github.com/radishstand/radishstand/node/process/peers"
 	"github.com/radishstand/radishstand/node/version/routing"
@@ -24,6 +24,8 @@
 const (
 	// noRoutingRetryAfter is the Retry-After time while the node has no routing yet.
 	noRoutingRetryAfter = 300 * time.Millisecond
+	// noMemoryRetryAfter is the Retry-After time while other bodies take all memory for bodies.
+	noMemoryRetryAfter = 300 * time.Millisecond
 	// rejectAfterStop is the time after the signal to stop from which new requests are refused. Callers that have seen the
 	// readiness check fail have left by then, and a later request might not end before the process does.
 	rejectAfterStop = 2500 * time.Millisecond
@@ -49,7 +51,9 @@
 	Peers   *peers.Set
 	Budget  *budget.Budget
 	// Service returns the service of the backend server at this host.
-	Service  func() string
+	Service func() string
+	// Memory bounds the bytes of the bodies that are held.
+	Memory   *membudget.Budget
 	Log      Log
 	Counters Counters
 }
@@ -71,7 +75,9 @@
 // Handle returns the response to a request, or nil when the caller has left.
 func (h *Handler) Handle(r *http.Request) *ingress.Response {
 	now := time.Now()
-	c, problem := h.accept(r, now)
+	memory := h.config.Memory.Reserve()
+	defer memory.Release()
+	c, problem := h.accept(r, now, memory)
 	if problem != nil {
 		h.config.Log.Info("request refused", "id", r.Header.Get(h.config.Names.ID), "status", problem.status, "cause", problem.cause)
 		h.config.Counters.Count("refused." + problem.cause)
@@ -135,31 +141,37 @@
 	return a, nil
 }
 
-// accept validates and reads a request.
-func (h *Handler) accept(r *http.Request, now time.Time) (*call, *problem) {
+// accept validates and reads a request. The memory for the body is reserved.
+func (h *Handler) accept(r *http.Request, now time.Time, memory *membudget.Reservation) (*call, *problem) {
 	a, failed := h.acceptHead(r, now)
 	if failed != nil {
 		return nil, failed
 	}
-	body, failed := readBody(r, a.version.Limits.MaxBodyBytes)
+	body, failed := readBody(r, a.version.Limits.MaxBodyBytes, memory)
 	if failed != nil {
 		return nil, failed
 	}
 	return h.newCall(r, a, body, now), nil
 }
 
-func readBody(r *http.Request, limit int64) ([]byte, *problem) {
+func readBody(r *http.Request, limit int64, memory *membudget.Reservation) ([]byte, *problem) {
+	var body []byte
+	var err error
 	switch {
 	case r.ContentLength == 0:
 		return nil, nil
 	case r.ContentLength > limit:
-		return nil, &problem{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
+		err = membudget.ErrTooLarge
+	case r.ContentLength > 0:
+		body, err = membudget.ReadExactly(r.Body, r.ContentLength, memory)
+	default:
+		body, err = membudget.ReadAll(r.Body, limit, memory)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, membudget.ErrTooLarge):
 		return nil, &problem{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
+	case errors.Is(err, membudget.ErrExhausted):
+		return nil, &problem{status: http.StatusServiceUnavailable, cause: "no memory for the body", retryAfter: noMemoryRetryAfter}
 	case err != nil:
 		return nil, &problem{status: http.StatusBadRequest, cause: "body incomplete"}
 	}
