backend: refuse an answer that names another attempt

Cause: the product's own client of the backend server trusts the order of answers on a connection. A late second copy of an answer that arrives after the next request was written was the answer to that one: net/http notices only bytes that arrive while no request is in progress.

Change: a server that copies Radish-Context into its answer is checked: an answer with another one is broken and its connection closed. docs/callers.md asks servers for it.

Tests: TestSecondCopyOfAnAnswerIsNotTheAnswerToTheNextCall failed before, passes now. TestHeadWithoutEndIsBrokenOffWithLittleMemory passed before: net/http bounds a head, interim answers included, by MaxResponseHeaderBytes, and the product streams or holds bodies within call.holdBytes.

Open: servers that do not copy the header are not protected.

--- a/node/connection/backend/client.go
+++ b/node/connection/backend/client.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/radishstand/radishstand/api/contract"
 	"github.com/radishstand/radishstand/node/request/attempt"
 )
 
@@ -30,6 +31,10 @@
 // connection.
 var ErrUnframed = errors.New("backend: answer has neither Content-Length nor chunked encoding")
 
+// ErrForeignAnswer reports that an answer carries the id of another attempt, such as a late second copy of an earlier answer on
+// the same connection.
+var ErrForeignAnswer = errors.New("backend: answer to another attempt")
+
 // Client sends calls to one backend server. It is safe for concurrent use.
 type Client struct {
 	address   string
@@ -87,6 +92,12 @@
 		_ = response.Body.Close()
 		return nil, &attempt.Broken{Kind: attempt.KindTruncated, Cause: ErrUnframed}
 	}
+	if id := response.Header.Get(contract.HeaderContext); id != "" && id != r.AttemptID {
+		tracker.close()
+		_ = response.Body.Close()
+		return nil, &attempt.Broken{Kind: attempt.KindBroken, Cause: ErrForeignAnswer}
+	}
+	response.Header.Del(contract.HeaderContext)
 	return &attempt.Answer{
 		Status:        response.StatusCode,
 		Header:        response.Header,
--- /dev/null
+++ b/node/connection/backend/client_test.go
@@ -0,0 +1,123 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishstand/radishstand/api/contract"
+	"github.com/radishstand/radishstand/node/connection/backend"
+	"github.com/radishstand/radishstand/node/request/attempt"
+)
+
+// startRaw starts a server that answers the n-th request of each connection, beginning with 1, with reply, until
+// that returns an error. It returns the server's address.
+func startRaw(t *testing.T, reply func(n int, r *http.Request, conn net.Conn) error) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for n := 1; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil || reply(n, r, conn) != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// answer returns an answer that names an attempt.
+func answer(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", contract.HeaderContext, id, len(id), id)
+}
+
+func request(id string) *attempt.Request {
+	return &attempt.Request{
+		AttemptID: id, Method: http.MethodPost, Target: "/book", Host: "h", Header: http.Header{contract.HeaderContext: {id}},
+	}
+}
+
+// Guards against a late second copy of an answer that is taken for the answer to the next call on the connection.
+func TestSecondCopyOfAnAnswerIsNotTheAnswerToTheNextCall(t *testing.T) {
+	address := startRaw(t, func(n int, r *http.Request, conn net.Conn) error {
+		text := answer(r.Header.Get(contract.HeaderContext))
+		if n > 1 {
+			text = answer("a") + text // the copy arrives when the next request has been sent
+		}
+		_, err := io.WriteString(conn, text)
+		return err
+	})
+	client := backend.New(address, 1)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	first, err := client.Send(ctx, request("a"))
+	require.NoError(t, err)
+	assert.Empty(t, first.Header.Get(contract.HeaderContext), "the id is internal")
+	_, err = io.Copy(io.Discard, first.Rest)
+	require.NoError(t, err)
+	first.Close()
+	_, err = client.Send(ctx, request("b"))
+	assert.ErrorIs(t, err, backend.ErrForeignAnswer)
+	third, err := client.Send(ctx, request("c"))
+	require.NoError(t, err, "the connection must not be used again")
+	third.Close()
+}
+
+// Guards against a server whose answer has no end and takes all memory of the host.
+func TestHeadWithoutEndIsBrokenOffWithLittleMemory(t *testing.T) {
+	const maxAllocated = 8 << 20 // bytes
+	for name, c := range map[string]struct{ first, repeated string }{
+		"status line":     {"HTTP/1.1 200 ", "x"},
+		"header line":     {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"headers":         {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+		"interim answers": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startRaw(t, func(_ int, _ *http.Request, conn net.Conn) error {
+				piece := []byte(strings.Repeat(c.repeated, 64<<10/len(c.repeated)))
+				_, err := io.WriteString(conn, c.first)
+				for err == nil {
+					_, err = conn.Write(piece)
+				}
+				return err
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			client := backend.New(address, 1)
+			defer client.Close()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := client.Send(ctx, request("a"))
+			runtime.ReadMemStats(&after)
+			assert.Error(t, err)
+			assert.NoError(t, ctx.Err(), "it must be broken off before its deadline")
+			assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
+		})
+	}
+}
