link: resume calls after a link has broken

Cause: when a link broke (reset, a host that was silent for 2 s, a cut of 1.5 s), the entry node gave up all its calls: a booking got 502 although its answer was ready, an idempotent call without another attempt too. A call that was lost with the link counted as possibly run.

Ruled out: longer timeouts (a dead host would be noticed later; a reset breaks the link at once anyway).

Change: a session outlasts its links. On its next link the entry node lists the calls that it waits for; results are sent again (those of non-idempotent calls are kept for 3.5 s after they were sent, 256 KiB a session), a call that was not received is refused and may be sent elsewhere, one that an earlier process may have run is broken, and idempotent calls that nobody waits for are cancelled, after 0.5 s also without a link. The node waits for the next link only when it cannot make another attempt, and not when the other process has ended (connection refused). Received calls are known until their deadline has passed, so that 'not received' is true. Nodes of the version before ignore the new fields: State.resumes tells whether to wait.

The node closes its listeners before Run returns: TestLeaveAcknowledgedByAnEarlierProcessIsKept failed once with 'address already in use', since they were closed in the background. Announcements must be read within 10 s.

--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,35 +41,30 @@
 	LocalVersion func() uint64
 }
 
-// Client sends calls to one node. It is safe for concurrent use.
+// Client is a link to another node. It is safe for concurrent use.
 type Client struct {
-	conn       *framedConn
-	events     Events
-	lastStream atomic.Uint64
+	conn    *framedConn
+	events  Events
+	session *Session
 	// lastReceived and pingSent are Unix times in nanoseconds; pingSent is 0 while no ping is unanswered.
 	lastReceived atomic.Int64
 	pingSent     atomic.Int64
 	done         chan struct{}
-
-	mu      sync.Mutex
-	pending map[uint64]chan *linkpb.Frame
-	closed  bool
 }
 
-// Dial opens a link to the node at address and sends hello.
-func Dial(ctx context.Context, address string, hello *linkpb.Hello, events Events) (*Client, error) {
+// dial opens a link to the node at address and sends hello.
+func dial(ctx context.Context, address string, hello *linkpb.Hello, events Events, session *Session) (*Client, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: setSocketOptions, KeepAliveConfig: keepAlive}
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{conn: newFramedConn(conn), events: events, done: make(chan struct{}), pending: map[uint64]chan *linkpb.Frame{}}
+	c := &Client{conn: newFramedConn(conn), events: events, session: session, done: make(chan struct{})}
 	c.lastReceived.Store(time.Now().UnixNano())
 	if err := c.conn.write(&linkpb.Frame{Version: events.LocalVersion(), Body: &linkpb.Frame_Hello{Hello: hello}}); err != nil {
 		c.conn.close()
 		return nil, err
 	}
-	go c.receive()
 	return c, nil
 }
 
@@ -87,56 +80,6 @@
 	return pingSent != 0 && time.Since(time.Unix(0, pingSent)) > suspectTimeout
 }
 
-// InProgress returns the number of calls without an answer.
-func (c *Client) InProgress() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.pending)
-}
-
-// Do sends a call and waits for the frame that ends it: an answer, a refusal or a broken frame. The error is a *NotSentError
-// when the call was not sent. When ctx ends, a cancel frame is sent for the call.
-func (c *Client) Do(ctx context.Context, call *linkpb.Call) (*linkpb.Frame, error) {
-	stream := c.lastStream.Add(1)
-	ch := make(chan *linkpb.Frame, 1)
-	if !c.register(stream, ch) {
-		return nil, &NotSentError{Cause: ErrClosed}
-	}
-	defer c.unregister(stream)
-	if err := c.conn.write(&linkpb.Frame{Stream: stream, Version: c.events.LocalVersion(), Body: &linkpb.Frame_Call{Call: call}}); err != nil {
-		if errors.Is(err, ErrClosed) {
-			return nil, &NotSentError{Cause: err}
-		}
-		return nil, err
-	}
-	timer := time.NewTimer(suspectTimeout)
-	defer timer.Stop()
-	for {
-		select {
-		case f := <-ch:
-			return f, nil
-		case <-c.done:
-			return c.receivedFrame(ch)
-		case <-timer.C:
-			c.probe()
-			timer.Reset(suspectTimeout)
-		case <-ctx.Done():
-			_ = c.conn.write(&linkpb.Frame{Stream: stream, Body: &linkpb.Frame_Cancel{Cancel: &linkpb.Cancel{}}})
-			return nil, ctx.Err()
-		}
-	}
-}
-
-// receivedFrame returns the frame that was received before the link ended, or ErrClosed.
-func (c *Client) receivedFrame(ch chan *linkpb.Frame) (*linkpb.Frame, error) {
-	select {
-	case f := <-ch:
-		return f, nil
-	default:
-		return nil, ErrClosed
-	}
-}
-
 // RequestRouting requests the current routing document of the node. The answer is passed to Events.Routing.
 func (c *Client) RequestRouting() {
 	_ = c.conn.write(&linkpb.Frame{Body: &linkpb.Frame_RoutingRequest{RoutingRequest: &linkpb.RoutingRequest{}}})
@@ -161,26 +104,9 @@
 	}
 }
 
-// register adds a call to those that wait for an answer. It reports false when the link has ended.
-func (c *Client) register(stream uint64, ch chan *linkpb.Frame) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return false
-	}
-	c.pending[stream] = ch
-	return true
-}
-
-func (c *Client) unregister(stream uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, stream)
-}
-
 func (c *Client) receive() {
 	defer close(c.done)
-	defer c.shutdown()
+	defer c.conn.close()
 	for {
 		f, err := c.conn.read()
 		if err != nil {
@@ -192,34 +118,17 @@
 	}
 }
 
-// shutdown closes the connection and makes further calls fail with a *NotSentError.
-func (c *Client) shutdown() {
-	c.conn.close()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
-}
-
 func (c *Client) handle(f *linkpb.Frame) {
 	if f.Version != 0 {
 		c.events.Version(f.Version)
 	}
 	switch body := f.Body.(type) {
 	case *linkpb.Frame_State:
+		c.session.resumes.Store(body.State.Resumes)
 		c.events.State(body.State)
 	case *linkpb.Frame_Routing:
 		c.events.Routing(body.Routing.Document)
 	case *linkpb.Frame_Answer, *linkpb.Frame_Refusal, *linkpb.Frame_Broken:
-		c.deliver(f)
-	}
-}
-
-// deliver passes a frame to the call of its stream. A frame for a call that is no longer pending is dropped.
-func (c *Client) deliver(f *linkpb.Frame) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if ch := c.pending[f.Stream]; ch != nil {
-		delete(c.pending, f.Stream)
-		ch <- f
+		c.session.deliver(f)
 	}
 }
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -61,8 +61,8 @@
 func (c *framedConn) write(f *linkpb.Frame) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil {
-		return c.err
+	if c.err != nil { // nothing of this frame is written
+		return ErrClosed
 	}
 	encoded, err := proto.MarshalOptions{}.MarshalAppend(append(c.buffer[:0], 0, 0, 0, 0), f)
 	if err != nil {
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/radishstand/radishstand/api/linkpb"
 )
@@ -29,13 +30,14 @@
 type Server struct {
 	handler Handler
 
-	mu    sync.Mutex
-	links map[*serverLink]struct{}
+	mu       sync.Mutex
+	links    map[*serverLink]struct{}
+	sessions map[uint64]*servedSession
 }
 
 // NewServer returns a server that passes calls to handler.
 func NewServer(handler Handler) *Server {
-	return &Server{handler: handler, links: map[*serverLink]struct{}{}}
+	return &Server{handler: handler, links: map[*serverLink]struct{}{}, sessions: map[uint64]*servedSession{}}
 }
 
 // Serve accepts links until the listener is closed.
@@ -45,7 +47,8 @@
 		if err != nil {
 			return err
 		}
-		l := &serverLink{server: s, conn: newFramedConn(conn), calls: map[uint64]context.CancelFunc{}}
+		l := &serverLink{server: s, conn: newFramedConn(conn), done: make(chan struct{}), session: newServedSession()}
+		l.session.attach(l)
 		s.add(l)
 		go l.run()
 	}
@@ -53,12 +56,19 @@
 
 // Broadcast sends the state of this node to all nodes that have a link to it.
 func (s *Server) Broadcast() {
-	state := s.handler.State()
+	state := s.state()
 	for _, l := range s.openLinks() {
 		l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: state}})
 	}
 }
 
+// state returns the state of this node with the capabilities of its links.
+func (s *Server) state() *linkpb.State {
+	state := s.handler.State()
+	state.Resumes = true
+	return state
+}
+
 // Close ends all links.
 func (s *Server) Close() {
 	for _, l := range s.openLinks() {
@@ -88,13 +98,55 @@
 	delete(s.links, l)
 }
 
-// serverLink is a link that another node opened, with the cancel functions of its calls in progress by stream.
+// openSession makes l the link of a session. It ends the link that the session had before and waits until all its frames are
+// handled, so that it is certain which calls were received. It reports whether the session was known.
+func (s *Server) openSession(id uint64, l *serverLink) (known bool) {
+	s.mu.Lock()
+	session, known := s.sessions[id]
+	if !known {
+		session = newServedSession()
+		s.sessions[id] = session
+	}
+	s.mu.Unlock()
+	if before := session.currentLink(); before != nil {
+		before.conn.close()
+		<-before.done
+	}
+	l.id, l.session = id, session
+	session.attach(l)
+	return known
+}
+
+// closeSession detaches a session from its link and forgets it later, unless it gets another one.
+func (s *Server) closeSession(l *serverLink) {
+	if !l.session.detach(l) {
+		return
+	}
+	if l.id == 0 {
+		l.session.end()
+		return
+	}
+	links := l.session.links()
+	time.AfterFunc(sessionLifetime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if l.session.isDetached(links) {
+			l.session.end()
+			delete(s.sessions, l.id)
+		}
+	})
+}
+
+// serverLink is a link that another node opened.
 type serverLink struct {
 	server *Server
 	conn   *framedConn
-
-	mu    sync.Mutex
-	calls map[uint64]context.CancelFunc
+	// done is closed when all frames that were received are handled and none follows.
+	done chan struct{}
+	// id is the number of the session, or 0 when it ends with the link. It and session are set by the first frame.
+	id      uint64
+	session *servedSession
+	known   bool
 }
 
 func (l *serverLink) run() {
@@ -108,15 +160,12 @@
 	}
 }
 
-// shutdown closes the link and cancels its calls.
+// shutdown closes the link.
 func (l *serverLink) shutdown() {
 	l.server.remove(l)
 	l.conn.close()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, cancel := range l.calls {
-		cancel()
-	}
+	l.server.closeSession(l)
+	close(l.done)
 }
 
 func (l *serverLink) handle(f *linkpb.Frame) {
@@ -125,14 +174,15 @@
 	}
 	switch body := f.Body.(type) {
 	case *linkpb.Frame_Hello:
-		l.server.handler.Hello(body.Hello)
-		l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: l.server.handler.State()}})
+		l.handleHello(body.Hello)
+	case *linkpb.Frame_Resume:
+		l.session.resume(l, body.Resume.Streams, l.known)
 	case *linkpb.Frame_Call:
-		ctx, cancel := context.WithCancel(context.Background())
-		l.register(f.Stream, cancel)
-		go l.serve(ctx, f.Stream, body.Call)
+		session := l.session
+		ctx := session.begin(f.Stream, body.Call)
+		go l.server.handler.Serve(ctx, body.Call, func(result *linkpb.Frame) { session.finish(f.Stream, result) })
 	case *linkpb.Frame_Cancel:
-		l.cancel(f.Stream)
+		l.session.cancel(f.Stream)
 	case *linkpb.Frame_Ping:
 		l.send(&linkpb.Frame{Body: &linkpb.Frame_Pong{Pong: &linkpb.Pong{}}})
 	case *linkpb.Frame_RoutingRequest:
@@ -142,28 +192,12 @@
 	}
 }
 
-func (l *serverLink) serve(ctx context.Context, stream uint64, call *linkpb.Call) {
-	l.server.handler.Serve(ctx, call, func(f *linkpb.Frame) {
-		f.Stream = stream
-		l.cancel(stream)
-		l.send(f)
-	})
-}
-
-func (l *serverLink) register(stream uint64, cancel context.CancelFunc) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.calls[stream] = cancel
-}
-
-// cancel ends the context of a call and removes the call. It does nothing for a call that has ended.
-func (l *serverLink) cancel(stream uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if cancel := l.calls[stream]; cancel != nil {
-		cancel()
-		delete(l.calls, stream)
+func (l *serverLink) handleHello(hello *linkpb.Hello) {
+	if hello.Session != 0 && l.id == 0 {
+		l.known = l.server.openSession(hello.Session, l)
 	}
+	l.server.handler.Hello(hello)
+	l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: l.server.state()}})
 }
 
 // send writes a frame with the current routing version. The error is ignored: a failed write closes the connection, which
--- /dev/null
+++ b/node/connection/link/session.go
@@ -0,0 +1,214 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/radishstand/radishstand/api/linkpb"
+)
+
+// Session sends calls to one node. It outlasts its link: a call that was in progress when the link broke can wait for its result,
+// which the other node sends on the next link. A Session is safe for concurrent use.
+type Session struct {
+	address string
+	hello   *linkpb.Hello
+	events  Events
+	// resumes is set when the other node keeps the calls of a broken link.
+	resumes    atomic.Bool
+	lastStream atomic.Uint64
+
+	mu     sync.Mutex
+	client *Client // nil while there is no link
+	linked bool    // there has been a link
+	calls  map[uint64]*call
+}
+
+// call is a call without a result.
+type call struct {
+	// link is the link that the call was sent on.
+	link *Client
+	// result receives the frame that ends the call. It is closed when there will be none.
+	result chan *linkpb.Frame
+}
+
+// suspended reports whether the call's link has broken.
+func (c *call) suspended() bool {
+	select {
+	case <-c.link.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// NewSession returns a session with the node at address. The hello introduces this node.
+func NewSession(address string, hello *linkpb.Hello, events Events) *Session {
+	introduced := &linkpb.Hello{Node: hello.Node, Address: hello.Address, Place: hello.Place, Session: rand.Uint64() | 1}
+	return &Session{address: address, hello: introduced, events: events, calls: map[uint64]*call{}}
+}
+
+// Dial opens the link of the session and resumes the calls that wait for it. If the other node's process has ended, these
+// calls fail.
+func (s *Session) Dial(ctx context.Context) (*Client, error) {
+	client, err := dial(ctx, s.address, s.hello, s.events, s)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			s.failSuspended()
+		}
+		return nil, err
+	}
+	if err := s.open(client); err != nil {
+		client.Close()
+		return nil, err
+	}
+	go client.receive()
+	return client, nil
+}
+
+// open makes client the link of the session.
+func (s *Session) open(client *Client) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.linked {
+		resume := &linkpb.Resume{}
+		for stream, call := range s.calls {
+			if call.link != client {
+				resume.Streams = append(resume.Streams, stream)
+			}
+		}
+		if err := client.conn.write(&linkpb.Frame{Body: &linkpb.Frame_Resume{Resume: resume}}); err != nil {
+			return err
+		}
+	}
+	s.client, s.linked = client, true
+	return nil
+}
+
+// failSuspended ends the calls that wait for the next link.
+func (s *Session) failSuspended() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for stream, call := range s.calls {
+		if call.suspended() {
+			delete(s.calls, stream)
+			close(call.result)
+		}
+	}
+}
+
+// Close ends the link and the calls that wait for the next one. There must be no further Dial.
+func (s *Session) Close() {
+	s.mu.Lock()
+	client := s.client
+	s.client = nil
+	s.mu.Unlock()
+	if client != nil {
+		client.Close()
+		<-client.Done()
+	}
+	s.failSuspended()
+}
+
+// InProgress returns the number of calls without a result.
+func (s *Session) InProgress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
+
+// Do sends a call on the link and waits for the frame that ends it: an answer, a refusal or a broken frame. If the link breaks
+// meanwhile and wait returns true, Do waits for the next link of the session. The error is a *NotSentError when the call was
+// not sent. When ctx ends, a cancel frame is sent for the call.
+func (s *Session) Do(ctx context.Context, client *Client, message *linkpb.Call, wait func() bool) (*linkpb.Frame, error) {
+	stream := s.lastStream.Add(1)
+	c := s.register(stream, client)
+	defer s.unregister(stream)
+	frame := &linkpb.Frame{Stream: stream, Version: s.events.LocalVersion(), Body: &linkpb.Frame_Call{Call: message}}
+	if err := client.conn.write(frame); err != nil {
+		if errors.Is(err, ErrClosed) {
+			return nil, &NotSentError{Cause: err}
+		}
+		return s.awaitNextLink(ctx, stream, c, wait)
+	}
+	timer := time.NewTimer(suspectTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case f, ok := <-c.result:
+			return resultOrClosed(f, ok)
+		case <-client.done:
+			return s.awaitNextLink(ctx, stream, c, wait)
+		case <-timer.C:
+			client.probe()
+			timer.Reset(suspectTimeout)
+		case <-ctx.Done():
+			s.sendCancel(stream)
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// awaitNextLink waits for the result of a call whose link has broken.
+func (s *Session) awaitNextLink(ctx context.Context, stream uint64, c *call, wait func() bool) (*linkpb.Frame, error) {
+	select {
+	case f, ok := <-c.result: // it arrived before the link broke
+		return resultOrClosed(f, ok)
+	default:
+	}
+	if !s.resumes.Load() || !wait() {
+		s.sendCancel(stream)
+		return nil, ErrClosed
+	}
+	select {
+	case f, ok := <-c.result:
+		return resultOrClosed(f, ok)
+	case <-ctx.Done():
+		s.sendCancel(stream)
+		return nil, ctx.Err()
+	}
+}
+
+func resultOrClosed(f *linkpb.Frame, ok bool) (*linkpb.Frame, error) {
+	if !ok {
+		return nil, ErrClosed
+	}
+	return f, nil
+}
+
+func (s *Session) sendCancel(stream uint64) {
+	s.mu.Lock()
+	client := s.client
+	s.mu.Unlock()
+	if client != nil {
+		_ = client.conn.write(&linkpb.Frame{Stream: stream, Body: &linkpb.Frame_Cancel{Cancel: &linkpb.Cancel{}}})
+	}
+}
+
+func (s *Session) register(stream uint64, link *Client) *call {
+	c := &call{link: link, result: make(chan *linkpb.Frame, 1)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[stream] = c
+	return c
+}
+
+func (s *Session) unregister(stream uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, stream)
+}
+
+// deliver passes a frame to the call of its stream. A frame for a call that has ended is dropped.
+func (s *Session) deliver(f *linkpb.Frame) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.calls[f.Stream]; c != nil {
+		delete(s.calls, f.Stream)
+		c.result <- f
+	}
+}
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -31,6 +31,9 @@
 	// address is that of the server's node; empty for the server beside this node.
 	address string
 
+	// session outlasts the links to the server's node; nil for the server beside this node.
+	session *link.Session
+
 	mu              sync.Mutex
 	client          *link.Client
 	state           *linkpb.State
@@ -138,6 +141,7 @@
 
 // keepLinked dials the server's node whenever there is no link, with exponential backoff, until ctx ends.
 func (p *Set) keepLinked(ctx context.Context, s *Server) {
+	defer s.session.Close()
 	redialDelay := minRedialDelay
 	for ctx.Err() == nil {
 		started := time.Now()
@@ -156,21 +160,19 @@
 	}
 }
 
-// dialAndWait dials the node and waits for the end of the link. It reports whether the link was established.
-func (p *Set) dialAndWait(ctx context.Context, s *Server) bool {
-	var client *link.Client
-	ready := make(chan struct{})
-	events := link.Events{
+// newSession returns the session of the links to a server's node.
+func (p *Set) newSession(s *Server) *link.Session {
+	return link.NewSession(s.address, p.config.Hello, link.Events{
 		State:        func(state *linkpb.State) { s.setState(state, time.Now()); p.logState(s.address, state) },
 		Routing:      p.config.Routing,
 		LocalVersion: p.config.LocalVersion,
-		Version: func(number uint64) {
-			<-ready
-			p.observeVersion(client, number)
-		},
-	}
-	client, err := link.Dial(ctx, s.address, p.config.Hello, events)
-	close(ready)
+		Version:      func(number uint64) { p.observeVersion(s, number) },
+	})
+}
+
+// dialAndWait dials the node and waits for the end of the link. It reports whether the link was established.
+func (p *Set) dialAndWait(ctx context.Context, s *Server) bool {
+	client, err := s.session.Dial(ctx)
 	if err != nil {
 		return false
 	}
@@ -189,14 +191,21 @@
 
 // observeVersion handles the version number of another node. It requests the version from that node when the store has not
 // delivered it within routingRequestDelay.
-func (p *Set) observeVersion(client *link.Client, number uint64) {
-	if number <= p.config.LocalVersion() || client == nil || !p.requestPending.CompareAndSwap(false, true) {
+func (p *Set) observeVersion(s *Server, number uint64) {
+	if number <= p.config.LocalVersion() || !p.requestPending.CompareAndSwap(false, true) {
 		return
 	}
 	time.AfterFunc(routingRequestDelay, func() {
 		p.requestPending.Store(false)
-		if number > p.config.LocalVersion() {
+		if client := s.currentClient(); client != nil && number > p.config.LocalVersion() {
 			client.RequestRouting()
 		}
 	})
 }
+
+// currentClient returns the link to the server's node, or nil.
+func (s *Server) currentClient() *link.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client
+}
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -80,6 +80,7 @@
 	}
 	ctx, cancel := context.WithCancel(p.ctx)
 	s := &Server{address: address, lostAt: time.Now()}
+	s.session = p.newSession(s)
 	p.peers[address] = &peer{server: s, cancel: cancel}
 	go p.keepLinked(ctx, s)
 }
@@ -238,12 +239,12 @@
 	return picked, nil
 }
 
-// Send sends a call to a server and returns the frame that ends it. The error is a *link.NotSentError when the call did not
-// leave this node.
-func (p *Set) Send(ctx context.Context, s *Server, call *linkpb.Call) (*linkpb.Frame, error) {
+// Send sends a call to a server and returns the frame that ends it. If the link breaks and wait returns true, the call waits for
+// the next link to the server's node. The error is a *link.NotSentError when the call did not leave this node.
+func (p *Set) Send(ctx context.Context, s *Server, call *linkpb.Call, wait func() bool) (*linkpb.Frame, error) {
 	client, id := s.beginSend()
 	call.ServerId = id
-	f, err := p.transmit(ctx, s, client, call)
+	f, err := p.transmit(ctx, s, client, call, wait)
 	if err != nil {
 		return nil, err
 	}
@@ -256,7 +257,9 @@
 	return f, nil
 }
 
-func (p *Set) transmit(ctx context.Context, s *Server, client *link.Client, call *linkpb.Call) (*linkpb.Frame, error) {
+func (p *Set) transmit(
+	ctx context.Context, s *Server, client *link.Client, call *linkpb.Call, wait func() bool,
+) (*linkpb.Frame, error) {
 	if s.address == "" {
 		var frame *linkpb.Frame
 		p.config.Serve(ctx, call, func(f *linkpb.Frame) { frame = f })
@@ -265,7 +268,7 @@
 	if client == nil {
 		return nil, &link.NotSentError{Cause: link.ErrClosed}
 	}
-	return client.Do(ctx, call)
+	return s.session.Do(ctx, client, call, wait)
 }
 
 // exclude excludes the server for noServerExclusion, until its node has reported whether it accepts calls.
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -37,6 +37,7 @@
 // Run serves until ctx ends, or until stop is closed and all requests are done or the grace period is over.
 func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
+	defer n.closeListeners() // also when only some of them are open
 	defer cancel()
 	if err := n.listen(ctx); err != nil {
 		return err
@@ -55,14 +56,21 @@
 	return nil
 }
 
-// listen opens the listeners and starts serving on them. They are closed when ctx ends.
+// closeListeners closes the listeners and their connections.
+func (n *Node) closeListeners() {
+	for _, closeListener := range n.closers {
+		closeListener()
+	}
+}
+
+// listen opens the listeners and starts serving on them, until closeListeners is called.
 func (n *Node) listen(ctx context.Context) error {
 	l := n.config.Load().Listen
 	links, err := net.Listen("tcp4", l.Peers)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	context.AfterFunc(ctx, func() { _ = links.Close() })
+	n.closers = append(n.closers, func() { _ = links.Close() })
 	go func() {
 		if err := n.links.Serve(links); ctx.Err() == nil {
 			n.log.Warn("peer listener failed", "error", err)
@@ -73,15 +81,15 @@
 	diagnostics.HandleFunc("GET /metrics", n.writeMetrics)
 	diagnostics.HandleFunc("GET /dump", n.writeDump)
 	err = errors.Join(
-		n.serveCallers(ctx, l.Callers),
-		n.serveHTTP(ctx, l.Ready, http.HandlerFunc(n.ready)),
-		n.serveHTTP(ctx, l.Announcements, announcements),
+		n.serveCallers(l.Callers),
+		n.serveHTTP(l.Ready, http.HandlerFunc(n.ready)),
+		n.serveHTTP(l.Announcements, announcements),
 	)
 	if err != nil {
 		return err
 	}
 	// The metrics port is the same on all hosts and may be in use on one of them. Calls are then served without metrics.
-	if err := n.serveHTTP(ctx, l.Metrics, diagnostics); err != nil {
+	if err := n.serveHTTP(l.Metrics, diagnostics); err != nil {
 		n.log.Warn("metrics listener failed", "error", err)
 	}
 	return nil
@@ -92,14 +100,14 @@
 }
 
 // serveCallers serves the requests of callers within the limits that operators have set.
-func (n *Node) serveCallers(ctx context.Context, address string) error {
+func (n *Node) serveCallers(address string) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	server := ingress.NewServer(listener.(*net.TCPListener), n.front, ingressLimits(n.routing.Current()), n.log)
 	n.callers.Store(server)
-	context.AfterFunc(ctx, server.Close)
+	n.closers = append(n.closers, server.Close)
 	go server.Serve()
 	return nil
 }
@@ -123,8 +131,8 @@
 	return limits
 }
 
-// serveHTTP serves handler at an address until ctx ends; with an empty address it does nothing.
-func (n *Node) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+// serveHTTP serves handler at an address; with an empty address it does nothing.
+func (n *Node) serveHTTP(address string, handler http.Handler) error {
 	if address == "" {
 		return nil
 	}
@@ -133,10 +141,10 @@
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 	}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
+	n.closers = append(n.closers, func() { _ = server.Close() })
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			n.log.Warn("listener failed", "address", address, "error", err)
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -44,6 +44,7 @@
 	metrics metrics.Registry
 	knees   knees
 	callers atomic.Pointer[ingress.Server] // nil before the node listens
+	closers []func()                       // close the listeners; set by listen
 
 	stopping       atomic.Bool // readiness is withdrawn
 	stoppedServing atomic.Bool // this node accepts no more calls for the backend server
--- a/node/request/front/attempts.go
+++ b/node/request/front/attempts.go
@@ -21,7 +21,7 @@
 	c.message.ReferMs = uint32(c.redirectThreshold(picked).Milliseconds())
 	c.message.LeftMs = uint32(max(c.deadline.Sub(now).Milliseconds(), 1))
 	c.message.ObjectiveMs = uint32(max(c.objective.Sub(now).Milliseconds(), 0))
-	f, err := c.handler.config.Peers.Send(ctx, server, c.message)
+	f, err := c.handler.config.Peers.Send(ctx, server, c.message, c.mustKeepAttempt)
 	if err != nil {
 		return c.handleSendError(ctx, server, err)
 	}
@@ -42,6 +42,12 @@
 	return c.refusal("unreadable frame", 0)
 }
 
+// mustKeepAttempt reports whether an attempt whose link has broken should wait for its result, since no other attempt can be
+// made: the answer may be ready at the server's node.
+func (c *call) mustKeepAttempt() bool {
+	return !c.route.Idempotent || c.attempts+1 >= c.route.MaxAttempts || !c.hasTimeForAttempt()
+}
+
 // recordPossibleRun records an attempt that may have run.
 func (c *call) recordPossibleRun() {
 	c.attempts++
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -127,9 +127,13 @@
 
 // mayRetry reports whether a call that may have run may be retried.
 func (c *call) mayRetry() bool {
-	left := time.Until(c.deadline)
+	return c.route.Idempotent && c.attempts < c.route.MaxAttempts && c.hasTimeForAttempt()
+}
+
+// hasTimeForAttempt reports whether enough time is left for another attempt.
+func (c *call) hasTimeForAttempt() bool {
 	average := float64(c.handler.averages.get(c.route.Name).time)
-	return c.route.Idempotent && c.attempts < c.route.MaxAttempts && float64(left) > minTimeShareForRetry*average
+	return float64(time.Until(c.deadline)) > minTimeShareForRetry*average
 }
 
 // refusal returns the result of a call without further attempts: the answer of a server that failed it, else 502 when an
