link, localserver, front: count the time that a call has waited unseen

Cause: the time left travels with a call as a duration.

Weighed: absolute deadlines (need clocks that agree; the time of day jumps by seconds); a check for pauses by a ticker (wakes every node ten times a second). The entry node cannot tell how long a request has waited in its own socket while it was paused: open.

Change: frames of calls carry the sender's CLOCK_BOOTTIME; the receiver takes the shortest delay on a link as the measure and takes longer delays, from 50 ms, off the time left. A call that waited in the queue or at the entry node while its host was suspended is refused or ends once its time is over.

--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/internal/boottime"
 )
 
 const (
@@ -61,13 +62,17 @@
 	}
 	c := &Client{conn: newFramedConn(conn), events: events, session: session, done: make(chan struct{})}
 	c.lastReceived.Store(time.Now().UnixNano())
-	if err := c.conn.write(&linkpb.Frame{Version: events.LocalVersion(), Body: &linkpb.Frame_Hello{Hello: hello}}); err != nil {
+	first := &linkpb.Frame{Version: events.LocalVersion(), SentMs: sentMs(), Body: &linkpb.Frame_Hello{Hello: hello}}
+	if err := c.conn.write(first); err != nil {
 		c.conn.close()
 		return nil, err
 	}
 	return c, nil
 }
 
+// sentMs returns the time for Frame.SentMs.
+func sentMs() uint64 { return uint64(boottime.Now().Milliseconds()) }
+
 // Done is closed when the link has ended.
 func (c *Client) Done() <-chan struct{} { return c.done }
 
--- a/node/connection/link/resume_test.go
+++ b/node/connection/link/resume_test.go
@@ -23,6 +23,8 @@
 	target   atomic.Pointer[string]
 	// loseCalls and loseResults discard what the opener and the other node send.
 	loseCalls, loseResults atomic.Bool
+	// holdCalls delays what the opener sends.
+	holdCalls atomic.Bool
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -46,15 +48,15 @@
 			p.mu.Lock()
 			p.conns = append(p.conns, from, to)
 			p.mu.Unlock()
-			go pipe(to, from, &p.loseCalls)
-			go pipe(from, to, &p.loseResults)
+			go pipe(to, from, &p.loseCalls, &p.holdCalls)
+			go pipe(from, to, &p.loseResults, &atomic.Bool{})
 		}
 	}()
 	t.Cleanup(p.cut)
 	return p
 }
 
-func pipe(to, from net.Conn, lose *atomic.Bool) {
+func pipe(to, from net.Conn, lose, hold *atomic.Bool) {
 	defer to.Close()
 	buffer := make([]byte, 4<<10)
 	for {
@@ -65,6 +67,9 @@
 		if lose.Load() {
 			continue
 		}
+		for hold.Load() {
+			time.Sleep(time.Millisecond)
+		}
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
@@ -84,6 +89,7 @@
 type worker struct {
 	handler
 	started   chan context.Context
+	left      atomic.Uint32 // LeftMs of the last call
 	released  chan struct{}
 	runs      atomic.Int32
 	finished  atomic.Int32
@@ -94,6 +100,7 @@
 
 func (w *worker) Serve(ctx context.Context, call *linkpb.Call, reply func(*linkpb.Frame)) {
 	w.runs.Add(1)
+	w.left.Store(call.LeftMs)
 	w.started <- ctx
 	select {
 	case <-w.released:
@@ -279,3 +286,19 @@
 	}
 	assert.NoError(t, other.Err())
 }
+
+// Guards against a call that runs after its deadline, or with more time than is left: it has waited on a link that was cut or at
+// a host that was paused.
+func TestTimeThatACallHasWaitedIsTakenOff(t *testing.T) {
+	f := startResumable(t)
+	f.release()
+	assert.NoError(t, (<-f.call(false, true)).err)
+	<-f.started
+	assert.Equal(t, uint32(waitLimit.Milliseconds()), f.left.Load(), "a call on a working link keeps its time")
+	const held = 300 * time.Millisecond
+	f.proxy.holdCalls.Store(true)
+	time.AfterFunc(held, func() { f.proxy.holdCalls.Store(false) })
+	assert.NoError(t, (<-f.call(false, true)).err)
+	<-f.started
+	assert.InDelta(t, (waitLimit - held).Milliseconds(), f.left.Load(), 100)
+}
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/internal/boottime"
 )
 
 // Handler answers the calls of other nodes.
@@ -29,6 +30,8 @@
 // Server accepts links from other nodes. It is safe for concurrent use.
 type Server struct {
 	handler Handler
+	// clock is boottime.Now.
+	clock func() time.Duration
 
 	mu       sync.Mutex
 	links    map[*serverLink]struct{}
@@ -37,7 +40,7 @@
 
 // NewServer returns a server that passes calls to handler.
 func NewServer(handler Handler) *Server {
-	return &Server{handler: handler, links: map[*serverLink]struct{}{}, sessions: map[uint64]*servedSession{}}
+	return &Server{handler: handler, clock: boottime.Now, links: map[*serverLink]struct{}{}, sessions: map[uint64]*servedSession{}}
 }
 
 // Serve accepts links until the listener is closed.
@@ -147,6 +150,7 @@
 	id      uint64
 	session *servedSession
 	known   bool
+	ages    frameAges
 }
 
 func (l *serverLink) run() {
@@ -172,12 +176,17 @@
 	if f.Version != 0 {
 		l.server.handler.ObserveVersion(f.Version)
 	}
+	var age time.Duration
+	if f.SentMs != 0 {
+		age = l.ages.observe(time.Duration(f.SentMs)*time.Millisecond, l.server.clock())
+	}
 	switch body := f.Body.(type) {
 	case *linkpb.Frame_Hello:
 		l.handleHello(body.Hello)
 	case *linkpb.Frame_Resume:
 		l.session.resume(l, body.Resume.Streams, l.known)
 	case *linkpb.Frame_Call:
+		takeOff(body.Call, age)
 		session := l.session
 		ctx := session.begin(f.Stream, body.Call)
 		go l.server.handler.Serve(ctx, body.Call, func(result *linkpb.Frame) { session.finish(f.Stream, result) })
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -128,7 +128,9 @@
 	stream := s.lastStream.Add(1)
 	c := s.register(stream, client)
 	defer s.unregister(stream)
-	frame := &linkpb.Frame{Stream: stream, Version: s.events.LocalVersion(), Body: &linkpb.Frame_Call{Call: message}}
+	frame := &linkpb.Frame{
+		Stream: stream, Version: s.events.LocalVersion(), SentMs: sentMs(), Body: &linkpb.Frame_Call{Call: message},
+	}
 	if err := client.conn.write(frame); err != nil {
 		if errors.Is(err, ErrClosed) {
 			return nil, &NotSentError{Cause: err}
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -64,6 +64,8 @@
 	// Memory bounds the bytes of the answers that are held.
 	Memory *membudget.Budget
 	Now    func() time.Time
+	// Boottime returns the time since the host was started, with the time for which it was suspended.
+	Boottime func() time.Duration
 	// AnnounceInterval returns the interval of a server's announcements. With 0, a server that was found by a health check
 	// is used without an announcement.
 	AnnounceInterval func() time.Duration
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -33,7 +33,7 @@
 
 // run waits for a slot and runs a call. The response is nil when there was no answer.
 func (s *Server) run(ctx context.Context, call *linkpb.Call) (*linkpb.Frame, *exchange.Response) {
-	now := s.config.Now()
+	now, arrived := s.config.Now(), s.config.Boottime()
 	job := &dispatch.Job{
 		Route: call.Route, Rank: int(call.Rank), NoRedirect: call.Stay,
 		RedirectAbove: time.Duration(call.ReferMs) * time.Millisecond,
@@ -49,7 +49,8 @@
 	if client == nil {
 		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer}), nil
 	}
-	response, err := s.send(ctx, client, call, job.Deadline)
+	remaining := time.Duration(call.LeftMs)*time.Millisecond - (s.config.Boottime() - arrived)
+	response, err := s.send(ctx, client, call, remaining)
 	if err != nil {
 		return s.failureFrame(call.ServerId, err), nil
 	}
@@ -114,16 +115,19 @@
 	return s.client
 }
 
-func (s *Server) send(ctx context.Context, client *exchange.Client, call *linkpb.Call, deadline time.Time) (*exchange.Response, error) {
+// send sends a call for which the given time is left. That counts the time for which the host was suspended while the call
+// waited.
+func (s *Server) send(
+	ctx context.Context, client *exchange.Client, call *linkpb.Call, remaining time.Duration,
+) (*exchange.Response, error) {
 	if !call.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline.Add(answerGrace))
-	defer cancel()
-	remaining := deadline.Sub(s.config.Now())
 	if remaining <= 0 {
 		return nil, &exchange.NotSentError{Cause: context.DeadlineExceeded}
 	}
+	ctx, cancel := context.WithTimeout(ctx, remaining+answerGrace)
+	defer cancel()
 	names := s.config.Names
 	header := make(http.Header, len(call.Header)+4)
 	for _, h := range call.Header {
--- a/node/process/localserver/serve_test.go
+++ b/node/process/localserver/serve_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/protocol"
+	"github.com/radishstand/radishstand/node/internal/boottime"
 	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/localserver"
 )
@@ -36,7 +38,7 @@
 	backendAddress := backend.Listener.Addr().String()
 	s := localserver.New(localserver.Config{
 		Address: func() string { return backendAddress }, HasService: func(string) bool { return true },
-		HealthPath: func(string) string { return "" }, Names: names, Memory: membudget.New(1 << 20), Now: time.Now,
+		HealthPath: func(string) string { return "" }, Names: names, Memory: membudget.New(1 << 20), Now: time.Now, Boottime: boottime.Now,
 		AnnounceInterval: func() time.Duration { return announceInterval }, Changed: func(localserver.Status) {},
 	})
 	require.NoError(t, s.Announce(localserver.Announcement{ID: "i-1", Service: "quotes", Address: backendAddress, Slots: 1}))
@@ -74,3 +76,39 @@
 		})
 	}
 }
+
+// Guards against a call that runs although its deadline has passed while the host was suspended: the monotonic clock does not
+// count that time.
+func TestCallThatWaitedWhileTheHostWasSuspendedIsNotSentAfterItsDeadline(t *testing.T) {
+	running, release := make(chan string, 2), make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		running <- r.Header.Get(names.ID)
+		<-release
+		w.Header().Set(names.ID, r.Header.Get(names.ID))
+		w.Header().Set(names.Signature, "s")
+	}))
+	defer backend.Close()
+	backendAddress := backend.Listener.Addr().String()
+	var suspended atomic.Int64
+	s := localserver.New(localserver.Config{
+		Address: func() string { return backendAddress }, HasService: func(string) bool { return true },
+		HealthPath: func(string) string { return "" }, Names: names, Memory: membudget.New(1 << 20), Now: time.Now,
+		Boottime:         func() time.Duration { return boottime.Now() + time.Duration(suspended.Load()) },
+		AnnounceInterval: func() time.Duration { return announceInterval }, Changed: func(localserver.Status) {},
+	})
+	require.NoError(t, s.Announce(localserver.Announcement{ID: "i-1", Service: "quotes", Address: backendAddress, Slots: 1}))
+	frames := make(chan *linkpb.Frame, 2)
+	serve := func(id string) {
+		call := &linkpb.Call{Method: http.MethodPost, Target: "/", Host: "h", Id: id, ServerId: "i-1", LeftMs: 3000, ObjectiveMs: 3000, Stay: true}
+		s.Serve(context.Background(), call, func(f *linkpb.Frame) { frames <- f })
+	}
+	go serve("first")
+	assert.Equal(t, "first", <-running)
+	go serve("second")
+	require.Eventually(t, func() bool { return s.Load().Queued == 1 }, time.Second, time.Millisecond)
+	suspended.Store(int64(5 * time.Second))
+	close(release)
+	assert.NotNil(t, (<-frames).GetAnswer(), "the call in progress gets its answer")
+	assert.Equal(t, linkpb.Refusal_REASON_LATE, (<-frames).GetRefusal().GetReason())
+	assert.Empty(t, running)
+}
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/link"
+	"github.com/radishstand/radishstand/node/internal/boottime"
 	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/budget"
 	"github.com/radishstand/radishstand/node/process/localserver"
@@ -61,7 +62,7 @@
 		Address:    func() string { return n.config.Load().ServerAddress },
 		HasService: n.knownService, HealthPath: n.healthPath,
 		AnnounceInterval: func() time.Duration { return n.config.Load().AnnounceInterval },
-		Names:            adapter.Names(), Memory: memory, Now: time.Now, Changed: n.serverChanged,
+		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
 		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
 	n.links = link.NewServer(n)
--- a/node/request/front/attempts.go
+++ b/node/request/front/attempts.go
@@ -10,6 +10,7 @@
 
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/link"
+	"github.com/radishstand/radishstand/node/internal/boottime"
 	"github.com/radishstand/radishstand/node/process/peers"
 )
 
@@ -17,9 +18,13 @@
 func (c *call) attempt(ctx context.Context, picked peers.PickResult) *result {
 	now := time.Now()
 	server := picked.Server
+	left := c.timeout - (boottime.Now() - c.arrivedBoot)
+	if left <= 0 { // the host was suspended
+		return c.timedOut(server)
+	}
 	c.message.Stay = picked.Others == 0 || len(c.refused) >= maxRedirects
 	c.message.ReferMs = uint32(c.redirectThreshold(picked).Milliseconds())
-	c.message.LeftMs = uint32(max(c.deadline.Sub(now).Milliseconds(), 1))
+	c.message.LeftMs = uint32(max(left.Milliseconds(), 1))
 	c.message.ObjectiveMs = uint32(max(c.objective.Sub(now).Milliseconds(), 0))
 	f, err := c.handler.config.Peers.Send(ctx, server, c.message, c.mustKeepAttempt)
 	if err != nil {
@@ -34,7 +39,7 @@
 		server.RecordResult(true, time.Now())
 		c.recordPossibleRun()
 		if body.Broken.Timeout {
-			return c.timeout(server)
+			return c.timedOut(server)
 		}
 		return c.failAttempt(server, body.Broken.Cause, http.StatusBadGateway)
 	}
@@ -121,7 +126,7 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) { // a caller that left early is no failure of the server
 			server.RecordResult(true, time.Now())
 		}
-		return c.timeout(server)
+		return c.timedOut(server)
 	}
 	c.recordPossibleRun()
 	server.RecordResult(true, time.Now())
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -11,6 +11,7 @@
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/protocol"
+	"github.com/radishstand/radishstand/node/internal/boottime"
 	"github.com/radishstand/radishstand/node/process/choice"
 	"github.com/radishstand/radishstand/node/process/localserver"
 	"github.com/radishstand/radishstand/node/process/peers"
@@ -42,6 +43,10 @@
 	arrived   time.Time
 	objective time.Time
 	deadline  time.Time
+	// timeout is the time from the arrival to the deadline, and arrivedBoot the arrival by the clock that also runs while the
+	// host is suspended.
+	timeout     time.Duration
+	arrivedBoot time.Duration
 
 	// excluded holds the servers that failed the call or do not accept it; refused holds those that were busy.
 	excluded []*peers.Server
@@ -68,6 +73,7 @@
 	return &call{
 		handler: h, route: a.route, service: a.route.Split.Next(), arrived: now,
 		objective: now.Add(a.route.Objective), deadline: now.Add(a.timeout),
+		timeout: a.timeout, arrivedBoot: boottime.Now(),
 		message: &linkpb.Call{
 			Method: r.Method, Target: r.RequestURI, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header), Body: body,
 			Rank: uint32(max(a.route.Rank, 0)), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
@@ -102,7 +108,7 @@
 			return r
 		}
 		if ctx.Err() != nil {
-			return c.timeout(picked.Server)
+			return c.timedOut(picked.Server)
 		}
 	}
 }
@@ -152,7 +158,7 @@
 	}
 }
 
-func (c *call) timeout(server *peers.Server) *result {
+func (c *call) timedOut(server *peers.Server) *result {
 	return &result{status: http.StatusGatewayTimeout, cause: "deadline", server: server}
 }
 
