localserver: call the dispatcher without holding the lock of the state

Change: updates are serialized by a lock of their own; the dispatcher is called without the lock of the state.

--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -97,6 +97,10 @@
 	dispatcher   *dispatch.Dispatcher
 	probeLimiter *rate.Limiter
 
+	// transition serializes the updates of the state with their effect on the dispatcher. It is acquired before mu, which
+	// must not be held during calls of the dispatcher: its callbacks need the state.
+	transition sync.Mutex
+
 	mu             sync.Mutex
 	state          *fsm.FSM
 	current        Announcement
@@ -104,6 +108,8 @@
 	client         *exchange.Client
 	sweepScheduled bool
 	departed       departures
+	// starts counts the servers that were current.
+	starts int
 	// unannouncedSince is when a health check found the current server; zero once the server has announced itself.
 	unannouncedSince time.Time
 }
@@ -165,8 +171,7 @@
 	if s.client != nil {
 		s.client.Close()
 	}
-	s.dispatcher.Close()
-	s.dispatcher.Reset()
+	s.starts++
 	s.current = a
 	s.current.Sequence = a.Sequence - 1
 	s.unannouncedSince = time.Time{}
@@ -267,17 +272,21 @@
 // updateState runs an update of the state, opens or closes the dispatcher accordingly, and reports the change to
 // Config.Changed.
 func (s *Server) updateState(update func() error) error {
-	s.mu.Lock()
-	before := s.status()
-	err := update()
-	after := s.status()
-	switch {
-	case after.Ready && (!before.Ready || before.Slots != after.Slots || before.ID != after.ID || before.StartedAtMs != after.StartedAtMs):
-		s.dispatcher.Open(after.Slots)
-	case !after.Ready && before.Ready:
+	s.transition.Lock()
+	before, startsBefore := s.snapshot()
+	err := s.updateLocked(update)
+	after, starts := s.snapshot()
+	replaced := starts != startsBefore
+	if before.Ready && (replaced || !after.Ready) {
 		s.dispatcher.Close()
 	}
-	s.mu.Unlock()
+	if replaced {
+		s.dispatcher.Reset()
+	}
+	if after.Ready && (replaced || !before.Ready || before.Slots != after.Slots) {
+		s.dispatcher.Open(after.Slots)
+	}
+	s.transition.Unlock()
 	before.WarmUpLeft, after.WarmUpLeft = 0, 0
 	if before != after {
 		s.config.Changed(s.Status())
@@ -285,6 +294,19 @@
 	return err
 }
 
+func (s *Server) updateLocked(update func() error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return update()
+}
+
+// snapshot returns the state of the server and the number of servers that were current.
+func (s *Server) snapshot() (Status, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status(), s.starts
+}
+
 // Status returns the state of the server.
 func (s *Server) Status() Status {
 	s.mu.Lock()
--- a/node/process/localserver/serve_test.go
+++ b/node/process/localserver/serve_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -97,18 +99,74 @@
 		AnnounceInterval: func() time.Duration { return announceInterval }, Changed: func(localserver.Status) {},
 	})
 	require.NoError(t, s.Announce(localserver.Announcement{ID: "i-1", Service: "quotes", Address: backendAddress, Slots: 1}))
-	frames := make(chan *linkpb.Frame, 2)
-	serve := func(id string) {
+	serve := func(id string) <-chan *linkpb.Frame {
+		frame := make(chan *linkpb.Frame, 1)
 		call := &linkpb.Call{Method: http.MethodPost, Target: "/", Host: "h", Id: id, ServerId: "i-1", LeftMs: 3000, ObjectiveMs: 3000, Stay: true}
-		s.Serve(context.Background(), call, func(f *linkpb.Frame) { frames <- f })
+		go s.Serve(context.Background(), call, func(f *linkpb.Frame) { frame <- f })
+		return frame
 	}
-	go serve("first")
+	first := serve("first")
 	assert.Equal(t, "first", <-running)
-	go serve("second")
+	second := serve("second")
 	require.Eventually(t, func() bool { return s.Load().Queued == 1 }, time.Second, time.Millisecond)
 	suspended.Store(int64(5 * time.Second))
 	close(release)
-	assert.NotNil(t, (<-frames).GetAnswer(), "the call in progress gets its answer")
-	assert.Equal(t, linkpb.Refusal_REASON_LATE, (<-frames).GetRefusal().GetReason())
+	assert.NotNil(t, (<-first).GetAnswer(), "the call in progress gets its answer")
+	assert.Equal(t, linkpb.Refusal_REASON_LATE, (<-second).GetRefusal().GetReason())
 	assert.Empty(t, running)
 }
+
+// Guards against a deadlock: an announcement opens the dispatcher while a call waits, the dispatcher asks for the slowness of the
+// host, and that needs the state of the server.
+func TestAnnouncementWhileACallWaitsForASlowHost(t *testing.T) {
+	var slowness atomic.Int64
+	slowness.Store(100)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(names.ID, r.Header.Get(names.ID))
+		w.Header().Set(names.Signature, "s")
+		w.Header().Set(names.ServerLoad, strconv.FormatInt(slowness.Load(), 10))
+	}))
+	defer backend.Close()
+	backendAddress := backend.Listener.Addr().String()
+	reporting := names
+	reporting.ParseLoad = func(value string) (protocol.ServerLoad, bool) {
+		reported, err := strconv.Atoi(value)
+		return protocol.ServerLoad{Slots: 4, Slowness: reported}, err == nil
+	}
+	s := localserver.New(localserver.Config{
+		Address: func() string { return backendAddress }, HasService: func(string) bool { return true },
+		HealthPath: func(string) string { return "/health" }, Names: reporting, Memory: membudget.New(1 << 20), Now: time.Now,
+		Boottime: boottime.Now, AnnounceInterval: func() time.Duration { return announceInterval }, Changed: func(localserver.Status) {},
+	})
+	a := localserver.Announcement{ID: "i-1", Service: "quotes", Address: backendAddress, Slots: 4, Sequence: -1}
+	require.NoError(t, s.HandleProbeResult(a))
+	frames := make(chan *linkpb.Frame, 1)
+	serve := func() {
+		call := &linkpb.Call{Method: http.MethodGet, Target: "/", Host: "h", Id: "id-1", ServerId: "i-1", LeftMs: 5000, ObjectiveMs: 5000, Stay: true}
+		s.Serve(context.Background(), call, func(f *linkpb.Frame) { frames <- f })
+	}
+	serve()
+	require.NotNil(t, (<-frames).GetAnswer())
+	slowness.Store(500)
+	time.Sleep(20 * time.Millisecond) // the last report of the slowness is too old to start a call
+	go serve()
+	require.Eventually(t, func() bool { return s.Load().Queued == 1 }, time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
+	announced := make(chan error, 1)
+	go func() {
+		var failed error
+		for i := range 30 { // the dispatcher asks for the slowness only at some of them
+			time.Sleep(3 * time.Millisecond)
+			a.Sequence, a.StartedAtMs, a.Slots = int64(i), 100, 4+i%2
+			failed = errors.Join(failed, s.Announce(a))
+		}
+		announced <- failed
+	}()
+	select {
+	case err := <-announced:
+		require.NoError(t, err)
+	case <-time.After(2 * time.Second):
+		t.Fatal("an announcement is not handled")
+	}
+	assert.NotNil(t, (<-frames).GetAnswer())
+}
