--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -53,16 +53,16 @@
 	done         chan struct{}
 }
 
-// dial opens a link to the node at address and sends hello.
-func dial(ctx context.Context, address string, hello *linkpb.Hello, events Events, session *Session) (*Client, error) {
+// dial opens a link to the node of a session and sends hello.
+func dial(ctx context.Context, session *Session) (*Client, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: setSocketOptions, KeepAliveConfig: keepAlive}
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	conn, err := dialer.DialContext(ctx, "tcp4", session.address)
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{conn: newFramedConn(conn), events: events, session: session, done: make(chan struct{})}
+	c := &Client{conn: newFramedConn(conn, session.memory), events: session.events, session: session, done: make(chan struct{})}
 	c.lastReceived.Store(time.Now().UnixNano())
-	first := &linkpb.Frame{Version: events.LocalVersion(), SentMs: sentMs(), Body: &linkpb.Frame_Hello{Hello: hello}}
+	first := &linkpb.Frame{Version: c.events.LocalVersion(), SentMs: sentMs(), Body: &linkpb.Frame_Hello{Hello: session.hello}}
 	if err := c.conn.write(first); err != nil {
 		c.conn.close()
 		return nil, err
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -46,14 +46,15 @@
 type framedConn struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	memory *membudget.Budget
 
 	mu     sync.Mutex
 	buffer []byte
 	err    error
 }
 
-func newFramedConn(conn net.Conn) *framedConn {
-	return &framedConn{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+func newFramedConn(conn net.Conn, memory *membudget.Budget) *framedConn {
+	return &framedConn{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), memory: memory}
 }
 
 // write sends a frame. After a failed write it closes the connection and writes nothing more, so that the other node either
@@ -81,7 +82,7 @@
 	return nil
 }
 
-// read returns the next frame. It fails on a frame that is longer than maxFrameBytes or cannot be decoded.
+// read returns the next frame. It fails on a frame that is longer than maxFrameBytes, finds no memory or cannot be decoded.
 func (c *framedConn) read() (*linkpb.Frame, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(c.reader, header[:]); err != nil {
@@ -91,7 +92,9 @@
 	if size > maxFrameBytes {
 		return nil, fmt.Errorf("frame of %d bytes is longer than %d", size, maxFrameBytes)
 	}
-	encoded, err := membudget.ReadIncrementally(c.reader, int64(size))
+	reservation := c.memory.Reserve()
+	defer reservation.Release()
+	encoded, err := membudget.ReadExactly(c.reader, int64(size), reservation)
 	if err != nil {
 		return nil, err
 	}
--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -14,8 +14,12 @@
 
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/link"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
+// testMemory is the memory for the frames of a node, in bytes.
+const testMemory = 8 << 20
+
 // handler answers calls with their target. A call to /wait is answered after its context has ended.
 type handler struct {
 	version   atomic.Uint64
@@ -68,7 +72,7 @@
 func start(t *testing.T) (*handler, *link.Server, *linked, *events) {
 	t.Helper()
 	h := &handler{hello: make(chan *linkpb.Hello, 10), cancelled: make(chan struct{})}
-	server, listener, received := link.NewServer(h), listen(t), newEvents()
+	server, listener, received := link.NewServer(h, membudget.New(testMemory)), listen(t), newEvents()
 	go func() { _ = server.Serve(listener) }()
 	return h, server, dial(t, listener.Addr().String(), received.link()), received
 }
@@ -81,7 +85,7 @@
 
 func dial(t *testing.T, address string, events link.Events) *linked {
 	t.Helper()
-	session := link.NewSession(address, &linkpb.Hello{Address: "me"}, events)
+	session := link.NewSession(address, &linkpb.Hello{Address: "me"}, events, membudget.New(testMemory))
 	client, err := session.Dial(context.Background())
 	require.NoError(t, err)
 	t.Cleanup(session.Close)
@@ -187,11 +191,11 @@
 
 // Guards against a frame length that makes the node allocate memory for data that is not sent.
 func TestTooLongOrUnreadableFrameClosesLink(t *testing.T) {
-	for name, bytes := range map[string][]byte{"too long": {0xff, 0xff, 0xff, 0xff}, "unreadable": {0, 0, 0, 2, 0xff, 0xff}} {
+	for name, bytes := range map[string][]byte{"too long": {0xff, 0xff, 0xff, 0xff}, "too long for the memory": {4, 0, 0, 0}, "unreadable": {0, 0, 0, 2, 0xff, 0xff}} {
 		t.Run(name, func(t *testing.T) {
 			h := &handler{hello: make(chan *linkpb.Hello, 1)}
 			listener := listen(t)
-			go func() { _ = link.NewServer(h).Serve(listener) }()
+			go func() { _ = link.NewServer(h, membudget.New(testMemory)).Serve(listener) }()
 			conn, err := net.Dial("tcp4", listener.Addr().String())
 			require.NoError(t, err)
 			defer conn.Close()
--- a/node/connection/link/resume_test.go
+++ b/node/connection/link/resume_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/link"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
 const waitLimit = 5 * time.Second
@@ -126,7 +127,7 @@
 	t.Cleanup(f.release)
 	f.proxy = startProxy(t, f.serve(t))
 	received := newEvents()
-	f.session = link.NewSession(f.proxy.listener.Addr().String(), &linkpb.Hello{Address: "me"}, received.link())
+	f.session = link.NewSession(f.proxy.listener.Addr().String(), &linkpb.Hello{Address: "me"}, received.link(), membudget.New(testMemory))
 	t.Cleanup(f.session.Close)
 	f.dial(t)
 	<-received.states
@@ -137,7 +138,7 @@
 func (f *resumeFixture) serve(t *testing.T) string {
 	t.Helper()
 	listener := listen(t)
-	go func() { _ = link.NewServer(f.worker).Serve(listener) }()
+	go func() { _ = link.NewServer(f.worker, membudget.New(testMemory)).Serve(listener) }()
 	return listener.Addr().String()
 }
 
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/internal/boottime"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
 // Handler answers the calls of other nodes.
@@ -30,6 +31,7 @@
 // Server accepts links from other nodes. It is safe for concurrent use.
 type Server struct {
 	handler Handler
+	memory  *membudget.Budget
 	// clock is boottime.Now.
 	clock func() time.Duration
 
@@ -38,9 +40,12 @@
 	sessions map[uint64]*servedSession
 }
 
-// NewServer returns a server that passes calls to handler.
-func NewServer(handler Handler) *Server {
-	return &Server{handler: handler, clock: boottime.Now, links: map[*serverLink]struct{}{}, sessions: map[uint64]*servedSession{}}
+// NewServer returns a server that passes calls to handler. Frames that are received take their memory from a budget.
+func NewServer(handler Handler, memory *membudget.Budget) *Server {
+	return &Server{
+		handler: handler, memory: memory, clock: boottime.Now,
+		links: map[*serverLink]struct{}{}, sessions: map[uint64]*servedSession{},
+	}
 }
 
 // Serve accepts links until the listener is closed.
@@ -50,7 +55,7 @@
 		if err != nil {
 			return err
 		}
-		l := &serverLink{server: s, conn: newFramedConn(conn), done: make(chan struct{}), session: newServedSession()}
+		l := &serverLink{server: s, conn: newFramedConn(conn, s.memory), done: make(chan struct{}), session: newServedSession()}
 		l.session.attach(l)
 		s.add(l)
 		go l.run()
@@ -209,9 +214,8 @@
 	l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: l.server.state()}})
 }
 
-// send writes a frame with the current routing version. The error is ignored: a failed write closes the connection, which
-// the other node detects.
+// send writes a frame with the current routing version. The frame itself is not changed, since a retained result may be sent on
+// two links. The error is ignored: a failed write closes the connection, which the other node detects.
 func (l *serverLink) send(f *linkpb.Frame) {
-	f.Version = l.server.handler.LocalVersion()
-	_ = l.conn.write(f)
+	_ = l.conn.write(&linkpb.Frame{Stream: f.Stream, Version: l.server.handler.LocalVersion(), Body: f.Body})
 }
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
 // Session sends calls to one node. It outlasts its link: a call that was in progress when the link broke can wait for its result,
@@ -18,6 +19,7 @@
 	address string
 	hello   *linkpb.Hello
 	events  Events
+	memory  *membudget.Budget
 	// resumes is set when the other node keeps the calls of a broken link.
 	resumes    atomic.Bool
 	lastStream atomic.Uint64
@@ -46,16 +48,17 @@
 	}
 }
 
-// NewSession returns a session with the node at address. The hello introduces this node.
-func NewSession(address string, hello *linkpb.Hello, events Events) *Session {
+// NewSession returns a session with the node at address. The hello introduces this node. Frames that are received take their
+// memory from a budget.
+func NewSession(address string, hello *linkpb.Hello, events Events, memory *membudget.Budget) *Session {
 	introduced := &linkpb.Hello{Node: hello.Node, Address: hello.Address, Place: hello.Place, Session: rand.Uint64() | 1}
-	return &Session{address: address, hello: introduced, events: events, calls: map[uint64]*call{}}
+	return &Session{address: address, hello: introduced, events: events, memory: memory, calls: map[uint64]*call{}}
 }
 
 // Dial opens the link of the session and resumes the calls that wait for it. If the other node's process has ended, these
 // calls fail.
 func (s *Session) Dial(ctx context.Context) (*Client, error) {
-	client, err := dial(ctx, s.address, s.hello, s.events, s)
+	client, err := dial(ctx, s)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			s.failSuspended()
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -167,7 +167,7 @@
 		Routing:      p.config.Routing,
 		LocalVersion: p.config.LocalVersion,
 		Version:      func(number uint64) { p.observeVersion(s, number) },
-	})
+	}, p.config.Memory)
 }
 
 // dialAndWait dials the node and waits for the end of the link. It reports whether the link was established.
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -16,6 +16,7 @@
 
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/link"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/choice"
 )
 
@@ -41,7 +42,9 @@
 	LocalVersion func() uint64
 	// Routing handles the document of a routing version from another node.
 	Routing func(document []byte)
-	Log     Log
+	// Memory bounds the bytes of frames that are being received.
+	Memory *membudget.Budget
+	Log    Log
 }
 
 // Set is the set of nodes that this node knows. It is safe for concurrent use.
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -65,10 +65,10 @@
 		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
 		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
-	n.links = link.NewServer(n)
+	n.links = link.NewServer(n, memory)
 	n.peers = peers.New(ctx, peers.Config{
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
-		LocalVersion: n.routing.Number, Routing: n.applyRouting, Log: log,
+		LocalVersion: n.routing.Number, Routing: n.applyRouting, Memory: memory, Log: log,
 	})
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
