Revert "localserver: stop sending calls to a server that has fallen silent"

A server that fell silent as a whole is noticed when its connections are used up: a new one is not opened within 0.5 s, and the call goes elsewhere as not run.

--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -96,7 +96,6 @@
 	config       Config
 	dispatcher   *dispatch.Dispatcher
 	probeLimiter *rate.Limiter
-	activity     activity
 
 	// transition serializes the updates of the state with their effect on the dispatcher. It is acquired before mu, which
 	// must not be held during calls of the dispatcher: its callbacks need the state.
--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -72,7 +72,6 @@
 		return 0, false
 	}
 	defer response.Release()
-	s.activity.heard(s.config.Now())
 	load, ok := s.config.Names.ParseLoad(response.Header.Get(s.config.Names.ServerLoad))
 	return load.Slowness, ok && load.Slowness > 0
 }
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -50,13 +50,10 @@
 		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer}), nil
 	}
 	remaining := time.Duration(call.LeftMs)*time.Millisecond - (s.config.Boottime() - arrived)
-	s.activity.begin(s.config.Now())
-	defer s.activity.end()
 	response, err := s.send(ctx, client, call, remaining)
 	if err != nil {
 		return s.failureFrame(call.ServerId, err), nil
 	}
-	s.activity.heard(s.config.Now())
 	f := s.answerFrame(call.ServerId, response)
 	answered = f.GetAnswer() != nil && response.Status < http.StatusInternalServerError
 	return f, response
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -164,7 +164,7 @@
 }
 
 // superviseServer sends health checks to the backend server's address while no reachable server is known there, and checks
-// that a server found in this way announces itself. It notices a server that has fallen silent.
+// that a server found in this way announces itself.
 func (n *Node) superviseServer(ctx context.Context) {
 	for ctx.Err() == nil {
 		v := n.routing.Current()
@@ -175,7 +175,6 @@
 			}
 		}
 		n.server.CheckAnnounced()
-		n.server.CheckSilence(ctx)
 		sleep(ctx, probeInterval)
 	}
 }
