dispatch, front: let calls that servers need for calls in progress go first

Load: a service with more calls than slots, among them checks that other servers make for calls in progress.

Cause: such a check has a short objective, so that it was the first to count as late: it was put behind calls that could still meet theirs, and refused after a quarter of its time.

Change: the id of a call that a server makes begins with the id of the call it serves. If that one is in progress at the server beside the entry node, the call is nested: it goes first, and is refused only when it cannot be answered before its deadline. Callers gain nothing by such an id. Where ids tell nothing, all is as before.

--- a/node/connection/protocol/protocol.go
+++ b/node/connection/protocol/protocol.go
@@ -24,6 +24,9 @@
 	RunningID string
 	// ParseLoad parses the value of the ServerLoad header.
 	ParseLoad func(value string) (ServerLoad, bool)
+	// ParentID returns the ID of the call for which a server would make the call with the given ID. It reports false when
+	// the ID names no other call.
+	ParentID func(id string) (parent string, ok bool)
 }
 
 // ServerLoad is the load that a backend server reports.
--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -1,8 +1,8 @@
 // Package dispatch schedules the calls to the backend server beside the node. All calls to the server pass through it,
 // so its count of calls in progress is exact, and a call that it refuses has not run.
 //
-// Waiting calls that can still meet their objective are started first, by rank and then by objective: an answer after
-// its objective is worth little to a caller. A call is refused on arrival when it would wait here although another
+// Calls that other servers wait for are started first. Of the others, those that can still meet their objective precede, by
+// rank and then by objective: an answer after its objective is worth little to a caller. A call is refused on arrival when it would wait here although another
 // server may have a free slot, or when it cannot be answered in time. Calls start only while the host is not slow: a
 // neighbour on the host slows work down for short periods, and the time of a call depends on the slowness of the host at
 // its start. Slots are left free when the server has a lower throughput with all of them in use.
@@ -50,6 +50,9 @@
 	// Objective is the time until which an answer has its full value to the caller.
 	Objective time.Time
 	Deadline  time.Time
+	// Nested is set for a call that another server makes for a call in progress there. That one holds a slot and fails
+	// with it, so that nested calls go first and are refused only when they cannot be answered at all.
+	Nested bool
 	// NoRedirect keeps the call from being redirected to another server.
 	NoRedirect bool
 	// RedirectAbove is the expected delay above which the call is redirected to another server.
--- a/node/process/dispatch/dispatch_test.go
+++ b/node/process/dispatch/dispatch_test.go
@@ -208,3 +208,41 @@
 		assert.Equal(t, dispatch.Busy, q.refused["call"])
 	})
 }
+
+// Load: more calls than slots, and among them calls that other servers need for calls in progress. Guards against nested calls
+// that wait behind others or are refused for their objective, which fails the calls that need them.
+func TestNestedCallsGoFirstAndAreNotRefusedForTheirObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1, nil)
+		q.recordServiceTime(100 * time.Millisecond)
+		running := q.submit("running", job(0, time.Minute, time.Minute))
+		q.submit("urgent", job(0, 400*time.Millisecond, 2*time.Second))
+		nested := job(3, 50*time.Millisecond, time.Second)
+		nested.Nested = true
+		q.submit("nested", nested)
+		q.submit("late", job(3, 50*time.Millisecond, time.Second))
+		for range 30 {
+			time.Sleep(10 * time.Millisecond)
+			q.Sweep()
+		}
+		assert.Equal(t, dispatch.Late, q.refused["late"])
+		assert.NotContains(t, q.refused, "nested")
+		q.Done(running, true)
+		assert.Equal(t, []string{"running", "nested"}, q.order)
+	})
+}
+
+// Guards against nested calls that are kept although they cannot be answered before their deadline.
+func TestNestedCallThatCannotBeAnsweredIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1, nil)
+		q.recordServiceTime(100 * time.Millisecond)
+		q.submit("running", job(0, time.Minute, time.Minute))
+		nested := job(0, 50*time.Millisecond, 300*time.Millisecond)
+		nested.Nested = true
+		q.submit("nested", nested)
+		time.Sleep(290 * time.Millisecond)
+		q.Sweep()
+		assert.Equal(t, dispatch.Late, q.refused["nested"])
+	})
+}
--- a/node/process/dispatch/order.go
+++ b/node/process/dispatch/order.go
@@ -27,7 +27,7 @@
 	if d.shouldRedirect(j, wait, now) {
 		return Busy, wait
 	}
-	if wait > 0 && j.missesObjective(now.Add(wait), service) &&
+	if wait > 0 && !j.Nested && j.missesObjective(now.Add(wait), service) &&
 		d.waitingLate(now) >= int(lateBacklogShare*float64(d.knee.limit)) {
 		return Late, wait
 	}
@@ -71,6 +71,9 @@
 
 // precedes reports whether a is started before b.
 func (d *Dispatcher) precedes(a, b *Job, now time.Time) bool {
+	if a.Nested != b.Nested {
+		return a.Nested
+	}
 	lateA, lateB := a.missesObjective(now, d.routeTime(a.Route).value()), b.missesObjective(now, d.routeTime(b.Route).value())
 	if lateA != lateB {
 		return lateB
@@ -87,7 +90,7 @@
 	for _, w := range d.waiting {
 		service := d.routeTime(w.Route).value()
 		unanswerable := now.Add(time.Duration(minServiceShare * float64(service))).After(w.Deadline)
-		waitedTooLong := w.missesObjective(now, service) &&
+		waitedTooLong := !w.Nested && w.missesObjective(now, service) &&
 			float64(now.Sub(w.arrived)) > lateWaitShare*float64(w.Deadline.Sub(w.arrived))
 		switch {
 		case unanswerable || waitedTooLong:
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -96,6 +96,7 @@
 	config       Config
 	dispatcher   *dispatch.Dispatcher
 	probeLimiter *rate.Limiter
+	inProgress   callSet
 
 	// transition serializes the updates of the state with their effect on the dispatcher. It is acquired before mu, which
 	// must not be held during calls of the dispatcher: its callbacks need the state.
@@ -116,7 +117,10 @@
 
 // New returns a Server in the absent state.
 func New(c Config) *Server {
-	s := &Server{config: c, state: newStateMachine(stateAbsent), probeLimiter: rate.NewLimiter(probesPerSecond, probeBurst)}
+	s := &Server{
+		config: c, state: newStateMachine(stateAbsent), probeLimiter: rate.NewLimiter(probesPerSecond, probeBurst),
+		inProgress: newCallSet(),
+	}
 	s.dispatcher = dispatch.New(c.Now, s.probeSlowness)
 	if c.PeerKnee != nil {
 		s.dispatcher.ShareKnee(c.PeerKnee, c.KneeChanged)
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -35,7 +35,7 @@
 func (s *Server) run(ctx context.Context, call *linkpb.Call) (*linkpb.Frame, *exchange.Response) {
 	now, arrived := s.config.Now(), s.config.Boottime()
 	job := &dispatch.Job{
-		Route: call.Route, Rank: int(call.Rank), NoRedirect: call.Stay,
+		Route: call.Route, Rank: int(call.Rank), Nested: call.Nested, NoRedirect: call.Stay,
 		RedirectAbove: time.Duration(call.ReferMs) * time.Millisecond,
 		Objective:     now.Add(time.Duration(call.ObjectiveMs) * time.Millisecond),
 		Deadline:      now.Add(time.Duration(call.LeftMs) * time.Millisecond),
@@ -49,6 +49,8 @@
 	if client == nil {
 		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer}), nil
 	}
+	s.inProgress.add(call.Id)
+	defer s.inProgress.remove(call.Id)
 	remaining := time.Duration(call.LeftMs)*time.Millisecond - (s.config.Boottime() - arrived)
 	response, err := s.send(ctx, client, call, remaining)
 	if err != nil {
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -77,10 +77,17 @@
 		message: &linkpb.Call{
 			Method: r.Method, Target: r.RequestURI, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header), Body: body,
 			Rank: uint32(max(a.route.Rank, 0)), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
+			Nested: h.isNested(a.id),
 		},
 	}
 }
 
+// isNested reports whether the backend server at this host makes the call for one that is in progress there.
+func (h *Handler) isNested(id string) bool {
+	parent, ok := h.config.Names.ParentID(id)
+	return ok && h.config.Serves(parent)
+}
+
 // forwardedHeader returns the header lines of a request that are sent to a server. It does not change the header, since the
 // connection may use it for requests behind this one.
 func (h *Handler) forwardedHeader(header http.Header) []*linkpb.Header {
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -52,6 +52,8 @@
 	Budget  *budget.Budget
 	// Service returns the service of the backend server at this host.
 	Service func() string
+	// Serves reports whether a call is in progress at the backend server at this host.
+	Serves func(id string) bool
 	// Memory bounds the bytes of the bodies that are held.
 	Memory   *membudget.Budget
 	Log      Log
