ingress: a fault in the handler or a failed write ends its connection

Cause: found by reading the code. A panic of the handler ended the process (net/http recovers it); a connection that was broken off by the node (panic, failed write) stayed open until the caller closed it, since nothing woke the goroutine that reads; and one whose last request took too long to send could stay open if that happened during a write.

Test: TestPanicEndsOnlyItsConnection (before: the process ended; with the recovery alone: no end of the connection within 10 s).

--- a/node/connection/ingress/connection.go
+++ b/node/connection/ingress/connection.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync"
 	"time"
 )
@@ -148,6 +149,7 @@
 	c.broken, c.closing = true, true
 	c.dropFrom(0)
 	c.cancel()
+	_ = c.conn.SetReadDeadline(interrupted)
 	c.changed.Broadcast()
 }
 
@@ -257,7 +259,7 @@
 
 // handle runs the handler for a request and writes the responses that are ready.
 func (c *connection) handle(p *pending) {
-	response := c.server.handler.Handle(p.request)
+	response := c.respond(p.request)
 	unread := p.body != nil && !p.body.hasEnded()
 	c.mu.Lock()
 	if response == nil {
@@ -271,6 +273,17 @@
 	c.flush()
 }
 
+// respond runs the handler. A panic ends the connection, as with net/http, and not the process.
+func (c *connection) respond(r *http.Request) (response *Response) {
+	defer func() {
+		if failure := recover(); failure != nil {
+			c.server.log.Warn("handler panicked", "error", failure, "stack", string(debug.Stack()))
+			response = nil
+		}
+	}()
+	return c.server.handler.Handle(r)
+}
+
 // flush writes the responses at the head of the queue that are ready.
 func (c *connection) flush() {
 	c.mu.Lock()
@@ -309,7 +322,7 @@
 		c.breakOff()
 		return
 	}
-	if c.closing {
+	if c.closing || c.last && len(c.queue) == 0 {
 		_ = c.conn.SetReadDeadline(interrupted)
 	}
 	c.startNext()
--- a/node/connection/ingress/ingress_test.go
+++ b/node/connection/ingress/ingress_test.go
@@ -47,6 +47,9 @@
 
 func (h *handler) Handle(r *http.Request) *ingress.Response {
 	h.started <- r.URL.Path
+	if r.URL.Path == "/panic" {
+		panic("test")
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return &ingress.Response{Status: http.StatusBadRequest, Close: true}
@@ -242,6 +245,19 @@
 	assert.Empty(t, f.started, "requests behind the last response must not be handled")
 }
 
+// Guards against a fault in the handler that ends the process and with it the calls of all other callers.
+func TestPanicEndsOnlyItsConnection(t *testing.T) {
+	f := start(t)
+	other, err := net.DialTCP("tcp4", nil, f.conn.RemoteAddr().(*net.TCPAddr))
+	require.NoError(t, err)
+	defer other.Close()
+	f.send(t, "GET /panic")
+	assert.Equal(t, "closed", f.next(t))
+	f.conn, f.reader = other, bufio.NewReader(other)
+	f.send(t, "GET /1")
+	assert.Equal(t, "GET /1 0", f.next(t))
+}
+
 // Guards against idle connections that keep a stop from ending.
 func TestShutdownClosesIdleConnections(t *testing.T) {
 	f := start(t)
