ingress: a stop closes a connection whose last response has just been written

Cause: Shutdown closed the connections without a request in progress. One whose response was written, but not yet taken off the queue, was left open until its idle timeout or the end of the grace period, so that the stop took longer. Not a matter of load: the order of two goroutines.

--- a/node/connection/ingress/connection.go
+++ b/node/connection/ingress/connection.go
@@ -181,7 +181,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.last = request.Close || p.response != nil && p.response.Close
+	c.last = c.last || request.Close || p.response != nil && p.response.Close
 	return !c.closing && !c.last
 }
 
@@ -370,10 +370,11 @@
 	_, _ = io.CopyN(io.Discard, c.reader, maxDiscardedBytes)
 }
 
-// interruptIdle closes the connection if it has no request in progress.
+// interruptIdle closes the connection if it has no request in progress, otherwise after the last response.
 func (c *connection) interruptIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.last = true
 	if c.waiting && len(c.queue) == 0 {
 		c.closing = true
 		_ = c.conn.SetReadDeadline(interrupted)
