--- a/node/process/localserver/serve_test.go
+++ b/node/process/localserver/serve_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -170,3 +171,39 @@
 	}
 	assert.NotNil(t, (<-frames).GetAnswer())
 }
+
+// Guards against a server that never answers a request that it cannot queue, nor any later one on that connection: the connection
+// must not be used again, and the call must not hold a slot after its deadline.
+func TestCallWithoutAnswerFreesItsSlotAndItsConnectionIsNotUsedAgain(t *testing.T) {
+	var mu sync.Mutex
+	mute := map[string]bool{} // remote addresses of connections on which nothing is answered any more
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		silent := mute[r.RemoteAddr] || r.Header.Get(names.ID) == "unanswered"
+		mute[r.RemoteAddr] = silent
+		mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
+		w.Header().Set(names.ID, r.Header.Get(names.ID))
+		w.Header().Set(names.Signature, "s")
+	}))
+	defer backend.Close()
+	backendAddress := backend.Listener.Addr().String()
+	s := localserver.New(localserver.Config{
+		Address: func() string { return backendAddress }, HasService: func(string) bool { return true },
+		HealthPath: func(string) string { return "" }, Names: names, Memory: membudget.New(1 << 20), Now: time.Now, Boottime: boottime.Now,
+		AnnounceInterval: func() time.Duration { return announceInterval }, Changed: func(localserver.Status) {},
+	})
+	require.NoError(t, s.Announce(localserver.Announcement{ID: "i-1", Service: "quotes", Address: backendAddress, Slots: 1}))
+	serve := func(id string, leftMs uint32) (frame *linkpb.Frame) {
+		call := &linkpb.Call{Method: http.MethodPost, Target: "/", Host: "h", Id: id, ServerId: "i-1", LeftMs: leftMs, Stay: true}
+		s.Serve(context.Background(), call, func(f *linkpb.Frame) { frame = f })
+		return frame
+	}
+	require.NotNil(t, serve("first", 2000).GetAnswer())
+	assert.True(t, serve("unanswered", 100).GetBroken().GetTimeout(), "it may have run")
+	assert.Zero(t, s.Load().InProgress)
+	assert.NotNil(t, serve("next", 2000).GetAnswer())
+}
