localserver, sidecar: log what a server says about itself in its answers

Change: the line 'server statement' when the statement in an answer differs from the one before, with the request, and the metric server.requests. No effect on requests yet.

--- a/node/connection/protocol/protocol.go
+++ b/node/connection/protocol/protocol.go
@@ -22,6 +22,10 @@
 	ServerLoad string
 	// RunningID is the ID of the server that answers a health check or a misdirected request.
 	RunningID string
+	// RateLimit is the number of requests per second that a server accepts from all hosts together.
+	RateLimit string
+	// Leaving marks the answers of a server that is about to end.
+	Leaving string
 	// ParseLoad parses the value of the ServerLoad header.
 	ParseLoad func(value string) (ServerLoad, bool)
 	// ParentID returns the ID of the call for which a server would make the call with the given ID. It reports false when
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/looplab/fsm"
@@ -71,6 +72,9 @@
 	AnnounceInterval func() time.Duration
 	// Changed is called without holding locks after the state of the server changed.
 	Changed func(Status)
+	// Stated is called without holding locks when the statement in an answer differs from the one before. The source is the
+	// ID of the answered request, or "health check". It may be nil.
+	Stated func(statement Statement, source string)
 	// PeerKnee returns the knee that the nodes of other servers of the service have found for a number of slots, or 0.
 	// It is called while locks are held. If it is nil, no knee is adopted from other nodes and KneeChanged is not
 	// called.
@@ -97,6 +101,7 @@
 	dispatcher   *dispatch.Dispatcher
 	probeLimiter *rate.Limiter
 	inProgress   callSet
+	requests     atomic.Int64
 
 	// transition serializes the updates of the state with their effect on the dispatcher. It is acquired before mu, which
 	// must not be held during calls of the dispatcher: its callbacks need the state.
@@ -107,6 +112,7 @@
 	current        Announcement
 	warmUpEnd      time.Time
 	client         *exchange.Client
+	stated         Statement
 	sweepScheduled bool
 	departed       departures
 	// starts counts the servers that were current.
@@ -179,6 +185,7 @@
 	s.current = a
 	s.current.Sequence = a.Sequence - 1
 	s.unannouncedSince = time.Time{}
+	s.stated = Statement{}
 	s.warmUpEnd = s.config.Now().Add(a.WarmUp)
 	s.client = exchange.New(a.Address, s.config.Names.ID, s.config.Memory)
 	s.state = newStateMachine(stateAbsent)
--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -17,6 +17,9 @@
 	// rarely probed.
 	probesPerSecond = 40
 	probeBurst      = 20
+
+	// healthCheck is the source of the statement in the answer to a health check.
+	healthCheck = "health check"
 )
 
 // Probe requests the identity of the server at the configured address with a health check. It is used only while no
@@ -27,6 +30,7 @@
 	address := s.config.Address()
 	client := exchange.New(address, s.config.Names.ID, s.config.Memory)
 	defer client.Close()
+	s.requests.Add(1)
 	response, err := client.Do(ctx, &exchange.Request{Method: http.MethodGet, Target: healthPath, Host: address})
 	if err != nil {
 		return err
@@ -67,11 +71,13 @@
 func (s *Server) requestSlowness(client *exchange.Client, path string) (slowness int, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), slownessTimeout)
 	defer cancel()
+	s.requests.Add(1)
 	response, err := client.Do(ctx, &exchange.Request{Method: http.MethodGet, Target: path, Host: client.Address()})
 	if err != nil {
 		return 0, false
 	}
 	defer response.Release()
+	s.observe(client, response.Header, healthCheck)
 	load, ok := s.config.Names.ParseLoad(response.Header.Get(s.config.Names.ServerLoad))
 	return load.Slowness, ok && load.Slowness > 0
 }
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -139,9 +139,14 @@
 	header.Set(names.DeadlineMs, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	header.Set(names.ServerID, call.ServerId)
 	header.Set(names.CallerService, call.CallerService)
-	return client.Do(ctx, &exchange.Request{
+	s.requests.Add(1)
+	response, err := client.Do(ctx, &exchange.Request{
 		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body, ID: call.Id,
 	})
+	if err == nil {
+		s.observe(client, response.Header, call.Id)
+	}
+	return response, err
 }
 
 // failureFrame returns the frame of a call without an answer.
--- /dev/null
+++ b/node/process/localserver/statement.go
@@ -0,0 +1,66 @@
+package localserver
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/radishstand/radishstand/node/connection/exchange"
+)
+
+// leavingValue is the value of the header by which a server says that it leaves.
+const leavingValue = "1"
+
+// Statement is what a server says about itself in the headers of an answer, besides its load.
+type Statement struct {
+	// Limited is set when the server names a rate limit.
+	Limited bool
+	// PerSecond is the named limit: the requests per second that the server accepts from all hosts together.
+	PerSecond float64
+	// Unreadable is a named limit that is not a number. It changes nothing.
+	Unreadable string
+	// Leaving is set when the server is about to end.
+	Leaving bool
+}
+
+// parseStatement reads the statement in the headers of an answer. Of several limits the lowest counts.
+func (s *Server) parseStatement(header http.Header) Statement {
+	names := s.config.Names
+	statement := Statement{Leaving: strings.TrimSpace(header.Get(names.Leaving)) == leavingValue}
+	for _, value := range header.Values(names.RateLimit) {
+		limit, ok := parseRate(strings.TrimSpace(value))
+		switch {
+		case !ok:
+			statement.Unreadable = value
+		case !statement.Limited || limit < statement.PerSecond:
+			statement.Limited, statement.PerSecond = true, limit
+		}
+	}
+	return statement
+}
+
+// parseRate parses a non-negative decimal number. Other forms that strconv accepts, such as "inf" and "0x1p4", are refused.
+func parseRate(value string) (float64, bool) {
+	if value == "" || strings.Trim(value, "0123456789.") != "" {
+		return 0, false
+	}
+	rate, err := strconv.ParseFloat(value, 64)
+	return rate, err == nil
+}
+
+// observe records the statement in an answer of the server. The source names the request that was answered.
+func (s *Server) observe(client *exchange.Client, header http.Header, source string) {
+	statement := s.parseStatement(header)
+	s.mu.Lock()
+	changed := s.client == client && statement != s.stated
+	if changed {
+		s.stated = statement
+	}
+	s.mu.Unlock()
+	if changed && s.config.Stated != nil {
+		s.config.Stated(statement, source)
+	}
+}
+
+// Requests returns the number of requests that were sent to servers at this host, with health checks.
+func (s *Server) Requests() int64 { return s.requests.Load() }
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -63,8 +63,10 @@
 		HasService: n.knownService, HealthPath: n.healthPath,
 		AnnounceInterval: func() time.Duration { return n.config.Load().AnnounceInterval },
 		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
+		Stated:   n.serverStated,
 		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
+	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
 	n.links = link.NewServer(n, memory)
 	n.peers = peers.New(ctx, peers.Config{
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
@@ -126,6 +128,13 @@
 	n.broadcastState()
 }
 
+// serverStated logs what the backend server says about itself in its answers.
+func (n *Node) serverStated(s localserver.Statement, source string) {
+	status := n.server.Status()
+	n.log.Info("server statement", "server", status.ID, "service", status.Service, "limited", s.Limited, "perSecond", s.PerSecond,
+		"unreadable", s.Unreadable, "leaving", s.Leaving, "source", source, "requests", n.server.Requests())
+}
+
 // broadcastState updates the state of this node in its own peer set and sends it to the other nodes.
 func (n *Node) broadcastState() {
 	n.peers.SetLocal(n.State())
