--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	n.closers = append(n.closers, func() { _ = links.Close() })
+	n.closers = append(n.closers, func() { _ = links.Close() }, n.links.Close)
 	go func() {
 		if err := n.links.Serve(links); ctx.Err() == nil {
 			n.log.Warn("peer listener failed", "error", err)
