dispatch, localserver: keep the rate limit that a server names in its answers

Cause: the header Server-Limit passed through the node as any other; nothing read it. Class: a word of the server about itself that nobody enforces. Calls that the limit cannot allow in time are refused at once, queued ones too when it is named; load reports carry the limit and its wait, and the choice counts them. A limit is lifted by an answer to a request that was sent after it was last named, so that answers out of order do not lift it. Why it works: only the node beside a server sends to it, so one bucket there holds for all hosts together; a share for each node was not needed.

--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -47,6 +47,10 @@
 	ReportAge time.Duration
 	// ServiceTime is the moving average of the time of a call at the server.
 	ServiceTime time.Duration
+	// RateLimit is the number of calls per second that the server accepts from all nodes together, or 0 without a limit.
+	// RateWait is the time until it accepts another call, at the time of the report.
+	RateLimit float64
+	RateWait  time.Duration
 	// WarmUpLeft is the remaining time for which the server stays slow after its start.
 	WarmUpLeft time.Duration
 	// Failures is the recent share of attempts at the server that failed.
@@ -130,9 +134,11 @@
 	limit := max(c.Limit, 1)
 	busy := c.InProgress + c.Queued + c.SentSinceReport
 	total := float64(c.RoundTrip) + float64(work)
+	wait := c.rateWait()
 	if excess := busy + 1 - limit; excess > 0 {
-		total += float64(excess) / float64(limit) * float64(service)
+		wait = max(wait, float64(excess)/float64(limit)*float64(service))
 	}
+	total += wait
 	total += utilizationWeight * float64(service) * min(float64(busy)/float64(limit), 1)
 	total += c.slowDelay()
 	total += float64(min(c.WarmUpLeft, work))
@@ -141,6 +147,15 @@
 	return time.Duration(total)
 }
 
+// rateWait returns the time until the server's rate limit allows a call behind those sent since the report.
+func (c *Candidate) rateWait() float64 {
+	if c.RateLimit <= 0 {
+		return 0
+	}
+	sent := float64(c.SentSinceReport) / c.RateLimit * float64(time.Second)
+	return max(float64(c.RateWait)+sent-float64(c.ReportAge), 0)
+}
+
 // slowDelay returns the time that a call is expected to lose while the host is slow.
 func (c *Candidate) slowDelay() float64 {
 	if c.Slowness <= normalSlowness {
--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -5,7 +5,8 @@
 // rank and then by objective: an answer after its objective is worth little to a caller. A call is refused on arrival when it would wait here although another
 // server may have a free slot, or when it cannot be answered in time. Calls start only while the host is not slow: a
 // neighbour on the host slows work down for short periods, and the time of a call depends on the slowness of the host at
-// its start. Slots are left free when the server has a lower throughput with all of them in use.
+// its start. Slots are left free when the server has a lower throughput with all of them in use. A server that names a rate limit
+// gets no more requests, health checks included.
 package dispatch
 
 import (
@@ -76,6 +77,10 @@
 	Slowness int
 	// ServiceTime is the average time of a call.
 	ServiceTime time.Duration
+	// RateLimit is the number of requests per second that the server gets at most, or 0 when it names no limit. RateWait is
+	// the time until the limit allows another call.
+	RateLimit float64
+	RateWait  time.Duration
 }
 
 // Dispatcher queues and starts the calls to the server. It is safe for concurrent use.
@@ -87,6 +92,7 @@
 	ready             bool
 	slots             int
 	knee              *kneeDetector
+	limiter           rateLimiter
 	inProgress        int
 	waiting           []*Job
 	routeTimes        map[string]*ewma
@@ -145,6 +151,7 @@
 	d.slowness, d.slownessAt = normalSlowness, time.Time{}
 	d.minSlowness = recentMinimum{}
 	d.probeBackoffUntil = time.Time{}
+	d.limiter = rateLimiter{}
 }
 
 // Submit requests a slot. The function onDecision is called once, before Submit returns or later, with nil when the call
@@ -207,9 +214,11 @@
 func (d *Dispatcher) Load() Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.now()
 	return Load{
 		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.knee.limit,
-		Slowness: d.currentSlowness(d.now()), ServiceTime: d.overallTime.value(),
+		Slowness: d.currentSlowness(now), ServiceTime: d.overallTime.value(),
+		RateLimit: d.limiter.perSecond(), RateWait: d.limiter.wait(len(d.waiting), now),
 	}
 }
 
@@ -233,7 +242,7 @@
 				next = w
 			}
 		}
-		if d.inProgress >= d.knee.limit || !d.mayStart(next, now) {
+		if d.inProgress >= d.knee.limit || !d.mayStart(next, now) || !d.limiter.allow(now) {
 			return
 		}
 		d.remove(next)
--- a/node/process/dispatch/order.go
+++ b/node/process/dispatch/order.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// minServiceShare is the share of the average service time that must be left until the deadline.
@@ -8,8 +11,8 @@
 	// lateWaitShare is the share of the time until the deadline for which a call may wait that can no longer meet its
 	// objective.
 	lateWaitShare = 0.25
-	// lateBacklogShare is the maximum number of waiting calls that miss their objective, as a share of the limit of
-	// calls in progress.
+	// lateBacklogShare is the maximum number of waiting calls that miss their objective, as a share of the calls in progress
+	// that the server allows.
 	lateBacklogShare = 0.5
 )
 
@@ -28,7 +31,7 @@
 		return Busy, wait
 	}
 	if wait > 0 && !j.Nested && j.missesObjective(now.Add(wait), service) &&
-		d.waitingLate(now) >= int(lateBacklogShare*float64(d.knee.limit)) {
+		d.waitingLate(now) >= int(lateBacklogShare*d.concurrency()) {
 		return Late, wait
 	}
 	return 0, 0
@@ -39,18 +42,33 @@
 	return !j.NoRedirect && wait+d.slowDelay(now) > j.RedirectAbove
 }
 
-// expectedWait returns the expected time until a slot is free for a call.
+// expectedWait returns the expected time until a call may start.
 func (d *Dispatcher) expectedWait(j *Job, now time.Time) time.Duration {
-	ahead := d.inProgress - d.knee.limit + 1
+	ahead := 0
 	for _, w := range d.waiting {
 		if d.precedes(w, j, now) {
 			ahead++
 		}
 	}
-	if ahead <= 0 {
+	return max(d.slotWait(ahead), d.limiter.wait(ahead, now))
+}
+
+// slotWait returns the expected time until a slot is free for a call behind others that wait.
+func (d *Dispatcher) slotWait(ahead int) time.Duration {
+	excess := d.inProgress - d.knee.limit + 1 + ahead
+	if excess <= 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) * float64(d.overallTime.value()) / float64(d.knee.limit))
+	return time.Duration(float64(excess) * float64(d.overallTime.value()) / float64(d.knee.limit))
+}
+
+// concurrency returns the number of calls in progress that the slots and the rate limit of the server allow.
+func (d *Dispatcher) concurrency() float64 {
+	slots := float64(d.knee.limit)
+	if !d.limiter.limited() {
+		return slots
+	}
+	return min(slots, d.limiter.perSecond()*d.overallTime.value().Seconds())
 }
 
 // missesObjective reports whether a call that starts at the given time would be answered after its objective.
@@ -70,18 +88,26 @@
 }
 
 // precedes reports whether a is started before b.
-func (d *Dispatcher) precedes(a, b *Job, now time.Time) bool {
+func (d *Dispatcher) precedes(a, b *Job, now time.Time) bool { return d.compare(a, b, now) < 0 }
+
+// compare orders the calls by their start: it is negative if a is started before b.
+func (d *Dispatcher) compare(a, b *Job, now time.Time) int {
 	if a.Nested != b.Nested {
-		return a.Nested
+		return firstIf(a.Nested)
 	}
 	lateA, lateB := a.missesObjective(now, d.routeTime(a.Route).value()), b.missesObjective(now, d.routeTime(b.Route).value())
 	if lateA != lateB {
-		return lateB
+		return firstIf(lateB)
 	}
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Objective.Compare(b.Objective))
+}
+
+// firstIf returns the result of a comparison whose first operand comes first if the condition holds, and last otherwise.
+func firstIf(first bool) int {
+	if first {
+		return -1
 	}
-	return a.Objective.Before(b.Objective)
+	return 1
 }
 
 // refuseOverdue refuses the calls that should not wait any longer.
--- a/node/process/dispatch/slowness.go
+++ b/node/process/dispatch/slowness.go
@@ -71,14 +71,16 @@
 }
 
 // mayStart reports whether a call may start: the host is known not to be slow, the call has waited for maxSlowHold, or
-// the server cannot be probed. Without a fresh observation it starts a probe. The time of a call depends on the slowness
+// the server cannot be probed or limits the rate of requests. Without a fresh observation it starts a probe. The time of a call depends on the slowness
 // of the host at its start, so waiting for the end of a slow period costs less time than starting in it.
 func (d *Dispatcher) mayStart(j *Job, now time.Time) bool {
-	if d.probe == nil || now.Before(d.probeBackoffUntil) {
+	switch {
+	case d.probe == nil || now.Before(d.probeBackoffUntil):
 		return true
-	}
-	if now.Sub(d.slownessAt) <= freshSlownessAge {
+	case now.Sub(d.slownessAt) <= freshSlownessAge:
 		return !d.slow(now) || now.Sub(j.arrived) > maxSlowHold
+	case d.limiter.limited(): // a probe would take the place of a call
+		return true
 	}
 	if !d.probing {
 		d.probing = true
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -342,5 +342,6 @@
 	return &linkpb.Load{
 		InProgress: uint32(max(l.InProgress, 0)), Queued: uint32(l.Queued), Limit: uint32(l.Limit),
 		SlownessPercent: uint32(max(l.Slowness, 0)), ServiceMs: uint32(l.ServiceTime.Milliseconds()),
+		RateLimit: float32(l.RateLimit), RateWaitMs: uint32(l.RateWait.Milliseconds()),
 	}
 }
--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -25,12 +25,16 @@
 // Probe requests the identity of the server at the configured address with a health check. It is used only while no
 // announcement identifies the server there: after a start of this node, and after the server refused a connection.
 func (s *Server) Probe(ctx context.Context, service, healthPath string) error {
+	if !s.dispatcher.AllowHealthCheck() {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
 	defer cancel()
 	address := s.config.Address()
 	client := exchange.New(address, s.config.Names.ID, s.config.Memory)
 	defer client.Close()
 	s.requests.Add(1)
+	sentAt := s.config.Now()
 	response, err := client.Do(ctx, &exchange.Request{Method: http.MethodGet, Target: healthPath, Host: address})
 	if err != nil {
 		return err
@@ -44,9 +48,12 @@
 	if !ok {
 		return nil // the server cannot be used without its number of slots; its announcement will contain it
 	}
-	return s.HandleProbeResult(Announcement{
-		ID: response.Header.Get(names.RunningID), Service: service, Address: address, Slots: load.Slots, Sequence: -1,
-	})
+	id := response.Header.Get(names.RunningID)
+	if err := s.HandleProbeResult(Announcement{ID: id, Service: service, Address: address, Slots: load.Slots, Sequence: -1}); err != nil {
+		return err
+	}
+	s.observe(answered{header: response.Header, client: s.clientOf(id), request: healthCheck, sentAt: sentAt})
+	return nil
 }
 
 // probeSlowness requests the slowness of the server with a health check and passes the result to the dispatcher.
@@ -72,12 +79,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), slownessTimeout)
 	defer cancel()
 	s.requests.Add(1)
+	sentAt := s.config.Now()
 	response, err := client.Do(ctx, &exchange.Request{Method: http.MethodGet, Target: path, Host: client.Address()})
 	if err != nil {
 		return 0, false
 	}
 	defer response.Release()
-	s.observe(client, response.Header, healthCheck)
+	s.observe(answered{header: response.Header, client: client, request: healthCheck, sentAt: sentAt})
 	load, ok := s.config.Names.ParseLoad(response.Header.Get(s.config.Names.ServerLoad))
 	return load.Slowness, ok && load.Slowness > 0
 }
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// clientOf returns the client of the server with the given ID, or nil if it is not the current one.
+func (s *Server) clientOf(id string) *exchange.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current.ID != id {
+		return nil
+	}
+	return s.client
+}
+
 // clientFor returns the client of the server with the given ID, or nil if it is not the current one or does not accept
 // calls.
 func (s *Server) clientFor(id string) *exchange.Client {
@@ -140,11 +150,12 @@
 	header.Set(names.ServerID, call.ServerId)
 	header.Set(names.CallerService, call.CallerService)
 	s.requests.Add(1)
+	sentAt := s.config.Now()
 	response, err := client.Do(ctx, &exchange.Request{
 		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body, ID: call.Id,
 	})
 	if err == nil {
-		s.observe(client, response.Header, call.Id)
+		s.observe(answered{header: response.Header, client: client, request: call.Id, sentAt: sentAt})
 	}
 	return response, err
 }
--- a/node/process/localserver/statement.go
+++ b/node/process/localserver/statement.go
@@ -1,11 +1,14 @@
 package localserver
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/radishstand/radishstand/node/connection/exchange"
+	"github.com/radishstand/radishstand/node/process/dispatch"
 )
 
 // leavingValue is the value of the header by which a server says that it leaves.
@@ -31,7 +34,7 @@
 		limit, ok := parseRate(strings.TrimSpace(value))
 		switch {
 		case !ok:
-			statement.Unreadable = value
+			statement.Unreadable = cmp.Or(value, "empty")
 		case !statement.Limited || limit < statement.PerSecond:
 			statement.Limited, statement.PerSecond = true, limit
 		}
@@ -48,17 +51,35 @@
 	return rate, err == nil
 }
 
-// observe records the statement in an answer of the server. The source names the request that was answered.
-func (s *Server) observe(client *exchange.Client, header http.Header, source string) {
-	statement := s.parseStatement(header)
+// answered is an answer of the server with the request that it answers.
+type answered struct {
+	header http.Header
+	// client is that of the server which was asked. It is a new one after each start of a server.
+	client *exchange.Client
+	// request is the ID of the request, or healthCheck.
+	request string
+	sentAt  time.Time
+}
+
+// observe applies the statement in an answer, unless another server has taken the place of the one that gave it.
+func (s *Server) observe(a answered) {
+	statement := s.parseStatement(a.header)
 	s.mu.Lock()
-	changed := s.client == client && statement != s.stated
-	if changed {
+	current, changed := s.client == a.client, statement != s.stated
+	if current {
 		s.stated = statement
 	}
 	s.mu.Unlock()
+	if !current {
+		return
+	}
+	if statement.Unreadable == "" {
+		s.dispatcher.ObserveRate(dispatch.RateStatement{
+			Limited: statement.Limited, PerSecond: statement.PerSecond, HealthCheck: a.request == healthCheck, SentAt: a.sentAt,
+		})
+	}
 	if changed && s.config.Stated != nil {
-		s.config.Stated(statement, source)
+		s.config.Stated(statement, a.request)
 	}
 }
 
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -94,6 +94,7 @@
 	if s.load != nil {
 		c.InProgress, c.Queued, c.Limit = int(s.load.InProgress), int(s.load.Queued), int(s.load.Limit)
 		c.Slowness, c.ServiceTime = int(s.load.SlownessPercent), time.Duration(s.load.ServiceMs)*time.Millisecond
+		c.RateLimit, c.RateWait = float64(s.load.RateLimit), time.Duration(s.load.RateWaitMs)*time.Millisecond
 		c.ReportAge = now.Sub(s.loadAt)
 	}
 	return c, true
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -66,6 +66,7 @@
 		Stated:   n.serverStated,
 		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
+	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
 	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
 	n.links = link.NewServer(n, memory)
 	n.peers = peers.New(ctx, peers.Config{
