peers, localserver: other nodes give a restarted node the limit of its server

What callers saw: nothing; the server got 57 requests in 4 s at a limit of 2 a second (17 allowed) after its node was killed and started. Cause: the limit was kept in the process beside the server alone, and its restart forgot it, while other nodes that had passed the limit on went on sending. Class: knowledge held by one process. Change: each node keeps the limit that load reports name for a server, across breaks of the link, until the server, or a later start of it, takes it back; it sends it with its calls to that server. A node adopts it until an answer of the server has told. States carry the server's start. Ruled out: a row in the store for each limit: it must hold while the store is away, and would cost calls. Why it works: the first call of every node that is bound by the limit brings the limit along, before the server can get it.

--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -81,6 +81,8 @@
 	// the time until the limit allows another call.
 	RateLimit float64
 	RateWait  time.Duration
+	// RateLimitUnknown is set until an answer has shown whether the server names a limit.
+	RateLimitUnknown bool
 }
 
 // Dispatcher queues and starts the calls to the server. It is safe for concurrent use.
@@ -219,6 +221,7 @@
 		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.knee.limit,
 		Slowness: d.currentSlowness(now), ServiceTime: d.overallTime.value(),
 		RateLimit: d.limiter.perSecond(), RateWait: d.limiter.wait(len(d.waiting), now),
+		RateLimitUnknown: !d.limiter.known,
 	}
 }
 
--- a/node/process/dispatch/ratelimit.go
+++ b/node/process/dispatch/ratelimit.go
@@ -31,6 +31,8 @@
 // rateLimiter limits the requests to the server to the rate that it names in its answers.
 type rateLimiter struct {
 	bucket *rate.Limiter // nil while the server names no limit
+	// known is set once an answer has shown whether the server names a limit. Before, the limit is that of other nodes.
+	known bool
 	// named is when a limit was last named; namedInHealthChecks is set when the answers to health checks name it too.
 	named               time.Time
 	namedInHealthChecks bool
@@ -42,13 +44,23 @@
 func (l *rateLimiter) observe(s RateStatement, now time.Time) bool {
 	switch {
 	case s.Limited:
-		l.named = now
+		l.known, l.named = true, now
 		l.namedInHealthChecks = l.namedInHealthChecks || s.HealthCheck
 		return l.set(s.PerSecond, now)
-	case l.bucket == nil || !s.SentAt.After(l.named) || s.HealthCheck && !l.namedInHealthChecks:
+	case !s.SentAt.After(l.named) || s.HealthCheck && !l.namedInHealthChecks:
 		return false
 	}
-	*l = rateLimiter{}
+	lifted := l.bucket != nil
+	*l = rateLimiter{known: true}
+	return lifted
+}
+
+// adopt sets the limit that another node has heard, as long as no answer has told. It reports whether the limit has changed.
+func (l *rateLimiter) adopt(perSecond float64, now time.Time) bool {
+	if l.known || !l.set(perSecond, now) {
+		return false
+	}
+	l.named = now
 	return true
 }
 
@@ -103,6 +115,21 @@
 	}
 }
 
+// AdoptRate applies the rate limit of the server that another node has heard, unless an answer has told this node, and reports
+// whether the limit has changed. The process that heard it here may have ended.
+func (d *Dispatcher) AdoptRate(perSecond float64) bool {
+	defer d.runCallbacks()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	if !d.limiter.adopt(perSecond, now) {
+		return false
+	}
+	d.reconsiderWaiting(now)
+	d.dispatch(now)
+	return true
+}
+
 // AllowHealthCheck reports whether a health check may be sent to the server now. It counts like a call.
 func (d *Dispatcher) AllowHealthCheck() bool {
 	d.mu.Lock()
--- a/node/process/dispatch/ratelimit_test.go
+++ b/node/process/dispatch/ratelimit_test.go
@@ -199,3 +199,26 @@
 		assert.Zero(t, probes)
 	})
 }
+
+// Guards against a node that sends without a limit after its restart although others know it, and against a limit that others
+// still report after the server has taken it back.
+func TestLimitOfOtherNodesHoldsUntilAnAnswerTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(17, nil)
+		assert.True(t, q.Load().RateLimitUnknown)
+		assert.True(t, q.AdoptRate(5))
+		assert.False(t, q.AdoptRate(5), "nothing new")
+		q.submit("first", job(1, 100*time.Millisecond, 100*time.Millisecond))
+		q.submit("second", job(1, 100*time.Millisecond, 100*time.Millisecond))
+		assert.Equal(t, []string{"first"}, q.order)
+		assert.Equal(t, dispatch.Late, q.refused["second"])
+
+		time.Sleep(time.Millisecond)
+		q.ObserveRate(dispatch.RateStatement{HealthCheck: true, SentAt: time.Now()})
+		assert.Equal(t, 5.0, q.Load().RateLimit, "health checks may not name limits")
+		q.ObserveRate(dispatch.RateStatement{SentAt: time.Now()})
+		assert.Zero(t, q.Load().RateLimit)
+		assert.False(t, q.AdoptRate(5))
+		assert.Zero(t, q.Load().RateLimit, "an answer has told")
+	})
+}
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -73,7 +73,7 @@
 	// Changed is called without holding locks after the state of the server changed.
 	Changed func(Status)
 	// Stated is called without holding locks when the statement in an answer differs from the one before. The source is the
-	// ID of the answered request, or "health check". It may be nil.
+	// ID of the answered request, "health check", or "other node". It may be nil.
 	Stated func(statement Statement, source string)
 	// PeerKnee returns the knee that the nodes of other servers of the service have found for a number of slots, or 0.
 	// It is called while locks are held. If it is nil, no knee is adopted from other nodes and KneeChanged is not
@@ -343,5 +343,6 @@
 		InProgress: uint32(max(l.InProgress, 0)), Queued: uint32(l.Queued), Limit: uint32(l.Limit),
 		SlownessPercent: uint32(max(l.Slowness, 0)), ServiceMs: uint32(l.ServiceTime.Milliseconds()),
 		RateLimit: float32(l.RateLimit), RateWaitMs: uint32(l.RateWait.Milliseconds()),
+		RateLimitUnknown: l.RateLimitUnknown,
 	}
 }
--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -17,9 +17,6 @@
 	// rarely probed.
 	probesPerSecond = 40
 	probeBurst      = 20
-
-	// healthCheck is the source of the statement in the answer to a health check.
-	healthCheck = "health check"
 )
 
 // Probe requests the identity of the server at the configured address with a health check. It is used only while no
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -40,6 +40,7 @@
 		Objective:     now.Add(time.Duration(call.ObjectiveMs) * time.Millisecond),
 		Deadline:      now.Add(time.Duration(call.LeftMs) * time.Millisecond),
 	}
+	s.adoptRate(call)
 	if err := s.admit(ctx, job); err != nil {
 		return s.refusalOf(err), nil
 	}
--- a/node/process/localserver/statement.go
+++ b/node/process/localserver/statement.go
@@ -7,12 +7,19 @@
 	"strings"
 	"time"
 
+	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/exchange"
 	"github.com/radishstand/radishstand/node/process/dispatch"
 )
 
-// leavingValue is the value of the header by which a server says that it leaves.
-const leavingValue = "1"
+const (
+	// leavingValue is the value of the header by which a server says that it leaves.
+	leavingValue = "1"
+	// healthCheck is the source of the statement in the answer to a health check, and otherNode that of a statement which
+	// another node has heard.
+	healthCheck = "health check"
+	otherNode   = "other node"
+)
 
 // Statement is what a server says about itself in the headers of an answer, besides its load.
 type Statement struct {
@@ -83,5 +90,20 @@
 	}
 }
 
+// adoptRate applies the rate limit that the sender of a call has heard from the server, unless it is that of an earlier start.
+func (s *Server) adoptRate(call *linkpb.Call) {
+	if call.RateLimit <= 0 {
+		return
+	}
+	s.mu.Lock()
+	started := s.current.StartedAtMs
+	earlier := call.ServerStartedMs != 0 && int64(call.ServerStartedMs) < started
+	current := s.current.ID == call.ServerId && !earlier
+	s.mu.Unlock()
+	if current && s.dispatcher.AdoptRate(float64(call.RateLimit)) && s.config.Stated != nil {
+		s.config.Stated(Statement{Limited: true, PerSecond: float64(call.RateLimit)}, otherNode)
+	}
+}
+
 // Requests returns the number of requests that were sent to servers at this host, with health checks.
 func (s *Server) Requests() int64 { return s.requests.Load() }
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -41,6 +41,7 @@
 	load            *linkpb.Load
 	loadAt          time.Time
 	sentSinceReport int
+	record          serverRecord
 	failures        float64
 	failedAt        time.Time
 	// lostAt is when the link to the server's node ended, or when the node was added.
@@ -57,9 +58,8 @@
 		s.load, s.sentSinceReport, s.failures = nil, 0, 0
 	}
 	s.state, s.stateAt = state, now
-	if state.Load != nil {
-		s.load, s.loadAt, s.sentSinceReport = state.Load, now, 0
-	}
+	s.record.update(state)
+	s.setLoadLocked(state.Load, now)
 }
 
 // usable reports whether the server accepts calls for a service.
@@ -87,6 +87,7 @@
 		WarmUpLeft: max(time.Duration(s.state.ColdMs)*time.Millisecond-now.Sub(s.stateAt), 0),
 		Failures:   s.failures * math.Exp(-float64(now.Sub(s.failedAt))/float64(failureDecay)),
 		Suspect:    s.client != nil && s.client.Suspect(),
+		RateLimit:  float64(s.record.rateLimit),
 	}
 	if !c.SamePlace {
 		c.RoundTrip = crossPlaceRoundTrip
@@ -94,7 +95,7 @@
 	if s.load != nil {
 		c.InProgress, c.Queued, c.Limit = int(s.load.InProgress), int(s.load.Queued), int(s.load.Limit)
 		c.Slowness, c.ServiceTime = int(s.load.SlownessPercent), time.Duration(s.load.ServiceMs)*time.Millisecond
-		c.RateLimit, c.RateWait = float64(s.load.RateLimit), time.Duration(s.load.RateWaitMs)*time.Millisecond
+		c.RateWait = time.Duration(s.load.RateWaitMs) * time.Millisecond
 		c.ReportAge = now.Sub(s.loadAt)
 	}
 	return c, true
@@ -102,12 +103,18 @@
 
 // setLoad records the load report of an answer or refusal; nil has no effect.
 func (s *Server) setLoad(load *linkpb.Load, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setLoadLocked(load, now)
+}
+
+// setLoadLocked is like setLoad; s.mu must be held.
+func (s *Server) setLoadLocked(load *linkpb.Load, now time.Time) {
 	if load == nil {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.load, s.loadAt, s.sentSinceReport = load, now, 0
+	s.record.observe(load)
 }
 
 // RecordResult records whether an attempt at the server failed.
@@ -122,12 +129,18 @@
 	s.failures, s.failedAt = decayed+failureWeight*(value-decayed), now
 }
 
-// beginSend counts a call that is about to be sent, and returns the client of the server's node and the server's id.
-func (s *Server) beginSend() (client *link.Client, serverID string) {
+// beginSend counts a call that is about to be sent, sets in it what is known of the server, and returns the client of the
+// server's node.
+func (s *Server) beginSend(call *linkpb.Call) *link.Client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sentSinceReport++
-	return s.client, s.state.GetServerId()
+	call.ServerId = s.state.GetServerId()
+	call.ServerStartedMs, call.RateLimit = 0, s.record.rateLimit
+	if call.RateLimit > 0 {
+		call.ServerStartedMs = s.record.startedMs
+	}
+	return s.client
 }
 
 // setClient sets the client of the link to the server's node; nil records that the link has ended.
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -245,8 +245,7 @@
 // Send sends a call to a server and returns the frame that ends it. If the link breaks and wait returns true, the call waits for
 // the next link to the server's node. The error is a *link.NotSentError when the call did not leave this node.
 func (p *Set) Send(ctx context.Context, s *Server, call *linkpb.Call, wait func() bool) (*linkpb.Frame, error) {
-	client, id := s.beginSend()
-	call.ServerId = id
+	client := s.beginSend(call)
 	f, err := p.transmit(ctx, s, client, call, wait)
 	if err != nil {
 		return nil, err
@@ -255,7 +254,7 @@
 	s.setLoad(f.GetAnswer().GetLoad(), now)
 	s.setLoad(f.GetRefusal().GetLoad(), now)
 	if f.GetRefusal().GetReason() == linkpb.Refusal_REASON_NO_SERVER {
-		s.exclude(id)
+		s.exclude(call.ServerId)
 	}
 	return f, nil
 }
--- /dev/null
+++ b/node/process/peers/record.go
@@ -0,0 +1,33 @@
+package peers
+
+import "github.com/radishstand/radishstand/api/linkpb"
+
+// serverRecord is what is known about a backend server beyond the last state of its node. It is kept while there is no link, since
+// the process of that node may restart and forget it.
+type serverRecord struct {
+	id string
+	// startedMs is the start of the server as Unix time in milliseconds; 0 if unknown.
+	startedMs uint64
+	// rateLimit is the number of requests per second that the server accepts from all nodes, or 0 if it names no limit.
+	rateLimit float32
+}
+
+// update applies a state of the server's node. The record of a server ends when another one, or a later start of it, is there,
+// and not while a new process of the node does not know its server yet.
+func (r *serverRecord) update(state *linkpb.State) {
+	if state.ServerId == "" {
+		return
+	}
+	replaced := r.id != state.ServerId || r.startedMs != 0 && state.StartedMs > r.startedMs
+	if replaced {
+		*r = serverRecord{id: state.ServerId}
+	}
+	r.startedMs = max(r.startedMs, state.StartedMs)
+}
+
+// observe applies a load report of the server's node.
+func (r *serverRecord) observe(load *linkpb.Load) {
+	if load.RateLimit > 0 || !load.RateLimitUnknown {
+		r.rateLimit = load.RateLimit
+	}
+}
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -170,7 +170,7 @@
 	return &linkpb.State{
 		Node: c.Name, Place: c.Place, Service: status.Service, ServerId: status.ID, Slots: uint32(max(status.Slots, 0)),
 		Ready: status.Ready && !n.stoppedServing.Load(), ColdMs: uint32(status.WarmUpLeft.Milliseconds()), Load: n.server.Load(),
-		Knee: uint32(n.server.Knee()),
+		Knee: uint32(n.server.Knee()), StartedMs: uint64(max(status.StartedAtMs, 0)),
 	}
 }
 
