localserver: send no calls to a server that says in an answer that it leaves

What callers saw: calls sent to a server that was about to end; 189 in 2 s in the test, each of which the server's end may cut off. Cause: the header Server-Leaving was read by nobody; only a drain or leave that the server announces to its node counted. Evidence: TestServerThatSaysThatItLeavesGetsNoMoreRequests, which failed with 189 requests. Change: such an answer, to a call or to a health check, drains the server at once; waiting calls go to others. It is remembered by id and start like a leave (package departures, moved from localserver), so that neither a late announcement nor a health check brings it back, and a later start under its id does, also where the start of the leaving one was not known. Why it works: all requests pass through the node beside the server, which hears the word first. Still red: TestLeavingOutlastsARestartOfTheServersNode, now with 1 request: the restarted process learns from its first call.

--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -17,6 +17,7 @@
 	"github.com/radishstand/radishstand/node/connection/exchange"
 	"github.com/radishstand/radishstand/node/connection/protocol"
 	"github.com/radishstand/radishstand/node/internal/membudget"
+	"github.com/radishstand/radishstand/node/process/departures"
 	"github.com/radishstand/radishstand/node/process/dispatch"
 )
 
@@ -114,7 +115,7 @@
 	client         *exchange.Client
 	stated         Statement
 	sweepScheduled bool
-	departed       departures
+	departed       departures.List
 	// starts counts the servers that were current.
 	starts int
 	// unannouncedSince is when a health check found the current server; zero once the server has announced itself.
@@ -141,12 +142,12 @@
 		return err
 	}
 	return s.updateState(func() error {
-		if s.departed.includes(a.ID, a.StartedAtMs, s.config.Now()) {
+		if s.departed.Includes(departures.Server{ID: a.ID, StartedAtMs: a.StartedAtMs}, s.config.Now()) {
 			return nil
 		}
 		if a.ID == s.current.ID {
 			s.unannouncedSince = time.Time{}
-			if s.current.StartedAtMs == 0 {
+			if s.current.StartedAtMs == 0 && !s.ends() {
 				s.current.StartedAtMs = a.StartedAtMs // found by a health check, which does not report the start
 			}
 		}
@@ -171,7 +172,7 @@
 	case a.StartedAtMs != s.current.StartedAtMs:
 		return a.StartedAtMs > s.current.StartedAtMs
 	case a.ID != s.current.ID:
-		return s.state.Is(stateGone) || s.state.Is(stateDraining) || s.state.Is(stateUnreachable)
+		return s.ends() || s.state.Is(stateUnreachable)
 	}
 	return false
 }
@@ -214,18 +215,33 @@
 	}
 	return s.updateState(func() error {
 		if l.ID != s.current.ID {
-			s.departed.add(l, s.config.Now())
+			s.departed.Add(departures.Server(l), s.config.Now())
 			return nil
 		}
 		if l.StartedAtMs != 0 && l.StartedAtMs < s.current.StartedAtMs {
 			return nil
 		}
 		s.current.StartedAtMs = max(s.current.StartedAtMs, l.StartedAtMs)
-		s.departed.add(Leave{ID: l.ID, StartedAtMs: s.current.StartedAtMs}, s.config.Now())
+		s.departed.Add(departures.Server{ID: l.ID, StartedAtMs: s.current.StartedAtMs}, s.config.Now())
 		return s.fireEvent(eventLeft)
 	})
 }
 
+// recordLeaving records that the server of a client has said in an answer that it leaves. It gets no further calls, whatever it
+// announces.
+func (s *Server) recordLeaving(client *exchange.Client) {
+	_ = s.updateState(func() error {
+		if s.client != client {
+			return nil
+		}
+		s.departed.Add(departures.Server{ID: s.current.ID, StartedAtMs: s.current.StartedAtMs}, s.config.Now())
+		return s.fireEvent(eventDrained)
+	})
+}
+
+// ends reports whether the current server drains or has left.
+func (s *Server) ends() bool { return s.state.Is(stateDraining) || s.state.Is(stateGone) }
+
 // markUnreachable records that the server refused a connection or reported a call as misdirected.
 func (s *Server) markUnreachable(id string) {
 	_ = s.updateState(func() error {
@@ -243,7 +259,7 @@
 		return err
 	}
 	return s.updateState(func() error {
-		if s.departed.includesAny(a.ID) {
+		if s.departed.IncludesAny(a.ID) {
 			return nil
 		}
 		if s.current.ID == "" {
--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -46,6 +46,9 @@
 		return nil // the server cannot be used without its number of slots; its announcement will contain it
 	}
 	id := response.Header.Get(names.RunningID)
+	if s.parseStatement(response.Header).Leaving {
+		return s.Leave(Leave{ID: id})
+	}
 	if err := s.HandleProbeResult(Announcement{ID: id, Service: service, Address: address, Slots: load.Slots, Sequence: -1}); err != nil {
 		return err
 	}
--- a/node/process/localserver/statement.go
+++ b/node/process/localserver/statement.go
@@ -88,6 +88,9 @@
 	if changed && s.config.Stated != nil {
 		s.config.Stated(statement, a.request)
 	}
+	if statement.Leaving {
+		s.recordLeaving(a.client)
+	}
 }
 
 // adoptRate applies the rate limit that the sender of a call has heard from the server, unless it is that of an earlier start.
