peers: remember the servers that have said that they leave

Cause: the node beside the server alone kept its leaving; its restart forgot it, and a health check found the server again. Class: knowledge held by one process, as with the limit. Change: frames of answers and refusals name the leaving server and its start; each node that gets one does not choose that server again, whatever the state of the server's node says, until a later start under its id or another server is there. Why it works: a node that has heard the word decides for itself and needs no other process to remember it.

--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -228,15 +228,17 @@
 }
 
 // recordLeaving records that the server of a client has said in an answer that it leaves. It gets no further calls, whatever it
-// announces.
-func (s *Server) recordLeaving(client *exchange.Client) {
+// announces. The result is nil when the server is not the current one any more.
+func (s *Server) recordLeaving(client *exchange.Client) (leaving *linkpb.Leaving) {
 	_ = s.updateState(func() error {
 		if s.client != client {
 			return nil
 		}
+		leaving = &linkpb.Leaving{ServerId: s.current.ID, StartedMs: uint64(s.current.StartedAtMs)}
 		s.departed.Add(departures.Server{ID: s.current.ID, StartedAtMs: s.current.StartedAtMs}, s.config.Now())
 		return s.fireEvent(eventDrained)
 	})
+	return leaving
 }
 
 // ends reports whether the current server drains or has left.
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -53,11 +53,14 @@
 	s.inProgress.add(call.Id)
 	defer s.inProgress.remove(call.Id)
 	remaining := time.Duration(call.LeftMs)*time.Millisecond - (s.config.Boottime() - arrived)
+	sentAt := s.config.Now()
 	response, err := s.send(ctx, client, call, remaining)
 	if err != nil {
 		return s.failureFrame(call.ServerId, err), nil
 	}
+	leaving := s.observe(serverAnswer{header: response.Header, client: client, request: call.Id, sentAt: sentAt})
 	f := s.answerFrame(call.ServerId, response)
+	setLeaving(f, leaving)
 	answered = f.GetAnswer() != nil && response.Status < http.StatusInternalServerError
 	return f, response
 }
@@ -151,14 +154,9 @@
 	header.Set(names.ServerID, call.ServerId)
 	header.Set(names.CallerService, call.CallerService)
 	s.requests.Add(1)
-	sentAt := s.config.Now()
-	response, err := client.Do(ctx, &exchange.Request{
+	return client.Do(ctx, &exchange.Request{
 		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body, ID: call.Id,
 	})
-	if err == nil {
-		s.observe(answered{header: response.Header, client: client, request: call.Id, sentAt: sentAt})
-	}
-	return response, err
 }
 
 // failureFrame returns the frame of a call without an answer.
@@ -210,6 +208,16 @@
 	return false
 }
 
+// setLeaving adds to the frame of an answer that the server leaves.
+func setLeaving(f *linkpb.Frame, leaving *linkpb.Leaving) {
+	switch body := f.Body.(type) {
+	case *linkpb.Frame_Answer:
+		body.Answer.Leaving = leaving
+	case *linkpb.Frame_Refusal:
+		body.Refusal.Leaving = leaving
+	}
+}
+
 func brokenFrame(cause string) *linkpb.Frame {
 	return &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: cause}}}
 }
--- a/node/process/localserver/statement.go
+++ b/node/process/localserver/statement.go
@@ -58,8 +58,8 @@
 	return rate, err == nil
 }
 
-// answered is an answer of the server with the request that it answers.
-type answered struct {
+// serverAnswer is an answer of the server with the request that it answers.
+type serverAnswer struct {
 	header http.Header
 	// client is that of the server which was asked. It is a new one after each start of a server.
 	client *exchange.Client
@@ -68,8 +68,9 @@
 	sentAt  time.Time
 }
 
-// observe applies the statement in an answer, unless another server has taken the place of the one that gave it.
-func (s *Server) observe(a answered) {
+// observe applies the statement in an answer, unless another server has taken the place of the one that gave it. The result is
+// set when the server leaves.
+func (s *Server) observe(a serverAnswer) *linkpb.Leaving {
 	statement := s.parseStatement(a.header)
 	s.mu.Lock()
 	current, changed := s.client == a.client, statement != s.stated
@@ -78,7 +79,7 @@
 	}
 	s.mu.Unlock()
 	if !current {
-		return
+		return nil
 	}
 	if statement.Unreadable == "" {
 		s.dispatcher.ObserveRate(dispatch.RateStatement{
@@ -88,9 +89,10 @@
 	if changed && s.config.Stated != nil {
 		s.config.Stated(statement, a.request)
 	}
-	if statement.Leaving {
-		s.recordLeaving(a.client)
+	if !statement.Leaving {
+		return nil
 	}
+	return s.recordLeaving(a.client)
 }
 
 // adoptRate applies the rate limit that the sender of a call has heard from the server, unless it is that of an earlier start.
--- a/node/process/localserver/statement_test.go
+++ b/node/process/localserver/statement_test.go
@@ -97,7 +97,7 @@
 					Changed: func(Status) {}, Names: protocol.Names{RateLimit: "Limit", Leaving: "Leaving"},
 				})
 				require.NoError(t, c.first(s))
-				answer := answered{header: http.Header{"Leaving": {"1"}}, client: s.clientOf("i-1"), request: "r-1", sentAt: time.Now()}
+				answer := serverAnswer{header: http.Header{"Leaving": {"1"}}, client: s.clientOf("i-1"), request: "r-1", sentAt: time.Now()}
 				if !c.replaced {
 					s.observe(answer)
 					require.False(t, s.Status().Ready)
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -9,6 +9,7 @@
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/link"
 	"github.com/radishstand/radishstand/node/process/choice"
+	"github.com/radishstand/radishstand/node/process/departures"
 )
 
 const (
@@ -42,8 +43,10 @@
 	loadAt          time.Time
 	sentSinceReport int
 	record          serverRecord
-	failures        float64
-	failedAt        time.Time
+	// departed holds the servers at that node that have said to this node that they leave.
+	departed departures.List
+	failures float64
+	failedAt time.Time
 	// lostAt is when the link to the server's node ended, or when the node was added.
 	lostAt time.Time
 	// excludedUntil is the end of the exclusion of a server that accepts no calls.
@@ -72,7 +75,7 @@
 // usableLocked is like usable; s.mu must be held.
 func (s *Server) usableLocked(service string, now time.Time) bool {
 	return s.state != nil && s.state.Ready && s.state.Service == service && now.After(s.excludedUntil) &&
-		(s.client != nil || s.address == "")
+		(s.client != nil || s.address == "") && !s.leaves(now)
 }
 
 // candidate returns the server as a candidate for the choice, and false when it does not accept calls for a service.
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -253,6 +253,8 @@
 	now := time.Now()
 	s.setLoad(f.GetAnswer().GetLoad(), now)
 	s.setLoad(f.GetRefusal().GetLoad(), now)
+	s.recordLeaving(f.GetAnswer().GetLeaving(), now)
+	s.recordLeaving(f.GetRefusal().GetLeaving(), now)
 	if f.GetRefusal().GetReason() == linkpb.Refusal_REASON_NO_SERVER {
 		s.exclude(call.ServerId)
 	}
--- a/node/process/peers/record.go
+++ b/node/process/peers/record.go
@@ -1,6 +1,11 @@
 package peers
 
-import "github.com/radishstand/radishstand/api/linkpb"
+import (
+	"time"
+
+	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/process/departures"
+)
 
 // serverRecord is what is known about a backend server beyond the last state of its node. It is kept while there is no link, since
 // the process of that node may restart and forget it.
@@ -12,6 +17,25 @@
 	rateLimit float32
 }
 
+// recordLeaving remembers that a server leaves.
+func (s *Server) recordLeaving(l *linkpb.Leaving, now time.Time) {
+	if l == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.departed.Add(departures.Server{ID: l.ServerId, StartedAtMs: int64(l.StartedMs)}, now)
+}
+
+// leaves reports whether the server has said that it leaves. While its node does not know the server's start, as after a restart
+// of that node, it is taken for the one that has said so. The lock must be held.
+func (s *Server) leaves(now time.Time) bool {
+	if s.state.StartedMs == 0 {
+		return s.departed.IncludesAny(s.state.ServerId)
+	}
+	return s.departed.Includes(departures.Server{ID: s.state.ServerId, StartedAtMs: int64(s.state.StartedMs)}, now)
+}
+
 // update applies a state of the server's node. The record of a server ends when another one, or a later start of it, is there,
 // and not while a new process of the node does not know its server yet.
 func (r *serverRecord) update(state *linkpb.State) {
--- a/node/process/peers/record_test.go
+++ b/node/process/peers/record_test.go
@@ -42,3 +42,29 @@
 		})
 	}
 }
+
+// Guards against calls to a server whose leaving this node has heard, after the process beside it has restarted and uses it again.
+func TestServerThatHasSaidThatItLeavesIsUnusableUntilALaterStart(t *testing.T) {
+	cases := map[string]struct {
+		id        string
+		startedMs uint64
+		usable    bool
+	}{
+		"the same start":                  {id: "i-1", startedMs: 5},
+		"its start is not known any more": {id: "i-1"},
+		"a later start under the same id": {id: "i-1", startedMs: 6, usable: true},
+		"another server":                  {id: "i-2", startedMs: 4, usable: true},
+		"another server of unknown start": {id: "i-2", usable: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &Server{}
+			s.setState(&linkpb.State{ServerId: "i-1", StartedMs: 5, Service: "quotes", Ready: true}, time.Now())
+			s.recordLeaving(&linkpb.Leaving{ServerId: "i-1", StartedMs: 5}, time.Now())
+			assert.False(t, s.usable("quotes", time.Now()))
+			s.setClient(nil)
+			s.setState(&linkpb.State{ServerId: c.id, StartedMs: c.startedMs, Service: "quotes", Ready: true}, time.Now())
+			assert.Equal(t, c.usable, s.usable("quotes", time.Now()))
+		})
+	}
+}
