localserver: only a server's own answers change what it has stated

What callers would see: a server out of use, or above its limit, because of what another one says at its address. Cause: any answer on the server's connections counted. A 421 is the answer of another server at the address, a health check may be answered by another one, and an answer without a signature or a refusal is not known to come from the server, so that its silence on the limit would lift it. Change: a 421 and the health check of another id say nothing; an answer without a sign of the server can name a limit or a leaving, and takes nothing back. TestOnlyTheServersOwnAnswersChangeWhatItHasStated was written with the change and not run on the code before, whose types differ.

--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -52,7 +52,7 @@
 	if err := s.HandleProbeResult(Announcement{ID: id, Service: service, Address: address, Slots: load.Slots, Sequence: -1}); err != nil {
 		return err
 	}
-	s.observe(serverAnswer{header: response.Header, client: s.clientOf(id), request: healthCheck, sentAt: sentAt})
+	s.observe(serverAnswer{response: response, client: s.clientOf(id), request: healthCheck, sentAt: sentAt})
 	return nil
 }
 
@@ -85,7 +85,7 @@
 		return 0, false
 	}
 	defer response.Release()
-	s.observe(serverAnswer{header: response.Header, client: client, request: healthCheck, sentAt: sentAt})
+	s.observe(serverAnswer{response: response, client: client, request: healthCheck, sentAt: sentAt})
 	load, ok := s.config.Names.ParseLoad(response.Header.Get(s.config.Names.ServerLoad))
 	return load.Slowness, ok && load.Slowness > 0
 }
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return s.failureFrame(call.ServerId, err), nil
 	}
-	leaving := s.observe(serverAnswer{header: response.Header, client: client, request: call.Id, sentAt: sentAt})
+	leaving := s.observe(serverAnswer{response: response, client: client, request: call.Id, sentAt: sentAt})
 	f := s.answerFrame(call.ServerId, response)
 	setLeaving(f, leaving)
 	answered = f.GetAnswer() != nil && response.Status < http.StatusInternalServerError
--- a/node/process/localserver/statement.go
+++ b/node/process/localserver/statement.go
@@ -60,7 +60,7 @@
 
 // serverAnswer is an answer of the server with the request that it answers.
 type serverAnswer struct {
-	header http.Header
+	response *exchange.Response
 	// client is that of the server which was asked. It is a new one after each start of a server.
 	client *exchange.Client
 	// request is the ID of the request, or healthCheck.
@@ -68,17 +68,11 @@
 	sentAt  time.Time
 }
 
-// observe applies the statement in an answer, unless another server has taken the place of the one that gave it. The result is
-// set when the server leaves.
+// observe applies the statement in an answer. The result is set when the server leaves.
 func (s *Server) observe(a serverAnswer) *linkpb.Leaving {
-	statement := s.parseStatement(a.header)
-	s.mu.Lock()
-	current, changed := s.client == a.client, statement != s.stated
-	if current {
-		s.stated = statement
-	}
-	s.mu.Unlock()
-	if !current {
+	statement := s.parseStatement(a.response.Header)
+	changed, ok := s.accept(a, statement)
+	if !ok {
 		return nil
 	}
 	if statement.Unreadable == "" {
@@ -95,6 +89,26 @@
 	return s.recordLeaving(a.client)
 }
 
+// accept reports whether the statement in an answer is that of the current server and differs from the one before. It is not when
+// another server gave the answer, or has taken the place of the one that gave it. An answer that nothing shows to be the server's
+// own does not take anything back.
+func (s *Server) accept(a serverAnswer, statement Statement) (changed, ok bool) {
+	names, header := s.config.Names, a.response.Header
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	author := header.Get(names.RunningID)
+	if s.client != a.client || a.response.Status == http.StatusMisdirectedRequest || author != "" && author != s.current.ID {
+		return false, false
+	}
+	genuine := author != "" || header.Get(names.Signature) != "" || header.Get(names.NotExecuted) != ""
+	if !genuine && !statement.Limited && !statement.Leaving {
+		return false, false
+	}
+	changed = statement != s.stated
+	s.stated = statement
+	return changed, true
+}
+
 // adoptRate applies the rate limit that the sender of a call has heard from the server, unless it is that of an earlier start.
 func (s *Server) adoptRate(call *linkpb.Call) {
 	if call.RateLimit <= 0 {
--- a/node/process/localserver/statement_test.go
+++ b/node/process/localserver/statement_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/radishstand/radishstand/node/connection/exchange"
 	"github.com/radishstand/radishstand/node/connection/protocol"
 )
 
@@ -48,6 +49,48 @@
 	}
 }
 
+// Guards against the statement of another server at the address, or of no server at all, that is taken for that of the current
+// one: it would lift its limit, or take it out of use.
+func TestOnlyTheServersOwnAnswersChangeWhatItHasStated(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		header http.Header
+		// limit is the rate limit afterwards; before it is 5.
+		limit float64
+		ready bool
+	}{
+		"a signed answer without a limit":           {http.StatusOK, http.Header{"Signature": {"s"}}, 0, true},
+		"a refusal without a limit":                 {http.StatusServiceUnavailable, http.Header{"Notrun": {"1"}}, 0, true},
+		"an answer that nothing shows to be its":    {http.StatusBadGateway, http.Header{}, 5, true},
+		"another limit in an answer without a sign": {http.StatusBadGateway, http.Header{"Limit": {"3"}}, 3, true},
+		"a limit that is no number":                 {http.StatusOK, http.Header{"Signature": {"s"}, "Limit": {"?"}}, 5, true},
+		"another server answers":                    {http.StatusMisdirectedRequest, http.Header{"Notrun": {"1"}, "Leaving": {"1"}}, 5, true},
+		"another server names itself":               {http.StatusOK, http.Header{"Running": {"i-2"}, "Leaving": {"1"}}, 5, true},
+		"it names itself and leaves":                {http.StatusServiceUnavailable, http.Header{"Running": {"i-1"}, "Leaving": {"1"}, "Limit": {"5"}}, 5, false},
+	}
+	names := protocol.Names{RateLimit: "Limit", Leaving: "Leaving", Signature: "Signature", NotExecuted: "Notrun", RunningID: "Running"}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(Config{
+					Address: func() string { return "127.0.0.1:9" }, HasService: func(string) bool { return true }, Now: time.Now,
+					Changed: func(Status) {}, Names: names,
+				})
+				require.NoError(t, s.Announce(Announcement{ID: "i-1", Service: "quotes", Address: "127.0.0.1:9", Slots: 4, StartedAtMs: 1}))
+				observe := func(status int, header http.Header) {
+					time.Sleep(time.Millisecond)
+					response := &exchange.Response{Status: status, Header: header}
+					s.observe(serverAnswer{response: response, client: s.clientOf("i-1"), request: "r", sentAt: time.Now()})
+				}
+				observe(http.StatusOK, http.Header{"Signature": {"s"}, "Limit": {"5"}})
+				observe(c.status, c.header)
+				assert.Equal(t, c.limit, float64(s.Load().RateLimit))
+				assert.Equal(t, c.ready, s.Status().Ready)
+			})
+		})
+	}
+}
+
 // Guards against a server that gets calls after it has said in an answer that it leaves, and against one that gets none after it
 // has started again.
 func TestServerThatLeavesIsUsedOnlyAfterALaterStart(t *testing.T) {
@@ -97,7 +140,8 @@
 					Changed: func(Status) {}, Names: protocol.Names{RateLimit: "Limit", Leaving: "Leaving"},
 				})
 				require.NoError(t, c.first(s))
-				answer := serverAnswer{header: http.Header{"Leaving": {"1"}}, client: s.clientOf("i-1"), request: "r-1", sentAt: time.Now()}
+				response := &exchange.Response{Status: http.StatusOK, Header: http.Header{"Leaving": {"1"}}}
+				answer := serverAnswer{response: response, client: s.clientOf("i-1"), request: "r-1", sentAt: time.Now()}
 				if !c.replaced {
 					s.observe(answer)
 					require.False(t, s.Status().Ready)
