peers, link: a drain outlasts a restart of the node that acknowledged it

What callers saw: 187 requests in 2 s of the test to a server that drains, after the node beside it was killed and started: its health check passed, and it announced nothing more (on the platform such a server was used for up to 1.5 intervals of announcements, 2.25 s). Change: the state of a node names the server that drains or has left and its start; others remember it, do not use that start again, and tell a node that accepts calls for it. The node takes that as a leave. Why it works: as long as one node that has heard the word lives and reaches the restarted one, the word is back there one round trip after the server was found. If no such node lives, the limit of 1.5 intervals holds as before.

--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -35,6 +35,8 @@
 	reply(&linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: &linkpb.Answer{Status: 200, Body: []byte(call.Target)}}})
 }
 
+func (h *handler) Leaving(*linkpb.Leaving) {}
+
 func (h *handler) Hello(hello *linkpb.Hello) { h.hello <- hello }
 func (h *handler) State() *linkpb.State      { return &linkpb.State{Service: "quotes", Ready: true} }
 func (h *handler) Routing() []byte           { return []byte("document") }
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -20,6 +20,8 @@
 	Hello(*linkpb.Hello)
 	// State returns the state of this node.
 	State() *linkpb.State
+	// Leaving is called when the backend server at this host has said to another node that it leaves.
+	Leaving(*linkpb.Leaving)
 	// Routing returns the document of the current routing version, or nil.
 	Routing() []byte
 	// LocalVersion returns the number of the current routing version, or 0.
@@ -197,6 +199,8 @@
 		go l.server.handler.Serve(ctx, body.Call, func(result *linkpb.Frame) { session.finish(f.Stream, result) })
 	case *linkpb.Frame_Cancel:
 		l.session.cancel(f.Stream)
+	case *linkpb.Frame_Leaving:
+		l.server.handler.Leaving(body.Leaving)
 	case *linkpb.Frame_Ping:
 		l.send(&linkpb.Frame{Body: &linkpb.Frame_Pong{Pong: &linkpb.Pong{}}})
 	case *linkpb.Frame_RoutingRequest:
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -186,11 +186,21 @@
 }
 
 func (s *Session) sendCancel(stream uint64) {
+	s.sendOnLink(&linkpb.Frame{Stream: stream, Body: &linkpb.Frame_Cancel{Cancel: &linkpb.Cancel{}}})
+}
+
+// SendLeaving tells the other node that its server leaves. Without a link it does nothing.
+func (s *Session) SendLeaving(l *linkpb.Leaving) {
+	s.sendOnLink(&linkpb.Frame{Body: &linkpb.Frame_Leaving{Leaving: l}})
+}
+
+// sendOnLink writes a frame if there is a link. A failed write closes the link.
+func (s *Session) sendOnLink(f *linkpb.Frame) {
 	s.mu.Lock()
 	client := s.client
 	s.mu.Unlock()
 	if client != nil {
-		_ = client.conn.write(&linkpb.Frame{Stream: stream, Body: &linkpb.Frame_Cancel{Cancel: &linkpb.Cancel{}}})
+		_ = client.conn.write(f)
 	}
 }
 
--- a/node/process/departures/departures.go
+++ b/node/process/departures/departures.go
@@ -55,6 +55,16 @@
 	return false
 }
 
+// StartOf returns the start of the server with an ID that ends, or 0 if it is unknown.
+func (l List) StartOf(id string) int64 {
+	for _, known := range l {
+		if known.ID == id {
+			return known.StartedAtMs
+		}
+	}
+	return 0
+}
+
 // IncludesAny reports whether a server with an ID ends, whatever its start.
 func (l List) IncludesAny(id string) bool {
 	for _, known := range l {
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -96,6 +96,14 @@
 	StartedAtMs int64
 }
 
+// Leaving returns the server if it drains or has left, and nil otherwise.
+func (s Status) Leaving() *linkpb.Leaving {
+	if s.State != stateDraining && s.State != stateGone {
+		return nil
+	}
+	return &linkpb.Leaving{ServerId: s.ID, StartedMs: uint64(max(s.StartedAtMs, 0))}
+}
+
 // Server is the backend server beside the node. It is safe for concurrent use.
 type Server struct {
 	config       Config
@@ -234,9 +242,10 @@
 		if s.client != client {
 			return nil
 		}
-		leaving = &linkpb.Leaving{ServerId: s.current.ID, StartedMs: uint64(s.current.StartedAtMs)}
 		s.departed.Add(departures.Server{ID: s.current.ID, StartedAtMs: s.current.StartedAtMs}, s.config.Now())
-		return s.fireEvent(eventDrained)
+		err := s.fireEvent(eventDrained)
+		leaving = s.status().Leaving()
+		return err
 	})
 	return leaving
 }
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -177,10 +177,23 @@
 	}
 }
 
+// handleState applies the state of another node. A node that accepts calls for a server which leaves does not know that, since its
+// process has restarted; it is told.
+func (p *Set) handleState(s *Server, state *linkpb.State) {
+	now := time.Now()
+	s.recordLeaving(state.Leaving, now)
+	s.setState(state, now)
+	p.logState(s.address, state)
+	if leaving := s.unannouncedLeaving(now); leaving != nil {
+		p.config.Log.Info("peer uses a server that leaves", "peer", s.address, "server", leaving.ServerId)
+		s.session.SendLeaving(leaving)
+	}
+}
+
 // newSession returns the session of the links to a server's node.
 func (p *Set) newSession(s *Server) *link.Session {
 	return link.NewSession(s.address, p.config.Hello, link.Events{
-		State:        func(state *linkpb.State) { s.setState(state, time.Now()); p.logState(s.address, state) },
+		State:        func(state *linkpb.State) { p.handleState(s, state) },
 		Routing:      p.config.Routing,
 		LocalVersion: p.config.LocalVersion,
 		Version:      func(number uint64) { p.observeVersion(s, number) },
--- a/node/process/peers/record.go
+++ b/node/process/peers/record.go
@@ -27,6 +27,16 @@
 	s.departed.Add(departures.Server{ID: l.ServerId, StartedAtMs: int64(l.StartedMs)}, now)
 }
 
+// unannouncedLeaving returns the server if its node accepts calls for it although it leaves, and nil otherwise.
+func (s *Server) unannouncedLeaving(now time.Time) *linkpb.Leaving {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.state.Ready || !s.leaves(now) {
+		return nil
+	}
+	return &linkpb.Leaving{ServerId: s.state.ServerId, StartedMs: uint64(s.departed.StartOf(s.state.ServerId))}
+}
+
 // leaves reports whether the server has said that it leaves. While its node does not know the server's start, as after a restart
 // of that node, it is taken for the one that has said so. The lock must be held.
 func (s *Server) leaves(now time.Time) bool {
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -171,6 +171,7 @@
 		Node: c.Name, Place: c.Place, Service: status.Service, ServerId: status.ID, Slots: uint32(max(status.Slots, 0)),
 		Ready: status.Ready && !n.stoppedServing.Load(), ColdMs: uint32(status.WarmUpLeft.Milliseconds()), Load: n.server.Load(),
 		Knee: uint32(n.server.Knee()), StartedMs: uint64(max(status.StartedAtMs, 0)),
+		Leaving: status.Leaving(),
 	}
 }
 
@@ -181,6 +182,11 @@
 	n.server.Serve(ctx, call, reply)
 }
 
+// Leaving records that the backend server has said to another node that it leaves.
+func (n *Node) Leaving(l *linkpb.Leaving) {
+	_ = n.server.Leave(localserver.Leave{ID: l.ServerId, StartedAtMs: int64(l.StartedMs)}) // fails only without an ID
+}
+
 // Hello adds another node that introduced itself to the peers.
 func (n *Node) Hello(h *linkpb.Hello) { n.peers.Add(h.Address) }
 
