--- a/node/process/localserver/statement.go
+++ b/node/process/localserver/statement.go
@@ -9,6 +9,7 @@
 
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/exchange"
+	"github.com/radishstand/radishstand/node/process/departures"
 	"github.com/radishstand/radishstand/node/process/dispatch"
 )
 
@@ -109,6 +110,21 @@
 	return changed, true
 }
 
+// recordLeaving records that the server of a client has said in an answer that it leaves. It gets no further calls, whatever it
+// announces. The result is nil when the server is not the current one any more.
+func (s *Server) recordLeaving(client *exchange.Client) (leaving *linkpb.Leaving) {
+	_ = s.updateState(func() error {
+		if s.client != client {
+			return nil
+		}
+		s.departed.Add(departures.Server{ID: s.current.ID, StartedAtMs: s.current.StartedAtMs}, s.config.Now())
+		err := s.fireEvent(eventDrained)
+		leaving = s.status().Leaving()
+		return err
+	})
+	return leaving
+}
+
 // adoptRate applies the rate limit that the sender of a call has heard from the server, unless it is that of an earlier start.
 func (s *Server) adoptRate(call *linkpb.Call) {
 	if call.RateLimit <= 0 {
