dispatch: use what answers of a limited server say about its host, and a few health checks

Cause: stopped all probes at a limited server, so that calls started in slow periods of the host; a call then takes five times as long. And a burst of 100 ms lost the requests that the limit allowed while calls waited for the end of such a period. The burst is 300 ms, as long as calls wait for a slow period.

--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -6,7 +6,7 @@
 // server may have a free slot, or when it cannot be answered in time. Calls start only while the host is not slow: a
 // neighbour on the host slows work down for short periods, and the time of a call depends on the slowness of the host at
 // its start. Slots are left free when the server has a lower throughput with all of them in use. A server that names a rate limit
-// gets no more requests, health checks included.
+// gets no more calls, and few health checks.
 package dispatch
 
 import (
--- a/node/process/dispatch/ratelimit.go
+++ b/node/process/dispatch/ratelimit.go
@@ -9,10 +9,13 @@
 
 const (
 	// limitBurst is the time whose requests a server may get at once after a pause.
-	limitBurst = 100 * time.Millisecond
+	limitBurst = 300 * time.Millisecond
 	// minRate is the number of requests per second that a server gets even if it names less: only an answer shows that it
 	// takes its limit back.
 	minRate = 0.2
+	// healthCheckShare is the number of health checks that a server gets for each request that it accepts. They are answered at
+	// once and without a slot, and calls that start in a slow period hold slots for longer.
+	healthCheckShare = 0.25
 	// maxRate bounds limits, in requests per second. No server reaches it.
 	maxRate = 1e6
 )
@@ -31,6 +34,8 @@
 // rateLimiter limits the requests to the server to the rate that it names in its answers.
 type rateLimiter struct {
 	bucket *rate.Limiter // nil while the server names no limit
+	// healthChecks limits the health checks, which are sent beside the requests; nil when bucket is.
+	healthChecks *rate.Limiter
 	// known is set once an answer has shown whether the server names a limit. Before, the limit is that of other nodes.
 	known bool
 	// named is when a limit was last named; namedInHealthChecks is set when the answers to health checks name it too.
@@ -67,19 +72,25 @@
 // set sets the limit, within minRate and maxRate, and reports whether it differs from the one before.
 func (l *rateLimiter) set(perSecond float64, now time.Time) bool {
 	limit := rate.Limit(min(max(perSecond, minRate), maxRate))
-	burst := max(int(float64(limit)*limitBurst.Seconds()), 1)
-	switch {
-	case l.bucket == nil:
-		l.bucket = rate.NewLimiter(limit, burst)
-		return true
-	case l.bucket.Limit() == limit:
+	if l.bucket != nil && l.bucket.Limit() == limit {
 		return false
 	}
-	l.bucket.SetLimitAt(now, limit)
-	l.bucket.SetBurstAt(now, burst)
+	l.bucket = resize(l.bucket, limit, now)
+	l.healthChecks = resize(l.healthChecks, limit*healthCheckShare, now)
 	return true
 }
 
+// resize sets the rate of a bucket, or returns a new one. What was sent already still counts.
+func resize(bucket *rate.Limiter, limit rate.Limit, now time.Time) *rate.Limiter {
+	burst := max(int(float64(limit)*limitBurst.Seconds()), 1)
+	if bucket == nil {
+		return rate.NewLimiter(limit, burst)
+	}
+	bucket.SetLimitAt(now, limit)
+	bucket.SetBurstAt(now, burst)
+	return bucket
+}
+
 func (l *rateLimiter) limited() bool { return l.bucket != nil }
 
 // perSecond returns the limit, or 0 without one.
@@ -93,6 +104,11 @@
 // allow reports whether a request may be sent now, and counts it.
 func (l *rateLimiter) allow(now time.Time) bool { return l.bucket == nil || l.bucket.AllowN(now, 1) }
 
+// allowHealthCheck reports whether a health check may be sent now, and counts it.
+func (l *rateLimiter) allowHealthCheck(now time.Time) bool {
+	return l.healthChecks == nil || l.healthChecks.AllowN(now, 1)
+}
+
 // wait returns the time until the limit allows a request behind others that wait for it.
 func (l *rateLimiter) wait(ahead int, now time.Time) time.Duration {
 	if l.bucket == nil {
@@ -130,11 +146,11 @@
 	return true
 }
 
-// AllowHealthCheck reports whether a health check may be sent to the server now. It counts like a call.
+// AllowHealthCheck reports whether a health check may be sent to the server now, and counts it.
 func (d *Dispatcher) AllowHealthCheck() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.limiter.allow(d.now())
+	return d.limiter.allowHealthCheck(d.now())
 }
 
 // reconsiderWaiting decides again, in the order of their start, which of the waiting calls should wait here.
--- a/node/process/dispatch/slowness.go
+++ b/node/process/dispatch/slowness.go
@@ -71,20 +71,29 @@
 }
 
 // mayStart reports whether a call may start: the host is known not to be slow, the call has waited for maxSlowHold, or
-// the server cannot be probed or limits the rate of requests. Without a fresh observation it starts a probe. The time of a call depends on the slowness
+// the server cannot be probed. Without a fresh observation it starts a probe. The time of a call depends on the slowness
 // of the host at its start, so waiting for the end of a slow period costs less time than starting in it.
 func (d *Dispatcher) mayStart(j *Job, now time.Time) bool {
 	switch {
 	case d.probe == nil || now.Before(d.probeBackoffUntil):
 		return true
-	case now.Sub(d.slownessAt) <= freshSlownessAge:
+	case now.Sub(d.slownessAt) <= d.usableSlownessAge():
 		return !d.slow(now) || now.Sub(j.arrived) > maxSlowHold
-	case d.limiter.limited(): // a probe would take the place of a call
+	case d.probing:
+		return false
+	case !d.limiter.allowHealthCheck(now):
 		return true
 	}
-	if !d.probing {
-		d.probing = true
-		d.callbacks = append(d.callbacks, d.probe)
-	}
+	d.probing = true
+	d.callbacks = append(d.callbacks, d.probe)
 	return false
 }
+
+// usableSlownessAge returns the age up to which an observed slowness decides whether a call starts. A server that limits the rate of
+// requests is probed seldom, so that its answers must do.
+func (d *Dispatcher) usableSlownessAge() time.Duration {
+	if d.limiter.limited() {
+		return slownessTTL
+	}
+	return freshSlownessAge
+}
