--- a/node/connection/protocol/protocol.go
+++ b/node/connection/protocol/protocol.go
@@ -24,10 +24,13 @@
 	RunningID string
 	// RateLimit is the number of requests per second that a server accepts from all hosts together.
 	RateLimit string
-	// Leaving marks the answers of a server that is about to end.
-	Leaving string
+	// Leaving has the value LeavingValue in the answers of a server that is about to end.
+	Leaving      string
+	LeavingValue string
 	// ParseLoad parses the value of the ServerLoad header.
 	ParseLoad func(value string) (ServerLoad, bool)
+	// ParseRateLimit parses the value of the RateLimit header.
+	ParseRateLimit func(value string) (perSecond float64, ok bool)
 	// ParentID returns the ID of the call for which a server would make the call with the given ID. It reports false when
 	// the ID names no other call.
 	ParentID func(id string) (parent string, ok bool)
--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -37,18 +37,18 @@
 		return err
 	}
 	defer response.Release()
+	names := s.config.Names
+	id := response.Header.Get(names.RunningID)
+	if id != "" && s.parseStatement(response.Header).Leaving {
+		return s.Leave(Leave{ID: id})
+	}
 	if response.Status != http.StatusOK {
 		return nil
 	}
-	names := s.config.Names
 	load, ok := names.ParseLoad(response.Header.Get(names.ServerLoad))
 	if !ok {
 		return nil // the server cannot be used without its number of slots; its announcement will contain it
 	}
-	id := response.Header.Get(names.RunningID)
-	if s.parseStatement(response.Header).Leaving {
-		return s.Leave(Leave{ID: id})
-	}
 	if err := s.HandleProbeResult(Announcement{ID: id, Service: service, Address: address, Slots: load.Slots, Sequence: -1}); err != nil {
 		return err
 	}
--- a/node/process/localserver/statement.go
+++ b/node/process/localserver/statement.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/radishstand/radishstand/api/linkpb"
@@ -14,8 +12,6 @@
 )
 
 const (
-	// leavingValue is the value of the header by which a server says that it leaves.
-	leavingValue = "1"
 	// healthCheck is the source of the statement in the answer to a health check, and otherNode that of a statement which
 	// another node has heard.
 	healthCheck = "health check"
@@ -28,7 +24,7 @@
 	Limited bool
 	// PerSecond is the named limit: the requests per second that the server accepts from all hosts together.
 	PerSecond float64
-	// Unreadable is a named limit that is not a number. It changes nothing.
+	// Unreadable is a named limit that is not a number. Alone it changes nothing.
 	Unreadable string
 	// Leaving is set when the server is about to end.
 	Leaving bool
@@ -37,9 +33,9 @@
 // parseStatement reads the statement in the headers of an answer. Of several limits the lowest counts.
 func (s *Server) parseStatement(header http.Header) Statement {
 	names := s.config.Names
-	statement := Statement{Leaving: strings.TrimSpace(header.Get(names.Leaving)) == leavingValue}
+	statement := Statement{Leaving: names.Leaving != "" && header.Get(names.Leaving) == names.LeavingValue}
 	for _, value := range header.Values(names.RateLimit) {
-		limit, ok := parseRate(strings.TrimSpace(value))
+		limit, ok := names.ParseRateLimit(value)
 		switch {
 		case !ok:
 			statement.Unreadable = cmp.Or(value, "empty")
@@ -50,15 +46,6 @@
 	return statement
 }
 
-// parseRate parses a non-negative decimal number. Other forms that strconv accepts, such as "inf" and "0x1p4", are refused.
-func parseRate(value string) (float64, bool) {
-	if value == "" || strings.Trim(value, "0123456789.") != "" {
-		return 0, false
-	}
-	rate, err := strconv.ParseFloat(value, 64)
-	return rate, err == nil
-}
-
 // serverAnswer is an answer of the server with the request that it answers.
 type serverAnswer struct {
 	response *exchange.Response
@@ -76,7 +63,7 @@
 	if !ok {
 		return nil
 	}
-	if statement.Unreadable == "" {
+	if statement.Limited || statement.Unreadable == "" {
 		s.dispatcher.ObserveRate(dispatch.RateStatement{
 			Limited: statement.Limited, PerSecond: statement.PerSecond, HealthCheck: a.request == healthCheck, SentAt: a.sentAt,
 		})
