peers: handle a missing state where a server's leaving is checked

Found by reading: unannouncedLeaving read the state of a server without checking that there is one. The order in which a link ends makes that unreachable today.

--- a/node/process/peers/record.go
+++ b/node/process/peers/record.go
@@ -31,7 +31,7 @@
 func (s *Server) unannouncedLeaving(now time.Time) *linkpb.Leaving {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.state.Ready || !s.leaves(now) {
+	if !s.state.GetReady() || !s.leaves(now) {
 		return nil
 	}
 	return &linkpb.Leaving{ServerId: s.state.ServerId, StartedMs: uint64(s.departed.StartOf(s.state.ServerId))}
