review: case of an address that another service uses again

Cause: a node that has restarted takes what a health check finds for a backend of the service in its settings, which may have changed without a signal.

--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -21,6 +21,8 @@
 	slots   int
 	node    *node
 	quiet   bool // its runs are not recorded one by one
+	// lateFirstBeat makes it send its first heartbeat one interval after its start.
+	lateFirstBeat bool
 
 	mu       sync.Mutex
 	server   *http.Server // nil while the backend is down
@@ -92,6 +94,9 @@
 const heartbeatInterval = 1500 * time.Millisecond
 
 func (b *backend) heartbeats(stopped chan struct{}) {
+	if b.lateFirstBeat {
+		time.Sleep(heartbeatInterval)
+	}
 	for {
 		b.mu.Lock()
 		silent := b.silent
