sidecar: tell where a routing version came from, and show the poll for changes

Change: 'routing version applied' and 'routing document rejected' name their source; a version that another node has is logged when it is first noticed; the dump shows the request for changes that is in progress. watchRouting moves to a file of its own.

--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -194,7 +194,7 @@
 func (p *Set) newSession(s *Server) *link.Session {
 	return link.NewSession(s.address, p.config.Hello, link.Events{
 		State:        func(state *linkpb.State) { p.handleState(s, state) },
-		Routing:      p.config.Routing,
+		Routing:      func(document []byte) { p.config.Routing(s.address, document) },
 		LocalVersion: p.config.LocalVersion,
 		Version:      func(number uint64) { p.observeVersion(s, number) },
 	}, p.config.Memory)
@@ -225,6 +225,7 @@
 	if number <= p.config.LocalVersion() || !p.requestPending.CompareAndSwap(false, true) {
 		return
 	}
+	p.config.Log.Info("peer has a newer routing version", "peer", s.address, "version", number, "current", p.config.LocalVersion())
 	time.AfterFunc(routingRequestDelay, func() {
 		p.requestPending.Store(false)
 		if client := s.currentClient(); client != nil && number > p.config.LocalVersion() {
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -40,8 +40,8 @@
 	Serve func(ctx context.Context, call *linkpb.Call, reply func(*linkpb.Frame))
 	// LocalVersion returns the number of the current routing version.
 	LocalVersion func() uint64
-	// Routing handles the document of a routing version from another node.
-	Routing func(document []byte)
+	// Routing handles the document of a routing version from the node at an address.
+	Routing func(peer string, document []byte)
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
 	Log    Log
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -10,15 +10,6 @@
 )
 
 const (
-	// routingPollTimeout is the timeout of a long poll for routing changes.
-	routingPollTimeout = 30 * time.Second
-	// A long poll that is lost during an outage of the store is noticed only when it times out. To apply changes promptly
-	// after the outage, frequentPollers nodes use the short timeout frequentPollTimeout; the others receive the version from
-	// them.
-	frequentPollers     = 3
-	frequentPollTimeout = 800 * time.Millisecond
-	// routingPollDelay is the delay after a change before the next poll, so that a series of changes costs few calls.
-	routingPollDelay = 250 * time.Millisecond
 	// minStoreBackoff and maxStoreBackoff bound the backoff after a failed call to the store, before jitter.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = 500 * time.Millisecond
@@ -26,56 +17,6 @@
 	probeInterval = 250 * time.Millisecond
 )
 
-// watchRouting applies new routing versions from the store until ctx ends.
-func (n *Node) watchRouting(ctx context.Context) {
-	var revision uint64
-	retryBackoff := newBackoff()
-	var failedAt time.Time
-	for ctx.Err() == nil {
-		requestedAt := time.Now()
-		document, next, err := n.pollRouting(ctx, revision)
-		switch {
-		case errors.Is(err, ErrHistoryGone):
-			n.log.Info("routing history no longer available", "revision", revision)
-			revision = 0
-			continue
-		case err != nil:
-			n.logStoreFailure(ctx, "routing", err)
-			failedAt = time.Now()
-			if time.Since(requestedAt) < maxStoreBackoff { // a request that timed out needs no further delay
-				retryBackoff.wait(ctx)
-			}
-			continue
-		}
-		n.logStoreRecovery("routing")
-		retryBackoff = newBackoff()
-		revision = next
-		if document != nil {
-			n.applyRouting(document)
-			// Other nodes may still wait for a long poll that was lost in the same outage. The state carries the version;
-			// without this broadcast a node without traffic would not receive it.
-			if time.Since(failedAt) < routingPollTimeout && n.peers.InSubset(frequentPollers) {
-				n.broadcastState()
-			}
-			sleep(ctx, routingPollDelay)
-		} else if n.routing.Current() == nil {
-			sleep(ctx, minStoreBackoff)
-		}
-	}
-}
-
-// pollRouting reads the current routing document when revision is 0 and otherwise waits for a change after the revision.
-func (n *Node) pollRouting(ctx context.Context, revision uint64) ([]byte, uint64, error) {
-	if revision == 0 {
-		return n.store.Routing(ctx)
-	}
-	wait := routingPollTimeout
-	if n.peers.InSubset(frequentPollers) {
-		wait = frequentPollTimeout
-	}
-	return n.store.AwaitRouting(ctx, revision, wait)
-}
-
 // logStoreFailure logs a failed call to the store, but only the first of consecutive failures.
 func (n *Node) logStoreFailure(ctx context.Context, what string, err error) {
 	if ctx.Err() == nil {
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -195,6 +195,6 @@
 func (n *Node) writeDump(w http.ResponseWriter, _ *http.Request) {
 	known, linked := n.peers.Linked()
 	requests, _ := n.callers.Load().InProgress()
-	fmt.Fprintf(w, "version %d\nstate %v\npeers %d linked %d\nrequests %d calls %d\n",
-		n.routing.Number(), n.State(), known, linked, requests, n.activeCalls.Load())
+	fmt.Fprintf(w, "version %d\nrouting poll %s\nstate %v\npeers %d linked %d\nrequests %d calls %d\n",
+		n.routing.Number(), &n.poll, n.State(), known, linked, requests, n.activeCalls.Load())
 }
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -44,6 +44,7 @@
 	front   *front.Handler
 	metrics metrics.Registry
 	knees   knees
+	poll    routingPoll
 	callers atomic.Pointer[ingress.Server] // nil before the node listens
 	closers []func()                       // close the listeners; set by listen
 
@@ -71,7 +72,8 @@
 	n.links = link.NewServer(n, memory)
 	n.peers = peers.New(ctx, peers.Config{
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
-		LocalVersion: n.routing.Number, Routing: n.applyRouting, Memory: memory, Log: log,
+		LocalVersion: n.routing.Number, Memory: memory, Log: log,
+		Routing: func(peer string, document []byte) { n.applyRouting(document, peer) },
 	})
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
@@ -142,16 +144,17 @@
 	n.links.Broadcast()
 }
 
-// applyRouting applies the routing version of a document if it is newer than the current one.
-func (n *Node) applyRouting(document []byte) {
+// applyRouting applies the routing version of a document if it is newer than the current one. The source is "store" or the
+// address of the node that sent the document.
+func (n *Node) applyRouting(document []byte, source string) {
 	v, err := n.adapter.ParseRouting(document)
 	if err != nil {
-		n.log.Warn("routing document rejected", "error", err)
+		n.log.Warn("routing document rejected", "source", source, "error", err)
 		return
 	}
 	v.Document = document
 	if n.routing.Offer(v) {
-		n.log.Info("routing version applied", "version", v.Number)
+		n.log.Info("routing version applied", "version", v.Number, "source", source, "poll", n.poll.String())
 		n.applyLimits()
 	}
 }
