peers: request a routing version from another node when one does not answer

What callers saw: requests handled by an old routing version, on a node that had heard of the newer one.

Cause: a newer version was requested once, from the node whose frame named it first; the numbers of other nodes were dropped while that request was pending. If that node was cut off meanwhile, nobody was asked until the next frame with a version, which an idle link does not bring.

A node without a link is passed over, since it reports its version when it is linked.

Test: TestVersionIsRequestedFromTheNextNodeWhenOneDoesNotAnswer, which failed on ('no node was asked after the first one') and passes.

--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -19,9 +19,6 @@
 	failureWeight = 0.15
 	// failureDecay is the time constant of the exponential decay of the failure share, so that a server is tried again.
 	failureDecay = 3 * time.Second
-	// routingRequestDelay is the time to wait for a version from the store before it is requested from the peer that
-	// reported it.
-	routingRequestDelay = 400 * time.Millisecond
 	// noServerExclusion is the time for which a server is excluded after its node refused a call because no server accepts
 	// calls there. By then the node has reported its new state.
 	noServerExclusion = 200 * time.Millisecond
@@ -219,21 +216,6 @@
 	return true
 }
 
-// observeVersion handles the version number of another node. It requests the version from that node when the store has not
-// delivered it within routingRequestDelay.
-func (p *Set) observeVersion(s *Server, number uint64) {
-	if number <= p.config.LocalVersion() || !p.requestPending.CompareAndSwap(false, true) {
-		return
-	}
-	p.config.Log.Info("peer has a newer routing version", "peer", s.address, "version", number, "current", p.config.LocalVersion())
-	time.AfterFunc(routingRequestDelay, func() {
-		p.requestPending.Store(false)
-		if client := s.currentClient(); client != nil && number > p.config.LocalVersion() {
-			client.RequestRouting()
-		}
-	})
-}
-
 // currentClient returns the link to the server's node, or nil.
 func (s *Server) currentClient() *link.Client {
 	s.mu.Lock()
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -9,7 +9,6 @@
 	"errors"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,10 +48,10 @@
 
 // Set is the set of nodes that this node knows. It is safe for concurrent use.
 type Set struct {
-	config         Config
-	ctx            context.Context
-	local          *Server
-	requestPending atomic.Bool
+	config   Config
+	ctx      context.Context
+	local    *Server
+	versions versionSources
 
 	mu    sync.RWMutex
 	peers map[string]*peer
