sidecar, link: apply routing versions that other nodes name, also without calls to them

Cause: the store left the long poll of that node unanswered, which it notices after up to 31.2 s. Meanwhile every other node knows the new version, but the number in the frames of nodes that opened a link was ignored (ObserveVersion did nothing), so only answers to the node's own calls told it. The nodes that poll often told the others of a change only within 30 s of a failed poll of their own.

Change: the number in every frame counts, in both directions of a link. The nodes that poll often send the number to all linked nodes after each change: one frame without a body a link, which nodes of earlier builds understand too.

Conclusion: a lost poll no longer keeps an old version while a node that polls often reaches the store. Still open: the nodes that should poll often can be those whose poll is lost or whose calls are refused.

--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,6 +26,8 @@
 	version   atomic.Uint64
 	hello     chan *linkpb.Hello
 	cancelled chan struct{}
+	// observed holds the version number that each address has sent last.
+	observed sync.Map
 }
 
 func (h *handler) Serve(ctx context.Context, call *linkpb.Call, reply func(*linkpb.Frame)) {
@@ -41,7 +44,8 @@
 func (h *handler) State() *linkpb.State      { return &linkpb.State{Service: "quotes", Ready: true} }
 func (h *handler) Routing() []byte           { return []byte("document") }
 func (h *handler) LocalVersion() uint64      { return h.version.Load() }
-func (h *handler) ObserveVersion(uint64)     {}
+
+func (h *handler) ObserveVersion(address string, number uint64) { h.observed.Store(address, number) }
 
 // events collects what a client receives outside its calls.
 type events struct {
@@ -191,6 +195,24 @@
 	assert.Equal(t, "document", string(<-received.routing))
 }
 
+// Guards against a node that keeps an old routing version although the frames of the nodes that call it carry a newer one.
+func TestVersionOfTheNodeThatOpenedTheLinkIsObserved(t *testing.T) {
+	h, _, client, _ := start(t)
+	_, err := client.Do(context.Background(), &linkpb.Call{Target: "/x"})
+	require.NoError(t, err)
+	number, _ := h.observed.Load("me")
+	assert.EqualValues(t, 1, number)
+}
+
+// Guards against a node without calls that does not hear of a newer routing version.
+func TestVersionIsBroadcastWithoutACall(t *testing.T) {
+	h, server, _, received := start(t)
+	<-received.states
+	h.version.Store(7)
+	server.BroadcastVersion()
+	require.Eventually(t, func() bool { return <-received.versions == 7 }, time.Second, time.Millisecond)
+}
+
 // Guards against a frame length that makes the node allocate memory for data that is not sent.
 func TestTooLongOrUnreadableFrameClosesLink(t *testing.T) {
 	for name, bytes := range map[string][]byte{"too long": {0xff, 0xff, 0xff, 0xff}, "too long for the memory": {4, 0, 0, 0}, "unreadable": {0, 0, 0, 2, 0xff, 0xff}} {
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -26,8 +26,9 @@
 	Routing() []byte
 	// LocalVersion returns the number of the current routing version, or 0.
 	LocalVersion() uint64
-	// ObserveVersion is called with the routing version number of each frame that has one.
-	ObserveVersion(uint64)
+	// ObserveVersion is called with the routing version number of each frame that has one, and the address of the node that
+	// sent it.
+	ObserveVersion(address string, number uint64)
 }
 
 // Server accepts links from other nodes. It is safe for concurrent use.
@@ -72,6 +73,14 @@
 	}
 }
 
+// BroadcastVersion sends the number of the current routing version to all nodes that have a link to this one. It does not wait
+// for links that are busy.
+func (s *Server) BroadcastVersion() {
+	for _, l := range s.openLinks() {
+		go l.send(&linkpb.Frame{})
+	}
+}
+
 // state returns the state of this node with the capabilities of its links.
 func (s *Server) state() *linkpb.State {
 	state := s.handler.State()
@@ -157,6 +166,8 @@
 	id      uint64
 	session *servedSession
 	known   bool
+	// address is that of the node that opened the link; empty before the first frame.
+	address string
 	ages    frameAges
 }
 
@@ -180,9 +191,6 @@
 }
 
 func (l *serverLink) handle(f *linkpb.Frame) {
-	if f.Version != 0 {
-		l.server.handler.ObserveVersion(f.Version)
-	}
 	var age time.Duration
 	if f.SentMs != 0 {
 		age = l.ages.observe(time.Duration(f.SentMs)*time.Millisecond, l.server.clock())
@@ -208,12 +216,16 @@
 			l.send(&linkpb.Frame{Body: &linkpb.Frame_Routing{Routing: &linkpb.Routing{Document: document}}})
 		}
 	}
+	if f.Version != 0 && l.address != "" {
+		l.server.handler.ObserveVersion(l.address, f.Version)
+	}
 }
 
 func (l *serverLink) handleHello(hello *linkpb.Hello) {
 	if hello.Session != 0 && l.id == 0 {
 		l.known = l.server.openSession(hello.Session, l)
 	}
+	l.address = hello.Address
 	l.server.handler.Hello(hello)
 	l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: l.server.state()}})
 }
--- a/node/process/sidecar/routing.go
+++ b/node/process/sidecar/routing.go
@@ -56,7 +56,6 @@
 func (n *Node) watchRouting(ctx context.Context) {
 	var revision uint64
 	retryBackoff := newBackoff()
-	var failedAt time.Time
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
 		document, next, err := n.pollRouting(ctx, revision)
@@ -67,7 +66,6 @@
 			continue
 		case err != nil:
 			n.logStoreFailure(ctx, "routing", err)
-			failedAt = time.Now()
 			if time.Since(requestedAt) < maxStoreBackoff { // a request that timed out needs no further delay
 				retryBackoff.wait(ctx)
 			}
@@ -78,10 +76,9 @@
 		revision = next
 		if document != nil {
 			n.applyRouting(document, "store")
-			// Other nodes may still wait for a long poll that was lost in the same outage. The state carries the version;
-			// without this broadcast a node without traffic would not receive it.
-			if time.Since(failedAt) < routingPollTimeout && n.peers.InSubset(frequentPollers) {
-				n.broadcastState()
+			// The long polls of other nodes may be lost, and a node without traffic receives no other frame.
+			if n.peers.InSubset(frequentPollers) {
+				n.links.BroadcastVersion()
 			}
 			sleep(ctx, routingPollDelay)
 		} else if n.routing.Current() == nil {
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -204,9 +204,8 @@
 // LocalVersion returns the number of the current routing version, or 0.
 func (n *Node) LocalVersion() uint64 { return n.routing.Number() }
 
-// ObserveVersion ignores the version number of a node that opened a link: this node's own link to that node brings the
-// version.
-func (n *Node) ObserveVersion(uint64) {}
+// ObserveVersion handles the routing version number of a node that opened a link.
+func (n *Node) ObserveVersion(address string, number uint64) { n.peers.ObserveVersion(address, number) }
 
 // ready serves the readiness check: it fails before the first routing version and while the node stops.
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
