sidecar: end a long poll for routing changes that there is reason to distrust

Cause: whether a poll is short was decided only when it was sent. A node that became one of the frequent pollers, because those were lost, kept its poll of 30 s; so did a node whose last call had just failed; and a node that got the version from another one did not conclude that its own poll was lost.

Change: a long poll ends at once when this node becomes a frequent poller (it is told of links that are established or lost), the poll after a failed one is short, and a poll that has not brought the version of another node within 1 s is sent again.

Cost: one call to the store a node in these cases, none otherwise.

Conclusion: still open: frequent pollers whose calls the store refuses are not replaced.

--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -204,6 +204,7 @@
 		return false
 	}
 	s.setClient(client)
+	p.config.LinksChanged()
 	p.config.Log.Info("peer linked", "peer", s.address)
 	select {
 	case <-client.Done():
@@ -212,6 +213,7 @@
 		<-client.Done()
 	}
 	s.setClient(nil)
+	p.config.LinksChanged()
 	p.config.Log.Info("peer lost", "peer", s.address)
 	return true
 }
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -41,6 +41,8 @@
 	LocalVersion func() uint64
 	// Routing handles the document of a routing version from the node at an address.
 	Routing func(peer string, document []byte)
+	// LinksChanged is called when a link to another node was established or lost. It must not block.
+	LinksChanged func()
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
 	Log    Log
--- a/node/process/sidecar/routing.go
+++ b/node/process/sidecar/routing.go
@@ -18,35 +18,82 @@
 	frequentPollTimeout = 800 * time.Millisecond
 	// routingPollDelay is the delay after a change before the next poll, so that a series of changes costs few calls.
 	routingPollDelay = 250 * time.Millisecond
+	// lostPollDelay is the time after a version from another node after which the store's response to the poll that was in
+	// progress counts as lost.
+	lostPollDelay = time.Second
+	// linkChangeDelay is the time in which several links may change before the frequent pollers are determined again.
+	linkChangeDelay = 50 * time.Millisecond
 )
 
-// routingPoll describes the request for routing changes that is in progress. It is safe for concurrent use.
+// errPollEnded is the cause of the end of a poll that this node has ended to send another one.
+var errPollEnded = errors.New("poll ended for another one")
+
+// routingPoll is the request for routing changes that is in progress. It is safe for concurrent use.
 type routingPoll struct {
 	mu       sync.Mutex
-	began    time.Time // zero while no request is in progress
+	count    uint64                  // of the requests so far
+	cancel   context.CancelCauseFunc // nil while no request is in progress
+	began    time.Time
 	revision uint64
 	wait     time.Duration
 }
 
-// begin records the start of a request.
-func (p *routingPoll) begin(revision uint64, wait time.Duration) {
+// begin records the start of a request and returns its context, which end or shorten may cancel. The wait time is set later.
+func (p *routingPoll) begin(ctx context.Context, revision uint64) context.Context {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ctx, p.cancel = context.WithCancelCause(ctx)
+	p.count++
+	p.began, p.revision, p.wait = time.Now(), revision, routingPollTimeout
+	return ctx
+}
+
+// setWait records the wait time of the request in progress.
+func (p *routingPoll) setWait(wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wait = wait
+}
+
+// finish records the end of a request.
+func (p *routingPoll) finish() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.began, p.revision, p.wait = time.Now(), revision, wait
+	p.cancel(nil)
+	p.cancel = nil
+}
+
+// shorten ends the request in progress if it is a long poll.
+func (p *routingPoll) shorten() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil && p.wait > frequentPollTimeout {
+		p.cancel(errPollEnded)
+	}
 }
 
-// end records the end of a request.
-func (p *routingPoll) end() {
+// endAfter ends the request that is in progress now if it still is after a delay.
+func (p *routingPoll) endAfter(delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.began = time.Time{}
+	if p.cancel == nil {
+		return
+	}
+	count := p.count
+	time.AfterFunc(delay, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.cancel != nil && p.count == count {
+			p.cancel(errPollEnded)
+		}
+	})
 }
 
-// String describes the request for the dump of the process's state.
+// String describes the request for logs and for the dump of the process's state.
 func (p *routingPoll) String() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.began.IsZero() {
+	if p.cancel == nil {
 		return "none"
 	}
 	return fmt.Sprintf("after revision %d for %s, sent %s ago", p.revision, p.wait, time.Since(p.began).Round(time.Millisecond))
@@ -55,23 +102,28 @@
 // watchRouting applies new routing versions from the store until ctx ends.
 func (n *Node) watchRouting(ctx context.Context) {
 	var revision uint64
+	failed := false
 	retryBackoff := newBackoff()
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
-		document, next, err := n.pollRouting(ctx, revision)
+		document, next, err := n.pollRouting(ctx, revision, failed)
 		switch {
+		case errors.Is(err, errPollEnded):
+			continue
 		case errors.Is(err, ErrHistoryGone):
 			n.log.Info("routing history no longer available", "revision", revision)
 			revision = 0
 			continue
 		case err != nil:
 			n.logStoreFailure(ctx, "routing", err)
+			failed = true
 			if time.Since(requestedAt) < maxStoreBackoff { // a request that timed out needs no further delay
 				retryBackoff.wait(ctx)
 			}
 			continue
 		}
 		n.logStoreRecovery("routing")
+		failed = false
 		retryBackoff = newBackoff()
 		revision = next
 		if document != nil {
@@ -87,16 +139,50 @@
 	}
 }
 
-// pollRouting reads the current routing document when revision is 0 and otherwise waits for a change after the revision.
-func (n *Node) pollRouting(ctx context.Context, revision uint64) ([]byte, uint64, error) {
+// pollRouting reads the current routing document when revision is 0 and otherwise waits for a change after the revision. The error
+// is errPollEnded when another poll must be sent at once.
+func (n *Node) pollRouting(ctx context.Context, revision uint64, failed bool) ([]byte, uint64, error) {
 	if revision == 0 {
 		return n.store.Routing(ctx)
 	}
-	wait := routingPollTimeout
-	if n.peers.InSubset(frequentPollers) {
-		wait = frequentPollTimeout
+	ctx = n.poll.begin(ctx, revision)
+	defer n.poll.finish()
+	wait := pollWait(n.peers.InSubset(frequentPollers), failed)
+	n.poll.setWait(wait)
+	document, next, err := n.store.AwaitRouting(ctx, revision, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errPollEnded) {
+		return nil, 0, errPollEnded
+	}
+	return document, next, err
+}
+
+// pollWait returns the wait time of a poll for changes. After a failed one it is short, since the store may still be unresponsive.
+func pollWait(frequent, failed bool) time.Duration {
+	if frequent || failed {
+		return frequentPollTimeout
+	}
+	return routingPollTimeout
+}
+
+// watchPollers ends a long poll when this node becomes one of the frequent pollers, until ctx ends.
+func (n *Node) watchPollers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.linksChanged:
+		}
+		sleep(ctx, linkChangeDelay)
+		if n.peers.InSubset(frequentPollers) {
+			n.poll.shorten()
+		}
+	}
+}
+
+// signalLinksChanged wakes watchPollers.
+func (n *Node) signalLinksChanged() {
+	select {
+	case n.linksChanged <- struct{}{}:
+	default: // it is about to wake
 	}
-	n.poll.begin(revision, wait)
-	defer n.poll.end()
-	return n.store.AwaitRouting(ctx, revision, wait)
 }
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -44,6 +44,7 @@
 	}
 	n.peers.SetLocal(n.State())
 	go n.watchRouting(ctx)
+	go n.watchPollers(ctx)
 	go n.maintainMembership(ctx)
 	go n.superviseServer(ctx)
 	n.log.Info("started", "node", n.config.Load().Name, "place", n.config.Load().Place, "service", n.config.Load().Service)
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -45,8 +45,10 @@
 	metrics metrics.Registry
 	knees   knees
 	poll    routingPoll
-	callers atomic.Pointer[ingress.Server] // nil before the node listens
-	closers []func()                       // close the listeners; set by listen
+	// linksChanged receives when a link to another node was established or lost.
+	linksChanged chan struct{}
+	callers      atomic.Pointer[ingress.Server] // nil before the node listens
+	closers      []func()                       // close the listeners; set by listen
 
 	stopping       atomic.Bool // readiness is withdrawn
 	stoppedServing atomic.Bool // this node accepts no more calls for the backend server
@@ -57,6 +59,7 @@
 // New returns a node that runs until ctx ends.
 func New(ctx context.Context, c Config, adapter Adapter, log Log) *Node {
 	n := &Node{ctx: ctx, adapter: adapter, store: adapter.Store(), log: log, routing: &routing.Holder{}, metrics: metrics.NewRegistry()}
+	n.linksChanged = make(chan struct{}, 1)
 	n.config.Store(&c)
 	memory := membudget.New(bodyBytes(c.MemoryBytes))
 	n.server = localserver.New(localserver.Config{
@@ -73,7 +76,7 @@
 	n.peers = peers.New(ctx, peers.Config{
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
 		LocalVersion: n.routing.Number, Memory: memory, Log: log,
-		Routing: func(peer string, document []byte) { n.applyRouting(document, peer) },
+		Routing: n.applyPeerRouting, LinksChanged: n.signalLinksChanged,
 	})
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
@@ -144,19 +147,29 @@
 	n.links.Broadcast()
 }
 
-// applyRouting applies the routing version of a document if it is newer than the current one. The source is "store" or the
-// address of the node that sent the document.
-func (n *Node) applyRouting(document []byte, source string) {
+// applyPeerRouting applies the routing version of a document from another node. If it is new here, the store's response to the
+// poll that is in progress should have brought it.
+func (n *Node) applyPeerRouting(peer string, document []byte) {
+	if n.applyRouting(document, peer) {
+		n.poll.endAfter(lostPollDelay)
+	}
+}
+
+// applyRouting applies the routing version of a document if it is newer than the current one, and reports whether it is. The source
+// is "store" or the address of the node that sent the document.
+func (n *Node) applyRouting(document []byte, source string) bool {
 	v, err := n.adapter.ParseRouting(document)
 	if err != nil {
 		n.log.Warn("routing document rejected", "source", source, "error", err)
-		return
+		return false
 	}
 	v.Document = document
-	if n.routing.Offer(v) {
+	applied := n.routing.Offer(v)
+	if applied {
 		n.log.Info("routing version applied", "version", v.Number, "source", source, "poll", n.poll.String())
 		n.applyLimits()
 	}
+	return applied
 }
 
 // applyLimits sets the ingress limits for callers to those of the current routing version.
