sidecar: replace frequent pollers whose calls the store refuses

Cause: which nodes poll often depended on links only. A node that the store refuses or does not answer stayed one of them.

Change: a node's state tells others that its latest call for changes has failed (store_failing); for them it is not one of the frequent pollers until a call succeeds, and the next ones take its place at once. Nodes of earlier builds do not set the field and count as before. States are sent to all links side by side and in order, so that a busy link delays no other and an older state cannot arrive last.

Not covered: nodes that reach neither the store nor a node which does; they are not expected to know a change.

--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -38,6 +38,8 @@
 	// clock is boottime.Now.
 	clock func() time.Duration
 
+	broadcast sync.Mutex // held while a state is sent to all links
+
 	mu       sync.Mutex
 	links    map[*serverLink]struct{}
 	sessions map[uint64]*servedSession
@@ -65,12 +67,17 @@
 	}
 }
 
-// Broadcast sends the state of this node to all nodes that have a link to it.
+// Broadcast sends the state of this node to all nodes that have a link to it. Concurrent broadcasts follow each other, so that the
+// newest state is sent last.
 func (s *Server) Broadcast() {
+	s.broadcast.Lock()
+	defer s.broadcast.Unlock()
 	state := s.state()
+	var sends sync.WaitGroup
 	for _, l := range s.openLinks() {
-		l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: state}})
+		sends.Go(func() { l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: state}}) })
 	}
+	sends.Wait()
 }
 
 // BroadcastVersion sends the number of the current routing version to all nodes that have a link to this one. It does not wait
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -179,7 +179,11 @@
 func (p *Set) handleState(s *Server, state *linkpb.State) {
 	now := time.Now()
 	s.recordLeaving(state.Leaving, now)
+	reachedStore := s.reachesStore()
 	s.setState(state, now)
+	if s.reachesStore() != reachedStore {
+		p.config.PollersChanged()
+	}
 	p.logState(s.address, state)
 	if leaving := s.unannouncedLeaving(now); leaving != nil {
 		p.config.Log.Info("peer uses a server that leaves", "peer", s.address, "server", leaving.ServerId)
@@ -204,7 +208,7 @@
 		return false
 	}
 	s.setClient(client)
-	p.config.LinksChanged()
+	p.config.PollersChanged()
 	p.config.Log.Info("peer linked", "peer", s.address)
 	select {
 	case <-client.Done():
@@ -213,7 +217,7 @@
 		<-client.Done()
 	}
 	s.setClient(nil)
-	p.config.LinksChanged()
+	p.config.PollersChanged()
 	p.config.Log.Info("peer lost", "peer", s.address)
 	return true
 }
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -41,8 +41,8 @@
 	LocalVersion func() uint64
 	// Routing handles the document of a routing version from the node at an address.
 	Routing func(peer string, document []byte)
-	// LinksChanged is called when a link to another node was established or lost. It must not block.
-	LinksChanged func()
+	// PollersChanged is called when the result of InSubset may have changed. It must not block.
+	PollersChanged func()
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
 	Log    Log
@@ -108,6 +108,13 @@
 	return s.client != nil
 }
 
+// reachesStore reports whether the node is linked and its calls to the store do not fail.
+func (s *Server) reachesStore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client != nil && !s.state.GetStoreFailing()
+}
+
 // AnyUnlinkedFor reports whether any known node has not been linked for longer than d.
 func (p *Set) AnyUnlinkedFor(d time.Duration) bool {
 	p.mu.RLock()
@@ -146,14 +153,15 @@
 }
 
 // InSubset reports whether this node is one of the size nodes with the lowest address hashes among this node and its linked
-// peers. Nodes with the same links select the same subset. A node without links is always in it.
+// peers whose calls to the store succeed. Nodes with the same links select the same subset, and a node whose own calls fail may be
+// in it besides. A node without links is always in it.
 func (p *Set) InSubset(size int) bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	own := xxhash.Sum64String(p.config.Hello.Address)
 	before := 0
 	for address, known := range p.peers {
-		if xxhash.Sum64String(address) < own && known.server.linked() {
+		if xxhash.Sum64String(address) < own && known.server.reachesStore() {
 			before++
 		}
 	}
--- a/node/process/peers/versions_test.go
+++ b/node/process/peers/versions_test.go
@@ -50,7 +50,7 @@
 	received := make(chan []byte, 1)
 	set := New(t.Context(), Config{
 		Hello: &linkpb.Hello{Address: "10.0.0.1:1"}, LocalVersion: version.Load, Memory: membudget.New(1 << 20), Log: silentLog{},
-		LinksChanged: func() {},
+		PollersChanged: func() {},
 		Routing: func(_ string, document []byte) {
 			version.Store(2)
 			received <- document
--- a/node/process/sidecar/routing.go
+++ b/node/process/sidecar/routing.go
@@ -21,8 +21,9 @@
 	// lostPollDelay is the time after a version from another node after which the store's response to the poll that was in
 	// progress counts as lost.
 	lostPollDelay = time.Second
-	// linkChangeDelay is the time in which several links may change before the frequent pollers are determined again.
-	linkChangeDelay = 50 * time.Millisecond
+	// pollersChangeDelay is the time in which several links and states may change before the frequent pollers are determined
+	// again.
+	pollersChangeDelay = 50 * time.Millisecond
 )
 
 // errPollEnded is the cause of the end of a poll that this node has ended to send another one.
@@ -102,11 +103,10 @@
 // watchRouting applies new routing versions from the store until ctx ends.
 func (n *Node) watchRouting(ctx context.Context) {
 	var revision uint64
-	failed := false
 	retryBackoff := newBackoff()
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
-		document, next, err := n.pollRouting(ctx, revision, failed)
+		document, next, err := n.pollRouting(ctx, revision)
 		switch {
 		case errors.Is(err, errPollEnded):
 			continue
@@ -116,14 +116,14 @@
 			continue
 		case err != nil:
 			n.logStoreFailure(ctx, "routing", err)
-			failed = true
+			n.setStoreFailing(true)
 			if time.Since(requestedAt) < maxStoreBackoff { // a request that timed out needs no further delay
 				retryBackoff.wait(ctx)
 			}
 			continue
 		}
 		n.logStoreRecovery("routing")
-		failed = false
+		n.setStoreFailing(false)
 		retryBackoff = newBackoff()
 		revision = next
 		if document != nil {
@@ -141,13 +141,13 @@
 
 // pollRouting reads the current routing document when revision is 0 and otherwise waits for a change after the revision. The error
 // is errPollEnded when another poll must be sent at once.
-func (n *Node) pollRouting(ctx context.Context, revision uint64, failed bool) ([]byte, uint64, error) {
+func (n *Node) pollRouting(ctx context.Context, revision uint64) ([]byte, uint64, error) {
 	if revision == 0 {
 		return n.store.Routing(ctx)
 	}
 	ctx = n.poll.begin(ctx, revision)
 	defer n.poll.finish()
-	wait := pollWait(n.peers.InSubset(frequentPollers), failed)
+	wait := pollWait(n.peers.InSubset(frequentPollers), n.storeFailing.Load())
 	n.poll.setWait(wait)
 	document, next, err := n.store.AwaitRouting(ctx, revision, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errPollEnded) {
@@ -156,6 +156,14 @@
 	return document, next, err
 }
 
+// setStoreFailing records whether the latest call for changes has failed. Other nodes are told of a change, since those whose calls
+// fail are no frequent pollers for them.
+func (n *Node) setStoreFailing(failing bool) {
+	if n.storeFailing.Swap(failing) != failing {
+		go n.broadcastState()
+	}
+}
+
 // pollWait returns the wait time of a poll for changes. After a failed one it is short, since the store may still be unresponsive.
 func pollWait(frequent, failed bool) time.Duration {
 	if frequent || failed {
@@ -170,19 +178,19 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-n.linksChanged:
+		case <-n.pollersChanged:
 		}
-		sleep(ctx, linkChangeDelay)
+		sleep(ctx, pollersChangeDelay)
 		if n.peers.InSubset(frequentPollers) {
 			n.poll.shorten()
 		}
 	}
 }
 
-// signalLinksChanged wakes watchPollers.
-func (n *Node) signalLinksChanged() {
+// signalPollersChanged wakes watchPollers.
+func (n *Node) signalPollersChanged() {
 	select {
-	case n.linksChanged <- struct{}{}:
+	case n.pollersChanged <- struct{}{}:
 	default: // it is about to wake
 	}
 }
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -42,7 +42,7 @@
 	if err := n.listen(ctx); err != nil {
 		return err
 	}
-	n.peers.SetLocal(n.State())
+	n.setLocalState()
 	go n.watchRouting(ctx)
 	go n.watchPollers(ctx)
 	go n.maintainMembership(ctx)
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -45,13 +45,15 @@
 	metrics metrics.Registry
 	knees   knees
 	poll    routingPoll
-	// linksChanged receives when a link to another node was established or lost.
-	linksChanged chan struct{}
-	callers      atomic.Pointer[ingress.Server] // nil before the node listens
-	closers      []func()                       // close the listeners; set by listen
+	// pollersChanged receives when this node may have become one of the frequent pollers.
+	pollersChanged chan struct{}
+	callers        atomic.Pointer[ingress.Server] // nil before the node listens
+	closers        []func()                       // close the listeners; set by listen
 
 	stopping       atomic.Bool // readiness is withdrawn
 	stoppedServing atomic.Bool // this node accepts no more calls for the backend server
+	localState     sync.Mutex  // held while this node's state is set in its peer set
+	storeFailing   atomic.Bool // the latest call for routing changes has failed
 	activeCalls    atomic.Int64
 	failingCalls   sync.Map // name of a call to the store -> true while that call fails
 }
@@ -59,7 +61,7 @@
 // New returns a node that runs until ctx ends.
 func New(ctx context.Context, c Config, adapter Adapter, log Log) *Node {
 	n := &Node{ctx: ctx, adapter: adapter, store: adapter.Store(), log: log, routing: &routing.Holder{}, metrics: metrics.NewRegistry()}
-	n.linksChanged = make(chan struct{}, 1)
+	n.pollersChanged = make(chan struct{}, 1)
 	n.config.Store(&c)
 	memory := membudget.New(bodyBytes(c.MemoryBytes))
 	n.server = localserver.New(localserver.Config{
@@ -76,7 +78,7 @@
 	n.peers = peers.New(ctx, peers.Config{
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
 		LocalVersion: n.routing.Number, Memory: memory, Log: log,
-		Routing: n.applyPeerRouting, LinksChanged: n.signalLinksChanged,
+		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
 	})
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
@@ -143,10 +145,17 @@
 
 // broadcastState updates the state of this node in its own peer set and sends it to the other nodes.
 func (n *Node) broadcastState() {
-	n.peers.SetLocal(n.State())
+	n.setLocalState()
 	n.links.Broadcast()
 }
 
+// setLocalState updates the state of this node in its own peer set. The lock keeps an older state from replacing a newer one.
+func (n *Node) setLocalState() {
+	n.localState.Lock()
+	defer n.localState.Unlock()
+	n.peers.SetLocal(n.State())
+}
+
 // applyPeerRouting applies the routing version of a document from another node. If it is new here, the store's response to the
 // poll that is in progress should have brought it.
 func (n *Node) applyPeerRouting(peer string, document []byte) {
@@ -187,7 +196,7 @@
 		Node: c.Name, Place: c.Place, Service: status.Service, ServerId: status.ID, Slots: uint32(max(status.Slots, 0)),
 		Ready: status.Ready && !n.stoppedServing.Load(), ColdMs: uint32(status.WarmUpLeft.Milliseconds()), Load: n.server.Load(),
 		Knee: uint32(n.server.Knee()), StartedMs: uint64(max(status.StartedAtMs, 0)),
-		Leaving: status.Leaving(),
+		Leaving: status.Leaving(), StoreFailing: n.storeFailing.Load(),
 	}
 }
 
