--- a/node/process/sidecar/config.go
+++ b/node/process/sidecar/config.go
@@ -87,6 +87,8 @@
 	// Knees holds, for each kind of server for which it was found, the number of calls in progress above which throughput
 	// falls. It is stored so that the knees survive a restart of all nodes.
 	Knees map[ServerKind]int
+	// InvalidRows is the number of rows that name neither. Other programs may write to the table.
+	InvalidRows int
 }
 
 // Adapter translates between the node and the names and formats of a deployment.
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -74,6 +74,9 @@
 	if err != nil {
 		return err
 	}
+	if n.invalidRows.Swap(int64(fleet.InvalidRows)) != int64(fleet.InvalidRows) {
+		n.log.Warn("store has invalid rows beside the members", "rows", fleet.InvalidRows)
+	}
 	addresses := make([]string, 0, len(fleet.Members))
 	for address := range fleet.Members {
 		addresses = append(addresses, address)
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -55,7 +55,8 @@
 	localState     sync.Mutex  // held while this node's state is set in its peer set
 	storeFailing   atomic.Bool // the latest call for routing changes has failed
 	activeCalls    atomic.Int64
-	failingCalls   sync.Map // name of a call to the store -> true while that call fails
+	invalidRows    atomic.Int64 // in the latest reading of the members
+	failingCalls   sync.Map     // name of a call to the store -> true while that call fails
 }
 
 // New returns a node that runs until ctx ends.
