membership: replace a registration that cannot be decoded

Change: such a row is logged and replaced, with an incarnation above its own and under the condition that it is unchanged.

Test: TestInvalidRegistrationIsReplaced, 4 of 5 cases failed before; passes.

Only suspected: a row without the number of its incarnation is taken for an absent one, so that the write's condition fails.

--- a/node/process/membership/failure_test.go
+++ b/node/process/membership/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -206,6 +207,33 @@
 	}
 }
 
+// Guards against a node that never registers because another program has written its row.
+func TestInvalidRegistrationIsReplaced(t *testing.T) {
+	for name, data := range map[string]string{
+		"not JSON":        "\xff",
+		"another type":    `{"registration": 7}`,
+		"deeply nested":   `{"place": ` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+		"nothing":         "",
+		"unknown members": `{"port": 99999}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, func(t *testing.T, c *cluster) {
+				nodes := c.launch(3, "a")
+				c.waitJoined(nodes)
+				address := nodes[1].cfg.Address
+				c.kill(nodes[1])
+				item, err := c.store.Get(t.Context(), rowKey(address))
+				require.NoError(t, err)
+				item.Data = []byte(data)
+				require.NoError(t, c.store.Transact(t.Context(), platform.Write{Kind: platform.Put, Item: item}))
+				nodes[1] = c.start(address, "a")
+				c.eventually(time.Minute, "register", func() bool { return nodes[1].Dump().Registered })
+				require.Greater(t, nodes[1].Self().Incarnation, uint64(item.Numbers[numberIncarnation]))
+			})
+		})
+	}
+}
+
 // Guards against a provisional incarnation that collides with the stored one, which may be lower, equal or higher.
 func TestProvisionalIncarnationIsReconciled(t *testing.T) {
 	for name, stored := range map[string]int64{"the table is behind": 1, "the table is equal": 4, "the table is ahead": 9} {
--- a/node/process/membership/register.go
+++ b/node/process/membership/register.go
@@ -170,8 +170,9 @@
 		return platform.Item{}, row{}, fmt.Errorf("read registration: %w", err)
 	}
 	var r row
-	if err := json.Unmarshal(item.Data, &r); err != nil {
-		return platform.Item{}, row{}, fmt.Errorf("registration of %s is not JSON: %w", m.cfg.Address, err)
+	if err := json.Unmarshal(item.Data, &r); err != nil { // not written by a node, so it is replaced
+		m.log.Warn("invalid registration", "address", m.cfg.Address, "error", err)
+		return item, row{}, nil
 	}
 	return item, r, nil
 }
