backend: take no second refusal without an id for an answer

What callers would see: 'not run, try again' for a call that the server is running.

Cause: an answer without an id is accepted, since servers need not name the attempt. So the second copy of a refusal was taken for the answer to the next call on the connection.

Change: a connection is closed behind a failure without an id, and of two such failures on one connection the second is reported as broken: whether the call ran is not known.

Test: TestSecondCopyOfARefusalWithoutIDIsNotTheAnswerToTheNextCall failed before (503 instead of the answer); passes.

Cost: a new connection for each refusal of a server that does not name attempts.

--- a/node/connection/backend/client.go
+++ b/node/connection/backend/client.go
@@ -32,7 +32,7 @@
 var ErrUnframed = errors.New("backend: answer has neither Content-Length nor chunked encoding")
 
 // ErrForeignAnswer reports that an answer carries the id of another attempt, such as a late second copy of an earlier answer on
-// the same connection.
+// the same connection, or that it may be such a copy since neither of two failures on the connection carries an id.
 var ErrForeignAnswer = errors.New("backend: answer to another attempt")
 
 // Client sends calls to one backend server. It is safe for concurrent use.
@@ -92,20 +92,39 @@
 		_ = response.Body.Close()
 		return nil, &attempt.Broken{Kind: attempt.KindTruncated, Cause: ErrUnframed}
 	}
-	if id := response.Header.Get(contract.HeaderContext); id != "" && id != r.AttemptID {
+	id := response.Header.Get(contract.HeaderContext)
+	anonymousFailure := id == "" && response.StatusCode >= http.StatusBadRequest
+	if id != "" && id != r.AttemptID || anonymousFailure && tracker.recordAnonymousFailure() {
 		tracker.close()
 		_ = response.Body.Close()
 		return nil, &attempt.Broken{Kind: attempt.KindBroken, Cause: ErrForeignAnswer}
 	}
 	response.Header.Del(contract.HeaderContext)
+	rest := response.Body
+	if anonymousFailure {
+		rest = &lastBody{ReadCloser: rest, closeConn: tracker.close}
+	}
 	return &attempt.Answer{
 		Status:        response.StatusCode,
 		Header:        response.Header,
 		ContentLength: response.ContentLength,
-		Rest:          response.Body,
+		Rest:          rest,
 	}, nil
 }
 
+// lastBody is the body of the last answer on its connection, which is closed with it.
+type lastBody struct {
+	io.ReadCloser
+	closeConn func()
+}
+
+// Close implements io.Closer.
+func (b *lastBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.closeConn()
+	return err
+}
+
 // notSentReason returns the reason why a request of which no byte was written has failed.
 func notSentReason(ctx context.Context) attempt.Reason {
 	if ctx.Err() != nil {
@@ -170,6 +189,14 @@
 	return t.conn != nil && t.conn.bytesWritten() != t.writtenBefore
 }
 
+// recordAnonymousFailure records that a failure without an id was received, and reports whether it is not the first one on its
+// connection, so that it may be a second copy.
+func (t *connTracker) recordAnonymousFailure() (again bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn != nil && t.conn.anonymousFailure.Swap(true)
+}
+
 func (t *connTracker) close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/node/connection/backend/client_test.go
+++ b/node/connection/backend/client_test.go
@@ -89,6 +89,35 @@
 	third.Close()
 }
 
+// Guards against a refusal without an id that the server writes once more on a kept connection, and that is taken for the answer to
+// the next call: the caller is told that a call has not run which the server has run.
+func TestSecondCopyOfARefusalWithoutIDIsNotTheAnswerToTheNextCall(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+	address := startRaw(t, func(n int, r *http.Request, conn net.Conn) error {
+		text := answer(r.Header.Get(contract.HeaderContext))
+		switch {
+		case r.Header.Get(contract.HeaderContext) == "a":
+			text = refusal
+		case n > 1:
+			text = refusal + text // the copy arrives when the next request has been sent
+		}
+		_, err := io.WriteString(conn, text)
+		return err
+	})
+	client := backend.New(address, 1)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	first, err := client.Send(ctx, request("a"))
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, first.Status)
+	first.Close()
+	second, err := client.Send(ctx, request("b"))
+	require.NoError(t, err)
+	defer second.Close()
+	assert.Equal(t, http.StatusOK, second.Status)
+}
+
 // Guards against a server whose answer has no end and takes all memory of the host.
 func TestHeadWithoutEndIsBrokenOffWithLittleMemory(t *testing.T) {
 	const maxAllocated = 8 << 20 // bytes
@@ -121,3 +150,29 @@
 		})
 	}
 }
+
+// Guards against an answer whose head is cut short and that is passed on as a whole one with an empty or a short body.
+func TestAnswerCutAnywhereInItsHeadIsBroken(t *testing.T) {
+	for name, whole := range map[string]string{
+		"a length":  "HTTP/1.1 200 OK\r\n" + contract.HeaderContext + ": a\r\nContent-Length: 10\r\n\r\n",
+		"chunks":    "HTTP/1.1 200 OK\r\n" + contract.HeaderContext + ": a\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"no length": "HTTP/1.1 200 OK\r\n" + contract.HeaderContext + ": a\r\nConnection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for cut := range len(whole) + 1 {
+				address := startRaw(t, func(_ int, _ *http.Request, conn net.Conn) error {
+					_, _ = io.WriteString(conn, whole[:cut])
+					return io.EOF
+				})
+				client := backend.New(address, 1)
+				answer, err := client.Send(t.Context(), request("a"))
+				if err == nil { // the head is whole
+					_, err = io.Copy(io.Discard, answer.Rest)
+					answer.Close()
+				}
+				require.Error(t, err, "cut after %q", whole[:cut])
+				client.Close()
+			}
+		})
+	}
+}
--- a/node/connection/backend/conn.go
+++ b/node/connection/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // countingConn counts the bytes written, which shows whether a failed request may have reached the server. The count no
@@ -12,6 +13,8 @@
 	mu      sync.Mutex
 	written int64
 	closed  bool
+	// anonymousFailure is set when a failure without an id was received: a second copy of it may follow.
+	anonymousFailure atomic.Bool
 }
 
 func (c *countingConn) Write(p []byte) (int, error) {
