ingress: close a connection whose response was written just when the stop began

What callers saw: nothing; a node that was stopped waited for up to the idle timeout of such a connection, that is until the end of its grace period.

Cause: a stop marks a connection with a response that is not yet off the queue as having read its last request. The end of that write then set the read deadline to 'now', and the next line set it back to the idle timeout. The second way: the mark was set between the reading of a request and the wait for the next one, which did not look at it.

Change: both places look at the mark.

--- a/node/connection/ingress/connection.go
+++ b/node/connection/ingress/connection.go
@@ -108,7 +108,7 @@
 	for len(c.queue) >= maxPipelined && !c.closing {
 		c.changed.Wait()
 	}
-	if c.closing {
+	if c.closing || c.last {
 		return false
 	}
 	c.waiting = true
@@ -296,7 +296,7 @@
 		c.writeFirst()
 	}
 	c.writing = false
-	if c.waiting && len(c.queue) == 0 && !c.closing {
+	if c.waiting && len(c.queue) == 0 && !c.closing && !c.last {
 		_ = c.conn.SetReadDeadline(time.Now().Add(c.limits.IdleTimeout))
 	}
 }
--- a/node/connection/ingress/ingress_test.go
+++ b/node/connection/ingress/ingress_test.go
@@ -270,6 +270,19 @@
 	assert.Equal(t, "closed", f.next(t))
 }
 
+// Guards against a stop that waits for the idle timeout of a connection whose response was written just when the stop began.
+func TestShutdownRightAfterAResponseClosesTheConnection(t *testing.T) {
+	for range 500 {
+		f := start(t)
+		f.send(t, "GET /1")
+		assert.Equal(t, "GET /1 0", f.next(t))
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+		f.server.Shutdown(ctx)
+		require.NoError(t, ctx.Err())
+		cancel()
+	}
+}
+
 // Guards against bodies that are parsed as requests and requests that are lost behind a body.
 func TestBodiesAreReadExactly(t *testing.T) {
 	f := start(t)
