front: find the route by the path that the server gets

A prefix that holds an escape was never found.

Weighed: normalizing both sides (escapes, dots, double slashes). So the bytes of the request line decide, in one place (node/request/requesturi), which also drops scheme and authority of the absolute form before the request is sent.

--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -75,7 +75,7 @@
 		objective: now.Add(a.route.Objective), deadline: now.Add(a.timeout),
 		timeout: a.timeout, arrivedBoot: boottime.Now(),
 		message: &linkpb.Call{
-			Method: r.Method, Target: r.RequestURI, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header), Body: body,
+			Method: r.Method, Target: a.target.Raw, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header), Body: body,
 			Rank: uint32(max(a.route.Rank, 0)), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
 			Nested: h.isNested(a.id),
 		},
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/budget"
 	"github.com/radishstand/radishstand/node/process/peers"
+	"github.com/radishstand/radishstand/node/request/requesturi"
 	"github.com/radishstand/radishstand/node/version/routing"
 )
 
@@ -112,6 +113,7 @@
 type accepted struct {
 	version *routing.Version
 	route   *routing.Route
+	target  requesturi.URI
 	id      string
 	timeout time.Duration
 }
@@ -129,7 +131,11 @@
 	if a.id == "" || len(r.Header.Values(h.config.Names.ID)) > 1 {
 		return a, &problem{status: http.StatusBadRequest, cause: "no request id"}
 	}
-	if a.route = a.version.Match(r.Host, r.URL.Path); a.route == nil {
+	var err error
+	if a.target, err = requesturi.Parse(r.RequestURI); err == nil {
+		a.route = a.version.Match(r.Host, a.target.Path)
+	}
+	if a.route == nil {
 		return a, &problem{status: http.StatusNotFound, cause: "no route"}
 	}
 	a.timeout = a.route.Timeout
