entry, backend: find the service by the path that the server gets, and send that path unchanged

Change: entry uses node/request/requesturi too; the client sends the target as it is, and refuses before sending the one form that net/http cannot send unchanged.

--- a/node/connection/backend/client.go
+++ b/node/connection/backend/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -133,12 +134,30 @@
 	return attempt.ReasonUnreachable
 }
 
+// errTarget reports a target that net/http cannot send as it is.
+var errTarget = errors.New("backend: target cannot be sent unchanged")
+
+// targetURL returns a URL that net/http sends as the given target. It encodes some characters of a parsed path again, and takes an
+// opaque one that begins with two slashes for an authority.
+func (c *Client) targetURL(target string) (*url.URL, error) {
+	parsed, err := url.ParseRequestURI(target)
+	switch {
+	case err != nil:
+		return nil, err
+	case parsed.RequestURI() == target:
+		parsed.Scheme, parsed.Host = "http", c.address
+		return parsed, nil
+	case strings.HasPrefix(target, "//"):
+		return nil, errTarget
+	}
+	return &url.URL{Scheme: "http", Host: c.address, Opaque: target}, nil
+}
+
 func (c *Client) request(ctx context.Context, r *attempt.Request) (*http.Request, error) {
-	target, err := url.ParseRequestURI(r.Target)
+	target, err := c.targetURL(r.Target)
 	if err != nil {
 		return nil, err
 	}
-	target.Scheme, target.Host = "http", c.address
 	request := &http.Request{
 		Method: r.Method, URL: target, Host: r.Host, Header: r.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/node/connection/backend/client_test.go
+++ b/node/connection/backend/client_test.go
@@ -118,6 +118,34 @@
 	assert.Equal(t, http.StatusOK, second.Status)
 }
 
+// Guards against a target that the server gets in another form than the one by which its service was chosen.
+func TestTargetIsSentAsItIs(t *testing.T) {
+	for sent, want := range map[string]string{
+		"/a%2Fb?c=%20d": "/a%2Fb?c=%20d", "/a|b": "/a|b", `/a"b`: `/a"b`, "/a%7cb": "/a%7cb", "/a;v=1/../b": "/a;v=1/../b", "/a?": "/a?",
+		"//a//b": "//a//b", "/a?b?c": "/a?b?c",
+	} {
+		received := make(chan string, 1)
+		address := startRaw(t, func(_ int, r *http.Request, conn net.Conn) error {
+			received <- r.RequestURI
+			_, err := io.WriteString(conn, answer(r.Header.Get(contract.HeaderContext)))
+			return err
+		})
+		client := backend.New(address, 1)
+		r := request("a")
+		r.Target = sent
+		a, err := client.Send(t.Context(), r)
+		require.NoError(t, err, sent)
+		a.Close()
+		assert.Equal(t, want, <-received)
+		client.Close()
+	}
+	r := request("a")
+	r.Target = "//a|b"
+	_, err := backend.New("127.0.0.1:1", 1).Send(t.Context(), r)
+	var notRun *attempt.NotRun
+	assert.ErrorAs(t, err, &notRun, "it cannot be sent unchanged")
+}
+
 // Guards against a server whose answer has no end and takes all memory of the host.
 func TestHeadWithoutEndIsBrokenOffWithLittleMemory(t *testing.T) {
 	const maxAllocated = 8 << 20 // bytes
--- a/node/request/entry/call.go
+++ b/node/request/entry/call.go
@@ -15,6 +15,7 @@
 	"github.com/radishstand/radishstand/api/contract"
 	"github.com/radishstand/radishstand/api/settings"
 	"github.com/radishstand/radishstand/node/request/attempt"
+	"github.com/radishstand/radishstand/node/request/requesturi"
 	"github.com/radishstand/radishstand/node/version/current"
 )
 
@@ -47,7 +48,7 @@
 	parent string
 	key    string
 	method string
-	target string
+	target requesturi.URI
 	host   string
 	header http.Header
 	body   []byte
@@ -71,10 +72,14 @@
 
 // newCall validates a request and reads its body. The refusal is nil or has the outcome not-run.
 func (h *Handler) newCall(w http.ResponseWriter, r *http.Request, trusted bool) (*call, *refusal) {
-	c := &call{id: uuid.NewString(), started: h.Now(), method: r.Method, host: r.Host, target: r.URL.RequestURI()}
+	c := &call{id: uuid.NewString(), started: h.Now(), method: r.Method, host: r.Host}
 	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
 		return c, notRun(http.StatusNotImplemented, "CONNECT and protocol upgrades are not supported")
 	}
+	var err error
+	if c.target, err = requesturi.Parse(r.RequestURI); err != nil {
+		return c, notRun(http.StatusNotFound, "%v", err)
+	}
 	snapshot := h.Settings.Current()
 	if snapshot == nil {
 		return c, notRun(http.StatusServiceUnavailable, "this node does not know the settings yet")
@@ -98,7 +103,7 @@
 
 // resolveService finds the service of a request and its settings.
 func (c *call) resolveService(r *http.Request, snapshot *current.Snapshot) *refusal {
-	service, ok := snapshot.Match(r.Host, r.URL.Path, r.Header.Get(contract.HeaderService))
+	service, ok := snapshot.Match(r.Host, c.target.Path, r.Header.Get(contract.HeaderService))
 	if !ok {
 		return notRun(http.StatusNotFound, "no service matches this host, path and header")
 	}
@@ -139,7 +144,7 @@
 	c.idempotent = slices.Contains(c.values.Call.IdempotentMethods, r.Method)
 	c.class = contract.Class(c.values.Call.Class)
 	for _, rule := range c.values.Call.Rules {
-		if (rule.Method == "" || rule.Method == r.Method) && strings.HasPrefix(r.URL.Path, rule.PathPrefix) {
+		if (rule.Method == "" || rule.Method == r.Method) && strings.HasPrefix(c.target.Path, rule.PathPrefix) {
 			c.class = rule.Class
 			break
 		}
@@ -197,7 +202,7 @@
 func (c *call) request(serverID string, remaining time.Duration, allowance int) *attempt.Request {
 	return &attempt.Request{
 		AttemptID: uuid.NewString(), CallID: c.id, Service: c.service, ServerID: serverID,
-		Method: c.method, Target: c.target, Host: c.host, Header: c.header, Body: c.body,
+		Method: c.method, Target: c.target.Raw, Host: c.host, Header: c.header, Body: c.body,
 		Timeout: remaining, Idempotent: c.idempotent, Class: c.class,
 		RetryAllowance: allowance, Depth: c.depth, SettingsVersion: c.version,
 	}
--- a/node/request/entry/keyed.go
+++ b/node/request/entry/keyed.go
@@ -54,7 +54,7 @@
 		return ledger.ClaimResult{}, ledgerRefusal(ledger.ErrUncertain)
 	}
 	claim := ledger.Claim{
-		Key: c.ledgerKey(), Body: ledger.HashOf([]byte(c.method), []byte(c.target), c.body),
+		Key: c.ledgerKey(), Body: ledger.HashOf([]byte(c.method), []byte(c.target.Raw), c.body),
 		CallID: c.claimID, Timeout: c.deadline.Sub(h.Now()),
 	}
 	waitLeft := c.deadline.Sub(h.Now()) / 2
