link: carry header values as bytes, and end a call at once whose answer cannot be encoded

Cause: header values were protobuf strings, which must be UTF-8. The encoder's error on the way back was dropped, since only a failed write was expected there, and that closes the connection; on the way out it was taken for a link that broke behind the call.

Change: header values are bytes (the same on the wire). An EncodeError says that nothing was written: a call is then not sent, and an answer is replaced by the report that the call may have run. A frame that is longer than the other node accepts is such an error too. Frames of the link itself close it on any error. The cause of a broken call may quote bytes of the server and is made valid. An id, a target or a host that is not UTF-8 is answered 400 before anything is sent.

Two builds in one fleet: nodes say that they read such values (raw_headers); to an earlier build they are not sent, since it would close the link: a call goes to another node, an answer becomes 502.

--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -87,7 +87,7 @@
 
 // RequestRouting requests the current routing document of the node. The answer is passed to Events.Routing.
 func (c *Client) RequestRouting() {
-	_ = c.conn.write(&linkpb.Frame{Body: &linkpb.Frame_RoutingRequest{RoutingRequest: &linkpb.RoutingRequest{}}})
+	c.conn.writeOrClose(&linkpb.Frame{Body: &linkpb.Frame_RoutingRequest{RoutingRequest: &linkpb.RoutingRequest{}}})
 }
 
 // probe sends a ping to a node that has sent no frame for suspectTimeout, and closes the link when a ping has been
@@ -105,7 +105,7 @@
 		return
 	}
 	if c.pingSent.CompareAndSwap(0, now.UnixNano()) {
-		_ = c.conn.write(&linkpb.Frame{Body: &linkpb.Frame_Ping{Ping: &linkpb.Ping{}}})
+		c.conn.writeOrClose(&linkpb.Frame{Body: &linkpb.Frame_Ping{Ping: &linkpb.Ping{}}})
 	}
 }
 
@@ -130,6 +130,7 @@
 	switch body := f.Body.(type) {
 	case *linkpb.Frame_State:
 		c.session.resumes.Store(body.State.Resumes)
+		c.conn.rawHeaders.Store(body.State.RawHeaders)
 		c.events.State(body.State)
 	case *linkpb.Frame_Routing:
 		c.events.Routing(body.Routing.Document)
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -13,9 +13,12 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
 
@@ -42,11 +45,27 @@
 // ErrClosed reports that the link is closed.
 var ErrClosed = errors.New("link closed")
 
+// EncodeError reports a frame that cannot be sent to the other node. Nothing of it was written, and the link stays open.
+type EncodeError struct{ Cause error }
+
+func (e *EncodeError) Error() string { return "frame cannot be encoded: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *EncodeError) Unwrap() error { return e.Cause }
+
+// Causes of an EncodeError besides those of the encoder.
+var (
+	errFrameTooLong = fmt.Errorf("longer than %d bytes", maxFrameBytes)
+	errRawHeaders   = errors.New("header value is not UTF-8, and the other node does not read it")
+)
+
 // framedConn reads and writes frames on a connection. Writes are safe for concurrent use.
 type framedConn struct {
 	conn   net.Conn
 	reader *bufio.Reader
 	memory *membudget.Budget
+	// rawHeaders is set when the other node reads header values that are not UTF-8.
+	rawHeaders atomic.Bool
 
 	mu     sync.Mutex
 	buffer []byte
@@ -58,8 +77,11 @@
 }
 
 // write sends a frame. After a failed write it closes the connection and writes nothing more, so that the other node either
-// reads a frame whole or does not read it.
+// reads a frame whole or does not read it. The error is an *EncodeError when the frame cannot be sent at all.
 func (c *framedConn) write(f *linkpb.Frame) error {
+	if !c.rawHeaders.Load() && hasRawHeaders(f) {
+		return &EncodeError{Cause: errRawHeaders}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil { // nothing of this frame is written
@@ -67,7 +89,10 @@
 	}
 	encoded, err := proto.MarshalOptions{}.MarshalAppend(append(c.buffer[:0], 0, 0, 0, 0), f)
 	if err != nil {
-		return fmt.Errorf("encode frame: %w", err)
+		return &EncodeError{Cause: err}
+	}
+	if len(encoded)-headerBytes > maxFrameBytes {
+		return &EncodeError{Cause: errFrameTooLong}
 	}
 	binary.BigEndian.PutUint32(encoded, uint32(len(encoded)-headerBytes))
 	if cap(encoded) <= maxRetainedBufferBytes {
@@ -82,6 +107,20 @@
 	return nil
 }
 
+// writeOrClose sends a frame of the link itself, which belongs to no call that could be told of an error. After any error the
+// connection is closed, which both nodes notice.
+func (c *framedConn) writeOrClose(f *linkpb.Frame) {
+	if err := c.write(f); err != nil {
+		c.close()
+	}
+}
+
+// hasRawHeaders reports whether a header value in a frame is not UTF-8.
+func hasRawHeaders(f *linkpb.Frame) bool {
+	isRaw := func(h *linkpb.Header) bool { return !utf8.Valid(h.Value) }
+	return slices.ContainsFunc(f.GetCall().GetHeader(), isRaw) || slices.ContainsFunc(f.GetAnswer().GetHeader(), isRaw)
+}
+
 // read returns the next frame. It fails on a frame that is longer than maxFrameBytes, finds no memory or cannot be decoded.
 func (c *framedConn) read() (*linkpb.Frame, error) {
 	var header [headerBytes]byte
--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"io"
 	"net"
 	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -35,7 +40,11 @@
 		<-ctx.Done()
 		close(h.cancelled)
 	}
-	reply(&linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: &linkpb.Answer{Status: 200, Body: []byte(call.Target)}}})
+	answer := &linkpb.Answer{Status: 200, Body: []byte(call.Target), Header: call.Header}
+	if call.Target == "/unencodable" {
+		answer.Header = []*linkpb.Header{{Name: "\xff"}}
+	}
+	reply(&linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: answer}})
 }
 
 func (h *handler) Leaving(*linkpb.Leaving) {}
@@ -213,6 +222,85 @@
 	require.Eventually(t, func() bool { return <-received.versions == 7 }, time.Second, time.Millisecond)
 }
 
+// Guards against calls and answers that never arrive because a header value holds bytes which are not UTF-8, as HTTP allows.
+func TestHeaderValuesAreBytes(t *testing.T) {
+	_, _, client, received := start(t)
+	<-received.states
+	value := []byte("caf\xe9")
+	f, err := client.Do(t.Context(), &linkpb.Call{Target: "/x", Header: []*linkpb.Header{{Name: "X", Value: value}}})
+	require.NoError(t, err)
+	require.Len(t, f.GetAnswer().GetHeader(), 1)
+	assert.Equal(t, value, f.GetAnswer().Header[0].Value)
+}
+
+// Guards against a call that waits until its deadline because its answer cannot be encoded. It may have run.
+func TestAnswerThatCannotBeEncodedEndsItsCallAtOnce(t *testing.T) {
+	_, _, client, received := start(t)
+	<-received.states
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	f, err := client.Do(ctx, &linkpb.Call{Target: "/unencodable"})
+	require.NoError(t, err)
+	assert.Contains(t, f.GetBroken().GetCause(), "cannot be encoded")
+	_, err = client.Do(ctx, &linkpb.Call{Target: "/x"})
+	assert.NoError(t, err, "the link must stay open")
+}
+
+// Guards against a call that is taken for one that may have run, although it cannot be encoded and nothing of it was sent.
+func TestCallThatCannotBeEncodedIsNotSent(t *testing.T) {
+	_, _, client, received := start(t)
+	<-received.states
+	var notSent *link.NotSentError
+	var encode *link.EncodeError
+	_, err := client.Do(t.Context(), &linkpb.Call{Target: "\xff"})
+	assert.ErrorAs(t, err, &notSent)
+	assert.ErrorAs(t, err, &encode)
+	_, err = client.Do(t.Context(), &linkpb.Call{Target: "/x"})
+	assert.NoError(t, err, "the link must stay open")
+}
+
+// Guards against a link that a node of an earlier build closes because it cannot decode a header value.
+func TestBytesAreNotSentToANodeThatReadsOnlyText(t *testing.T) {
+	listener := listen(t)
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_, _ = io.Copy(io.Discard, conn) // its state has not arrived, or does not say that it reads them
+		}
+	}()
+	client := dial(t, listener.Addr().String(), newEvents().link())
+	var notSent *link.NotSentError
+	_, err := client.Do(t.Context(), &linkpb.Call{Target: "/x", Header: []*linkpb.Header{{Name: "X", Value: []byte("caf\xe9")}}})
+	assert.ErrorAs(t, err, &notSent)
+}
+
+// Guards against an error of a write that nobody handles: a call would wait for its deadline.
+func TestNoErrorOfAWriteIsIgnored(t *testing.T) {
+	sources, err := filepath.Glob("*.go")
+	require.NoError(t, err)
+	for _, name := range sources {
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		require.NoError(t, err)
+		ast.Inspect(file, func(n ast.Node) bool {
+			var call ast.Expr
+			switch n := n.(type) {
+			case *ast.ExprStmt:
+				call = n.X
+			case *ast.AssignStmt:
+				if id, ok := n.Lhs[0].(*ast.Ident); ok && id.Name == "_" && len(n.Lhs) == 1 {
+					call = n.Rhs[0]
+				}
+			}
+			if c, ok := call.(*ast.CallExpr); ok {
+				if method, ok := c.Fun.(*ast.SelectorExpr); ok && !strings.HasSuffix(name, "_test.go") {
+					assert.NotContains(t, []string{"write", "Write"}, method.Sel.Name, name)
+				}
+			}
+			return true
+		})
+	}
+}
+
 // Guards against a frame length that makes the node allocate memory for data that is not sent.
 func TestTooLongOrUnreadableFrameClosesLink(t *testing.T) {
 	for name, bytes := range map[string][]byte{"too long": {0xff, 0xff, 0xff, 0xff}, "too long for the memory": {4, 0, 0, 0}, "unreadable": {0, 0, 0, 2, 0xff, 0xff}} {
--- a/node/connection/link/served.go
+++ b/node/connection/link/served.go
@@ -157,7 +157,7 @@
 	link := s.link
 	s.mu.Unlock()
 	if link != nil {
-		link.send(result)
+		link.sendResult(result)
 	}
 }
 
@@ -205,7 +205,7 @@
 		case call == nil && known:
 			results = append(results, notReceived(stream))
 		case call == nil || call.finished && call.result == nil:
-			results = append(results, resultUnknown(stream))
+			results = append(results, brokenResult(stream, "link broken and result not known"))
 		case call.finished:
 			results = append(results, call.result)
 		}
@@ -213,7 +213,7 @@
 	s.cancelIdempotent(keep)
 	s.mu.Unlock()
 	for _, result := range results {
-		l.send(result)
+		l.sendResult(result)
 	}
 }
 
@@ -222,6 +222,7 @@
 	return &linkpb.Frame{Stream: stream, Body: &linkpb.Frame_Refusal{Refusal: refusal}}
 }
 
-func resultUnknown(stream uint64) *linkpb.Frame {
-	return &linkpb.Frame{Stream: stream, Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: "link broken and result not known"}}}
+// brokenResult returns the result of a call that may have run and has no answer.
+func brokenResult(stream uint64, cause string) *linkpb.Frame {
+	return &linkpb.Frame{Stream: stream, Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: cause}}}
 }
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -91,7 +92,7 @@
 // state returns the state of this node with the capabilities of its links.
 func (s *Server) state() *linkpb.State {
 	state := s.handler.State()
-	state.Resumes = true
+	state.Resumes, state.RawHeaders = true, true
 	return state
 }
 
@@ -233,12 +234,28 @@
 		l.known = l.server.openSession(hello.Session, l)
 	}
 	l.address = hello.Address
+	l.conn.rawHeaders.Store(hello.RawHeaders)
 	l.server.handler.Hello(hello)
 	l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: l.server.state()}})
 }
 
-// send writes a frame with the current routing version. The frame itself is not changed, since a retained result may be sent on
-// two links. The error is ignored: a failed write closes the connection, which the other node detects.
+// send writes a frame of the link itself with the current routing version.
 func (l *serverLink) send(f *linkpb.Frame) {
-	_ = l.conn.write(&linkpb.Frame{Stream: f.Stream, Version: l.server.handler.LocalVersion(), Body: f.Body})
+	l.conn.writeOrClose(l.withVersion(f))
+}
+
+// sendResult writes the result of a call. One that cannot be encoded is replaced, so that the other node does not wait for it: the call
+// may have run.
+func (l *serverLink) sendResult(f *linkpb.Frame) {
+	err := l.conn.write(l.withVersion(f))
+	var encodeErr *EncodeError
+	if errors.As(err, &encodeErr) {
+		l.send(brokenResult(f.Stream, "answer "+encodeErr.Error()))
+	}
+}
+
+// withVersion returns a frame with the current routing version. The frame itself is not changed, since a retained result may be sent
+// on two links.
+func (l *serverLink) withVersion(f *linkpb.Frame) *linkpb.Frame {
+	return &linkpb.Frame{Stream: f.Stream, Version: l.server.handler.LocalVersion(), Body: f.Body}
 }
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -51,7 +51,7 @@
 // NewSession returns a session with the node at address. The hello introduces this node. Frames that are received take their
 // memory from a budget.
 func NewSession(address string, hello *linkpb.Hello, events Events, memory *membudget.Budget) *Session {
-	introduced := &linkpb.Hello{Node: hello.Node, Address: hello.Address, Place: hello.Place, Session: rand.Uint64() | 1}
+	introduced := &linkpb.Hello{Node: hello.Node, Address: hello.Address, Place: hello.Place, Session: rand.Uint64() | 1, RawHeaders: true}
 	return &Session{address: address, hello: introduced, events: events, memory: memory, calls: map[uint64]*call{}}
 }
 
@@ -135,7 +135,8 @@
 		Stream: stream, Version: s.events.LocalVersion(), SentMs: sentMs(), Body: &linkpb.Frame_Call{Call: message},
 	}
 	if err := client.conn.write(frame); err != nil {
-		if errors.Is(err, ErrClosed) {
+		var encodeErr *EncodeError
+		if errors.Is(err, ErrClosed) || errors.As(err, &encodeErr) {
 			return nil, &NotSentError{Cause: err}
 		}
 		return s.awaitNextLink(ctx, stream, c, wait)
@@ -200,7 +201,7 @@
 	client := s.client
 	s.mu.Unlock()
 	if client != nil {
-		_ = client.conn.write(f)
+		client.conn.writeOrClose(f)
 	}
 }
 
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/exchange"
@@ -147,7 +149,7 @@
 	names := s.config.Names
 	header := make(http.Header, len(call.Header)+4)
 	for _, h := range call.Header {
-		header.Add(h.Name, h.Value)
+		header.Add(h.Name, string(h.Value))
 	}
 	header.Set(names.ID, call.Id)
 	header.Set(names.DeadlineMs, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
@@ -169,8 +171,9 @@
 		s.markUnreachable(id)
 		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer})
 	}
-	broken := &linkpb.Broken{Cause: err.Error(), Timeout: errors.Is(err, context.DeadlineExceeded)}
-	return &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: broken}}
+	f := brokenFrame(err.Error())
+	f.GetBroken().Timeout = errors.Is(err, context.DeadlineExceeded)
+	return f
 }
 
 // answerFrame returns the frame of a server's answer.
@@ -218,7 +221,9 @@
 	}
 }
 
+// brokenFrame returns the frame of a call that may have run. The cause may quote bytes of the server that are not UTF-8.
 func brokenFrame(cause string) *linkpb.Frame {
+	cause = strings.ToValidUTF8(cause, string(utf8.RuneError))
 	return &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: cause}}}
 }
 
@@ -227,7 +232,7 @@
 	lines := make([]*linkpb.Header, 0, len(h))
 	for name, values := range h {
 		for _, value := range values {
-			lines = append(lines, &linkpb.Header{Name: name, Value: value})
+			lines = append(lines, &linkpb.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return lines
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -182,7 +182,7 @@
 	}
 	c.handler.config.Counters.Count("answered")
 	for _, line := range r.answer.Header {
-		header[line.Name] = append(header[line.Name], line.Value)
+		header[line.Name] = append(header[line.Name], string(line.Value))
 	}
 	return &ingress.Response{Status: r.status, Header: header, Body: r.answer.Body}
 }
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/protocol"
@@ -138,6 +139,9 @@
 	if a.route == nil {
 		return a, &problem{status: http.StatusNotFound, cause: "no route"}
 	}
+	if !utf8.ValidString(a.id + a.target.Raw + r.Host) { // nodes could not send it to each other
+		return a, &problem{status: http.StatusBadRequest, cause: "bytes that are not UTF-8"}
+	}
 	a.timeout = a.route.Timeout
 	if value := r.Header.Get(h.config.Names.DeadlineMs); value != "" {
 		ms, err := strconv.ParseFloat(value, 64)
