peer: carry header values as bytes

The same fault in the product's own program: a header value that is not UTF-8 could not be encoded, so that such a call was answered as one that had not run, and such an answer ended the stream and with it all calls on it.

Change: header values are bytes in the messages between nodes and in the ledger's records (the same on the wire).

Ruled out by the test: an answer that cannot be encoded is not silent here, since gRPC ends the stream; no further report is needed.

--- a/node/connection/peer/calls_test.go
+++ b/node/connection/peer/calls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -80,6 +81,42 @@
 	}, time.Minute, time.Millisecond, "the caller did not close its stream to a stopping node")
 }
 
+// headerEcho answers a call with its header. A call with the id unencodable gets an answer that cannot be sent.
+type headerEcho struct{}
+
+func (headerEcho) Do(_ context.Context, r *attempt.Request) (*attempt.Answer, error) {
+	header := r.Header
+	if r.AttemptID == "unencodable" {
+		header = http.Header{"\xff": {"x"}}
+	}
+	return &attempt.Answer{Status: 200, Header: header}, nil
+}
+
+// Guards against calls and answers that never arrive because a header value holds bytes which are not UTF-8, and against a call that
+// waits until its deadline because its answer cannot be encoded.
+func TestHeaderValuesAreBytesAndAnUnsentAnswerIsReported(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewServer(insecure.NewCredentials(), &Service{Local: headerEcho{}})
+	go func() { _ = server.Serve(listener) }()
+	defer server.Stop()
+	caller := &Caller{Pool: NewPool(insecure.NewCredentials())}
+	defer caller.Pool.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	sent := http.Header{"X-Note": {"caf\xe9", "b"}}
+	answer, err := caller.Do(ctx, balance.Server{Address: listener.Addr().String()},
+		&attempt.Request{AttemptID: "a", Timeout: time.Minute, Header: sent})
+	require.NoError(t, err)
+	assert.Equal(t, sent, answer.Header)
+	_, err = caller.Do(ctx, balance.Server{Address: listener.Addr().String()},
+		&attempt.Request{AttemptID: "unencodable", Timeout: time.Minute})
+	var broken *attempt.Broken
+	require.ErrorAs(t, err, &broken)
+	assert.Equal(t, attempt.KindBroken, broken.Kind)
+	assert.NoError(t, ctx.Err(), "it must not wait for its deadline")
+}
+
 // stalledListener accepts connections that stop reading after stalled is closed.
 type stalledListener struct {
 	net.Listener
@@ -119,7 +156,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	stalled := make(chan struct{})
-	server := NewServer(insecure.NewCredentials(), &Service{Local: echo{}})
+	server := NewServer(insecure.NewCredentials(), &Service{Local: headerEcho{}})
 	go func() { _ = server.Serve(&stalledListener{listener, stalled}) }()
 	defer server.Stop()
 	caller := &Caller{Pool: NewPool(insecure.NewCredentials())}
--- a/node/connection/peer/convert.go
+++ b/node/connection/peer/convert.go
@@ -33,7 +33,7 @@
 func headerToWire(h http.Header) []*peerpb.Header {
 	wire := make([]*peerpb.Header, 0, len(h))
 	for name, values := range h {
-		wire = append(wire, &peerpb.Header{Name: name, Values: values})
+		wire = append(wire, peerpb.NewHeader(name, values))
 	}
 	return wire
 }
@@ -41,7 +41,7 @@
 func headerFromWire(wire []*peerpb.Header) http.Header {
 	h := make(http.Header, len(wire))
 	for _, header := range wire {
-		h[header.Name] = header.Values
+		h[header.Name] = header.Strings()
 	}
 	return h
 }
--- a/node/request/entry/keyed.go
+++ b/node/request/entry/keyed.go
@@ -129,7 +129,7 @@
 	w.Header().Set(contract.HeaderReplayed, "true")
 	header := make(http.Header, len(recorded.GetHead().GetHeaders()))
 	for _, line := range recorded.GetHead().GetHeaders() {
-		header[line.Name] = line.Values
+		header[line.Name] = line.Strings()
 	}
 	h.answer(w, c, nil, &attempt.Answer{
 		Status: int(recorded.GetHead().GetStatus()), Header: header,
@@ -148,7 +148,7 @@
 		Body: a.Body,
 	}
 	for name, values := range forwardHeader(a.Header) {
-		r.Head.Headers = append(r.Head.Headers, &peerpb.Header{Name: name, Values: values})
+		r.Head.Headers = append(r.Head.Headers, peerpb.NewHeader(name, values))
 	}
 	return r
 }
