link, front, ingress: charge bodies to the memory budget until they are written or dropped

Cause: the memory of a frame was reserved only until it was decoded. The body of a call, held while it waits and runs, and of an answer, held until it is written to a caller that may read slowly, were in no budget; every other node could place a budget of its own here.

Change: the reservation stays with the frame: at the server's node until the call has ended, at the entry node until the response is written or dropped. A frame that finds no memory is skipped instead of ending the link: a call is refused as not received, which tries another server or refuses the caller, and an answer ends its call as broken.

Weighed: reserving twice the size while decoding: a body of the largest size that operators allow would never find room.

Open: a caller that reads its response slowly holds its memory without a time limit, so that other large bodies are refused meanwhile; the encoded copy of a large frame is not charged while it is written, so that bodies take up to half of the host's memory for that time.

--- a/node/connection/ingress/connection.go
+++ b/node/connection/ingress/connection.go
@@ -60,6 +60,8 @@
 	request *http.Request
 	body    *body // nil when the request has none
 	started bool
+	// dropped is set when the response will not be written.
+	dropped bool
 	// response is nil until the request has been handled.
 	response *Response
 	handled  chan struct{}
@@ -156,6 +158,10 @@
 // dropFrom removes the requests from an index on. The lock must be held.
 func (c *connection) dropFrom(index int) {
 	c.server.unanswered.Add(-int64(len(c.queue) - index))
+	for _, p := range c.queue[index:] {
+		p.dropped = true
+		p.response.release()
+	}
 	clear(c.queue[index:])
 	c.queue = c.queue[:index]
 }
@@ -267,6 +273,9 @@
 	} else {
 		response.Close = response.Close || unread || p.request.Close
 		p.response = response
+		if p.dropped {
+			response.release()
+		}
 	}
 	c.mu.Unlock()
 	close(p.handled)
@@ -313,6 +322,7 @@
 	c.mu.Unlock()
 	err := p.response.write(c.conn, p.request)
 	c.mu.Lock()
+	p.response.release()
 	if c.broken {
 		return
 	}
--- a/node/connection/ingress/ingress.go
+++ b/node/connection/ingress/ingress.go
@@ -47,6 +47,15 @@
 	Body   []byte
 	// Close closes the connection after the response.
 	Close bool
+	// Release is called when the response has been written or dropped, at least once; nil if there is nothing to release.
+	Release func()
+}
+
+// release calls Release, if it is set.
+func (r *Response) release() {
+	if r != nil && r.Release != nil {
+		r.Release()
+	}
 }
 
 // Log is a structured logger; keyvals are alternating keys and values.
--- a/node/connection/ingress/ingress_test.go
+++ b/node/connection/ingress/ingress_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,8 @@
 	held    map[string]chan struct{}
 	started chan string
 	left    chan string
+	// unreleased is the number of responses that are neither written nor dropped.
+	unreleased atomic.Int64
 }
 
 func newHandler() *handler {
@@ -63,7 +66,14 @@
 		}
 	}
 	text := fmt.Sprintf("%s %s %d", r.Method, r.URL.Path, len(body))
-	return &ingress.Response{Status: http.StatusOK, Header: http.Header{}, Body: []byte(text), Close: r.URL.Path == "/close"}
+	if r.URL.Path == "/large" {
+		text = strings.Repeat("x", 64<<20)
+	}
+	h.unreleased.Add(1)
+	return &ingress.Response{
+		Status: http.StatusOK, Header: http.Header{}, Body: []byte(text), Close: r.URL.Path == "/close",
+		Release: sync.OnceFunc(func() { h.unreleased.Add(-1) }),
+	}
 }
 
 func (h *handler) Repeatable(r *http.Request) bool {
@@ -283,6 +293,23 @@
 	}
 }
 
+// Guards against responses that are in no memory budget while callers read them slowly, and against responses that stay in it for
+// ever because their caller has left.
+func TestResponseIsReleasedWhenItIsWrittenOrDropped(t *testing.T) {
+	f := start(t)
+	f.send(t, "GET /1")
+	assert.Equal(t, "GET /1 0", f.next(t))
+	require.Eventually(t, func() bool { return f.unreleased.Load() == 0 }, waitLimit, time.Millisecond)
+	f.send(t, "GET /large")
+	require.Eventually(t, func() bool { return f.unreleased.Load() == 1 }, waitLimit, time.Millisecond)
+	f.send(t, "GET /2") // its response waits behind the one that is not read
+	require.Eventually(t, func() bool { return f.unreleased.Load() == 2 }, waitLimit, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	assert.EqualValues(t, 2, f.unreleased.Load(), "the caller has not read them")
+	require.NoError(t, f.conn.Close())
+	require.Eventually(t, func() bool { return f.unreleased.Load() == 0 }, waitLimit, time.Millisecond)
+}
+
 // Guards against bodies that are parsed as requests and requests that are lost behind a body.
 func TestBodiesAreReadExactly(t *testing.T) {
 	f := start(t)
--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -113,17 +114,22 @@
 	defer close(c.done)
 	defer c.conn.close()
 	for {
-		f, err := c.conn.read()
-		if err != nil {
+		f, memory, err := c.conn.read()
+		var noMemory *noMemoryError
+		if err != nil && !errors.As(err, &noMemory) {
 			return
 		}
 		c.lastReceived.Store(time.Now().UnixNano())
 		c.pingSent.Store(0)
-		c.handle(f)
+		if noMemory != nil {
+			c.session.deliver(&Result{Frame: brokenResult(noMemory.stream, "no memory for the answer")})
+			continue
+		}
+		c.handle(&Result{Frame: f, memory: memory})
 	}
 }
 
-func (c *Client) handle(f *linkpb.Frame) {
+func (c *Client) handle(f *Result) {
 	if f.Version != 0 {
 		c.events.Version(f.Version)
 	}
@@ -136,5 +142,7 @@
 		c.events.Routing(body.Routing.Document)
 	case *linkpb.Frame_Answer, *linkpb.Frame_Refusal, *linkpb.Frame_Broken:
 		c.session.deliver(f)
+		return
 	}
+	f.Release()
 }
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -31,10 +31,14 @@
 	// maxFrameBytes has room for the largest body that operators can configure, and its headers.
 	maxFrameBytes   = 80 << 20
 	readBufferBytes = 16 << 10
+	// maxStreamBytes is the largest size of the stream number at the start of a frame.
+	maxStreamBytes = 11
 	// maxRetainedBufferBytes is the size up to which a write buffer is reused for the next frame.
 	maxRetainedBufferBytes = 64 << 10
 	// writeTimeout bounds the write of a frame. A link whose other node does not read is closed after this time.
 	writeTimeout = 2 * time.Second
+	// skipTimeout bounds the time until the first bytes of a frame that finds no memory.
+	skipTimeout = 500 * time.Millisecond
 	// userTimeout is the time after which the kernel closes a connection whose sent data is not acknowledged. It must be
 	// longer than a few retransmissions, since links may lose packets.
 	userTimeout = 1500 * time.Millisecond
@@ -63,6 +67,7 @@
 type framedConn struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	// memory bounds the frames that are received, until the call to which they belong has ended.
 	memory *membudget.Budget
 	// rawHeaders is set when the other node reads header values that are not UTF-8.
 	rawHeaders atomic.Bool
@@ -121,29 +126,65 @@
 	return slices.ContainsFunc(f.GetCall().GetHeader(), isRaw) || slices.ContainsFunc(f.GetAnswer().GetHeader(), isRaw)
 }
 
-// read returns the next frame. It fails on a frame that is longer than maxFrameBytes, finds no memory or cannot be decoded.
-func (c *framedConn) read() (*linkpb.Frame, error) {
+// noMemoryError reports a frame of a call that was skipped, since it found no memory. The link stays open.
+type noMemoryError struct{ stream uint64 }
+
+func (e *noMemoryError) Error() string { return "no memory for a frame" }
+
+// read returns the next frame and the reservation of its memory. It fails on a frame that is longer than maxFrameBytes or cannot be
+// decoded, and with a *noMemoryError on one that finds no memory.
+func (c *framedConn) read() (*linkpb.Frame, *membudget.Reservation, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(c.reader, header[:]); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > maxFrameBytes {
-		return nil, fmt.Errorf("frame of %d bytes is longer than %d", size, maxFrameBytes)
+		return nil, nil, fmt.Errorf("frame of %d bytes is longer than %d", size, maxFrameBytes)
 	}
 	reservation := c.memory.Reserve()
-	defer reservation.Release()
-	encoded, err := membudget.ReadExactly(c.reader, int64(size), reservation)
+	f, err := c.readBody(int64(size), reservation)
+	if err != nil {
+		reservation.Release()
+		return nil, nil, err
+	}
+	return f, reservation, nil
+}
+
+// readBody reads and decodes a frame of a given size.
+func (c *framedConn) readBody(size int64, reservation *membudget.Reservation) (*linkpb.Frame, error) {
+	if err := reservation.Grow(size); err != nil {
+		return nil, c.skip(size, err)
+	}
+	encoded, err := membudget.ReadIncrementally(c.reader, size)
 	if err != nil {
 		return nil, err
 	}
-	f := &linkpb.Frame{}
-	if err := proto.Unmarshal(encoded, f); err != nil {
+	f, err := decodeFrame(encoded)
+	if err != nil {
 		return nil, fmt.Errorf("decode frame: %w", err)
 	}
 	return f, nil
 }
 
+// skip reads and drops a frame that found no memory. One that belongs to no call ends the link with the cause.
+func (c *framedConn) skip(size int64, cause error) error {
+	_ = c.conn.SetReadDeadline(time.Now().Add(skipTimeout)) // the length alone may be all that comes
+	start, err := c.reader.Peek(int(min(size, maxStreamBytes)))
+	if err != nil {
+		return err
+	}
+	_ = c.conn.SetReadDeadline(time.Time{})
+	stream := streamOf(start)
+	if stream == 0 {
+		return cause
+	}
+	if _, err := io.CopyN(io.Discard, c.reader, size); err != nil {
+		return err
+	}
+	return &noMemoryError{stream: stream}
+}
+
 // close closes the connection. Later writes fail with ErrClosed unless an earlier write has failed.
 func (c *framedConn) close() {
 	_ = c.conn.Close()
--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -107,7 +107,7 @@
 	return &linked{Client: client, session: session}
 }
 
-func (l *linked) Do(ctx context.Context, call *linkpb.Call) (*linkpb.Frame, error) {
+func (l *linked) Do(ctx context.Context, call *linkpb.Call) (*link.Result, error) {
 	return l.session.Do(ctx, l.Client, call, func() bool { return false })
 }
 
@@ -274,6 +274,50 @@
 	assert.ErrorAs(t, err, &notSent)
 }
 
+// Guards against requests and answers that are in no memory budget while they are held, and against a frame without memory that ends
+// the link of all other calls or leaves its own call without an end.
+func TestFramesHoldTheirMemoryUntilTheCallHasEnded(t *testing.T) {
+	const bodySize = testMemory * 3 / 4
+	h := &handler{hello: make(chan *linkpb.Hello, 10), cancelled: make(chan struct{})}
+	serverMemory, clientMemory := membudget.New(testMemory), membudget.New(testMemory)
+	listener := listen(t)
+	go func() { _ = link.NewServer(h, serverMemory).Serve(listener) }()
+	session := link.NewSession(listener.Addr().String(), &linkpb.Hello{Address: "me"}, newEvents().link(), clientMemory)
+	client, err := session.Dial(t.Context())
+	require.NoError(t, err)
+	t.Cleanup(session.Close)
+	do := func(ctx context.Context, call *linkpb.Call) (*link.Result, error) {
+		return session.Do(ctx, client, call, func() bool { return false })
+	}
+
+	waiting, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _ = do(waiting, &linkpb.Call{Target: "/wait", Body: make([]byte, bodySize)}) }()
+	require.Eventually(t, func() bool { return serverMemory.Held() >= bodySize }, time.Second, time.Millisecond)
+	f, err := do(t.Context(), &linkpb.Call{Target: "/large", Body: make([]byte, bodySize)})
+	require.NoError(t, err)
+	assert.Equal(t, linkpb.Refusal_REASON_NOT_RECEIVED, f.GetRefusal().GetReason())
+	_, err = do(t.Context(), &linkpb.Call{Target: "/small"})
+	assert.NoError(t, err, "the link must stay open")
+	cancel()
+	<-h.cancelled
+	require.Eventually(t, func() bool { return serverMemory.Held() == 0 }, time.Second, time.Millisecond)
+
+	large := strings.Repeat("x", bodySize)
+	first, err := do(t.Context(), &linkpb.Call{Target: large})
+	require.NoError(t, err)
+	assert.Len(t, first.GetAnswer().GetBody(), bodySize)
+	second, err := do(t.Context(), &linkpb.Call{Target: large})
+	require.NoError(t, err)
+	assert.NotNil(t, second.GetBroken(), "the first answer is held")
+	first.Release()
+	third, err := do(t.Context(), &linkpb.Call{Target: large})
+	require.NoError(t, err)
+	assert.Len(t, third.GetAnswer().GetBody(), bodySize)
+	third.Release()
+	assert.Zero(t, clientMemory.Held())
+}
+
 // Guards against an error of a write that nobody handles: a call would wait for its deadline.
 func TestNoErrorOfAWriteIsIgnored(t *testing.T) {
 	sources, err := filepath.Glob("*.go")
--- a/node/connection/link/resume_test.go
+++ b/node/connection/link/resume_test.go
@@ -160,7 +160,7 @@
 }
 
 type outcome struct {
-	frame *linkpb.Frame
+	frame *link.Result
 	err   error
 }
 
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -182,11 +182,16 @@
 func (l *serverLink) run() {
 	defer l.shutdown()
 	for {
-		f, err := l.conn.read()
-		if err != nil {
+		f, memory, err := l.conn.read()
+		var noMemory *noMemoryError
+		switch {
+		case errors.As(err, &noMemory):
+			l.sendResult(notReceived(noMemory.stream))
+		case err != nil:
 			return
+		default:
+			l.handle(f, memory)
 		}
-		l.handle(f)
 	}
 }
 
@@ -198,7 +203,11 @@
 	close(l.done)
 }
 
-func (l *serverLink) handle(f *linkpb.Frame) {
+// handle handles a frame and releases its memory when it is not needed any more.
+func (l *serverLink) handle(f *linkpb.Frame, memory *membudget.Reservation) {
+	if f.GetCall() == nil {
+		defer memory.Release()
+	}
 	var age time.Duration
 	if f.SentMs != 0 {
 		age = l.ages.observe(time.Duration(f.SentMs)*time.Millisecond, l.server.clock())
@@ -212,7 +221,10 @@
 		takeOff(body.Call, age)
 		session := l.session
 		ctx := session.begin(f.Stream, body.Call)
-		go l.server.handler.Serve(ctx, body.Call, func(result *linkpb.Frame) { session.finish(f.Stream, result) })
+		go func() {
+			defer memory.Release()
+			l.server.handler.Serve(ctx, body.Call, func(result *linkpb.Frame) { session.finish(f.Stream, result) })
+		}()
 	case *linkpb.Frame_Cancel:
 		l.session.cancel(f.Stream)
 	case *linkpb.Frame_Leaving:
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -35,7 +35,32 @@
 	// link is the link that the call was sent on.
 	link *Client
 	// result receives the frame that ends the call. It is closed when there will be none.
-	result chan *linkpb.Frame
+	result chan *Result
+}
+
+// Result is the frame that ends a call. Release must be called when its body is not needed any more.
+type Result struct {
+	*linkpb.Frame
+	memory *membudget.Reservation // nil when it takes none
+}
+
+// NewResult returns a result whose body has a share of a memory budget.
+func NewResult(f *linkpb.Frame, memory *membudget.Reservation) *Result {
+	return &Result{Frame: f, memory: memory}
+}
+
+// Release returns the memory of the body to the budget.
+func (r *Result) Release() {
+	if r.memory != nil {
+		r.memory.Release()
+	}
+}
+
+// ReleaseTo passes the memory of the body on to another reservation.
+func (r *Result) ReleaseTo(to *membudget.Reservation) {
+	if r.memory != nil {
+		to.Absorb(r.memory)
+	}
 }
 
 // suspended reports whether the call's link has broken.
@@ -127,10 +152,10 @@
 // Do sends a call on the link and waits for the frame that ends it: an answer, a refusal or a broken frame. If the link breaks
 // meanwhile and wait returns true, Do waits for the next link of the session. The error is a *NotSentError when the call was
 // not sent. When ctx ends, a cancel frame is sent for the call.
-func (s *Session) Do(ctx context.Context, client *Client, message *linkpb.Call, wait func() bool) (*linkpb.Frame, error) {
+func (s *Session) Do(ctx context.Context, client *Client, message *linkpb.Call, wait func() bool) (*Result, error) {
 	stream := s.lastStream.Add(1)
 	c := s.register(stream, client)
-	defer s.unregister(stream)
+	defer s.unregister(stream, c)
 	frame := &linkpb.Frame{
 		Stream: stream, Version: s.events.LocalVersion(), SentMs: sentMs(), Body: &linkpb.Frame_Call{Call: message},
 	}
@@ -160,7 +185,7 @@
 }
 
 // awaitNextLink waits for the result of a call whose link has broken.
-func (s *Session) awaitNextLink(ctx context.Context, stream uint64, c *call, wait func() bool) (*linkpb.Frame, error) {
+func (s *Session) awaitNextLink(ctx context.Context, stream uint64, c *call, wait func() bool) (*Result, error) {
 	select {
 	case f, ok := <-c.result: // it arrived before the link broke
 		return resultOrClosed(f, ok)
@@ -179,7 +204,7 @@
 	}
 }
 
-func resultOrClosed(f *linkpb.Frame, ok bool) (*linkpb.Frame, error) {
+func resultOrClosed(f *Result, ok bool) (*Result, error) {
 	if !ok {
 		return nil, ErrClosed
 	}
@@ -206,25 +231,36 @@
 }
 
 func (s *Session) register(stream uint64, link *Client) *call {
-	c := &call{link: link, result: make(chan *linkpb.Frame, 1)}
+	c := &call{link: link, result: make(chan *Result, 1)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[stream] = c
 	return c
 }
 
-func (s *Session) unregister(stream uint64) {
+// unregister forgets a call. A result that nobody waits for any more is released.
+func (s *Session) unregister(stream uint64, c *call) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	delete(s.calls, stream)
+	s.mu.Unlock()
+	select {
+	case f, ok := <-c.result:
+		if ok {
+			f.Release()
+		}
+	default:
+	}
 }
 
-// deliver passes a frame to the call of its stream. A frame for a call that has ended is dropped.
-func (s *Session) deliver(f *linkpb.Frame) {
+// deliver passes a result to the call of its stream. A result for a call that has ended is dropped.
+func (s *Session) deliver(f *Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c := s.calls[f.Stream]; c != nil {
-		delete(s.calls, f.Stream)
-		c.result <- f
+	c := s.calls[f.Stream]
+	if c == nil {
+		f.Release()
+		return
 	}
+	delete(s.calls, f.Stream)
+	c.result <- f
 }
--- a/node/internal/membudget/membudget.go
+++ b/node/internal/membudget/membudget.go
@@ -49,6 +49,12 @@
 	return nil
 }
 
+// Absorb takes over the bytes of another reservation.
+func (r *Reservation) Absorb(other *Reservation) {
+	r.reserved += other.reserved
+	other.reserved = 0
+}
+
 // Release returns the reserved bytes to the budget.
 func (r *Reservation) Release() {
 	r.budget.held.Add(-r.reserved)
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -253,7 +253,8 @@
 
 // Send sends a call to a server and returns the frame that ends it. If the link breaks and wait returns true, the call waits for
 // the next link to the server's node. The error is a *link.NotSentError when the call did not leave this node.
-func (p *Set) Send(ctx context.Context, s *Server, call *linkpb.Call, wait func() bool) (*linkpb.Frame, error) {
+// The result must be released.
+func (p *Set) Send(ctx context.Context, s *Server, call *linkpb.Call, wait func() bool) (*link.Result, error) {
 	client := s.beginSend(call)
 	f, err := p.transmit(ctx, s, client, call, wait)
 	if err != nil {
@@ -272,11 +273,9 @@
 
 func (p *Set) transmit(
 	ctx context.Context, s *Server, client *link.Client, call *linkpb.Call, wait func() bool,
-) (*linkpb.Frame, error) {
+) (*link.Result, error) {
 	if s.address == "" {
-		var frame *linkpb.Frame
-		p.config.Serve(ctx, call, func(f *linkpb.Frame) { frame = f })
-		return frame, nil
+		return p.serveLocally(ctx, call), nil
 	}
 	if client == nil {
 		return nil, &link.NotSentError{Cause: link.ErrClosed}
@@ -284,6 +283,20 @@
 	return s.session.Do(ctx, client, call, wait)
 }
 
+// serveLocally runs a call at the server beside this node. The memory of the answer is reserved before the server's part of the node
+// releases it.
+func (p *Set) serveLocally(ctx context.Context, call *linkpb.Call) *link.Result {
+	memory := p.config.Memory.Reserve()
+	var frame *linkpb.Frame
+	p.config.Serve(ctx, call, func(f *linkpb.Frame) {
+		frame = f
+		if err := memory.Grow(int64(len(f.GetAnswer().GetBody()))); err != nil {
+			frame = &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: err.Error()}}}
+		}
+	})
+	return link.NewResult(frame, memory)
+}
+
 // exclude excludes the server for noServerExclusion, until its node has reported whether it accepts calls.
 func (s *Server) exclude(id string) {
 	s.mu.Lock()
--- a/node/request/front/attempts.go
+++ b/node/request/front/attempts.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return c.handleSendError(ctx, server, err)
 	}
+	f.ReleaseTo(c.memory) // the answer may be passed on after further attempts
 	switch body := f.Body.(type) {
 	case *linkpb.Frame_Answer:
 		return c.handleAnswer(server, body.Answer, time.Since(now))
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -12,6 +12,7 @@
 	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/protocol"
 	"github.com/radishstand/radishstand/node/internal/boottime"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/choice"
 	"github.com/radishstand/radishstand/node/process/localserver"
 	"github.com/radishstand/radishstand/node/process/peers"
@@ -47,6 +48,8 @@
 	// host is suspended.
 	timeout     time.Duration
 	arrivedBoot time.Duration
+	// memory is the share of the request's body and of the answers in the memory budget.
+	memory *membudget.Reservation
 
 	// excluded holds the servers that failed the call or do not accept it; refused holds those that were busy.
 	excluded []*peers.Server
@@ -69,9 +72,9 @@
 	server     *peers.Server
 }
 
-func (h *Handler) newCall(r *http.Request, a accepted, body []byte, now time.Time) *call {
+func (h *Handler) newCall(r *http.Request, a accepted, body []byte, memory *membudget.Reservation, now time.Time) *call {
 	return &call{
-		handler: h, route: a.route, service: a.route.Split.Next(), arrived: now,
+		handler: h, memory: memory, route: a.route, service: a.route.Split.Next(), arrived: now,
 		objective: now.Add(a.route.Objective), deadline: now.Add(a.timeout),
 		timeout: a.timeout, arrivedBoot: boottime.Now(),
 		message: &linkpb.Call{
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -77,10 +77,23 @@
 func (h *Handler) StartDrain() { h.stoppedAt.Store(time.Now().UnixNano()) }
 
 // Handle returns the response to a request, or nil when the caller has left.
-func (h *Handler) Handle(r *http.Request) *ingress.Response {
-	now := time.Now()
+func (h *Handler) Handle(r *http.Request) (response *ingress.Response) {
 	memory := h.config.Memory.Reserve()
-	defer memory.Release()
+	defer func() {
+		if response == nil { // also after a panic
+			memory.Release()
+		}
+	}()
+	if response = h.respond(r, memory); response != nil {
+		response.Release = memory.Release
+	}
+	return response
+}
+
+// respond returns the response to a request, or nil when the caller has left. The memory is that of the request's body and of the
+// answers to it.
+func (h *Handler) respond(r *http.Request, memory *membudget.Reservation) *ingress.Response {
+	now := time.Now()
 	c, problem := h.accept(r, now, memory)
 	if problem != nil {
 		h.config.Log.Info("request refused", "id", r.Header.Get(h.config.Names.ID), "status", problem.status, "cause", problem.cause)
@@ -163,7 +176,7 @@
 	if failed != nil {
 		return nil, failed
 	}
-	return h.newCall(r, a, body, now), nil
+	return h.newCall(r, a, body, memory, now), nil
 }
 
 func readBody(r *http.Request, limit int64, memory *membudget.Reservation) ([]byte, *problem) {
