--- a/node/version/routing/routing_test.go
+++ b/node/version/routing/routing_test.go
@@ -52,7 +52,7 @@
 		weights[0] = max(weights[0], 1)
 		parts, total := make([]routing.Part, len(weights)), 0
 		for i, w := range weights {
-			parts[i] = routing.Part{Service: string(rune('a' + i)), Weight: w}
+			parts[i] = routing.Part{Service: string(rune('a' + i)), Weight: float64(w)}
 			total += w
 		}
 		s := split(t, parts...)
--- a/node/version/routing/split.go
+++ b/node/version/routing/split.go
@@ -6,13 +6,14 @@
 	"sync"
 )
 
-// maxInitialTurns bounds the random number of turns by which a new split is advanced.
+// maxInitialTurns bounds the random number of turns by which a new split is advanced. It exceeds the length of the cycle of usual
+// weights.
 const maxInitialTurns = 100
 
 // Part is a service and its weight in a split.
 type Part struct {
 	Service string
-	Weight  int
+	Weight  float64
 }
 
 // Split distributes calls over services in proportion to their weights by smooth weighted round robin: the shares of any
@@ -21,16 +22,16 @@
 	parts []Part
 
 	mu      *sync.Mutex
-	credits []int
-	total   int
+	credits []float64
+	total   float64
 }
 
 // NewSplit returns a split. The weights must not be negative and at least one must be positive.
 func NewSplit(parts ...Part) (Split, error) {
-	s := Split{parts: parts, mu: &sync.Mutex{}, credits: make([]int, len(parts))}
+	s := Split{parts: parts, mu: &sync.Mutex{}, credits: make([]float64, len(parts))}
 	for _, p := range parts {
 		if p.Weight < 0 {
-			return Split{}, fmt.Errorf("service %q: weight %d is negative", p.Service, p.Weight)
+			return Split{}, fmt.Errorf("service %q: weight %g is negative", p.Service, p.Weight)
 		}
 		s.total += p.Weight
 	}
@@ -38,7 +39,7 @@
 		return Split{}, fmt.Errorf("split has no service with a positive weight")
 	}
 	// If all nodes started at the same turn, they would all send their first calls to the service with the highest weight.
-	for range rand.IntN(min(s.total, maxInitialTurns)) {
+	for range rand.IntN(maxInitialTurns) {
 		s.Next()
 	}
 	return s, nil
