--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -78,6 +78,7 @@
 	config       Config
 	dispatcher   *dispatch.Dispatcher
 	probeLimiter *rate.Limiter
+	sweeper      *sweeper
 	inProgress   callSet
 	requests     atomic.Int64
 
@@ -85,14 +86,13 @@
 	// must not be held during calls of the dispatcher: its callbacks need the state.
 	transition sync.Mutex
 
-	mu             sync.Mutex
-	state          *fsm.FSM
-	current        Announcement
-	warmUpEnd      time.Time
-	client         *exchange.Client
-	stated         Statement
-	sweepScheduled bool
-	departed       departures.List
+	mu        sync.Mutex
+	state     *fsm.FSM
+	current   Announcement
+	warmUpEnd time.Time
+	client    *exchange.Client
+	stated    Statement
+	departed  departures.List
 	// starts counts the servers that were current.
 	starts int
 	// unannouncedSince is when a health check found the current server; zero once the server has announced itself.
@@ -106,6 +106,7 @@
 		inProgress: newCallSet(),
 	}
 	s.dispatcher = dispatch.New(c.Now, s.probeSlowness)
+	s.sweeper = &sweeper{sweep: s.dispatcher.Sweep}
 	if c.PeerKnee != nil {
 		s.dispatcher.ShareKnee(c.PeerKnee, c.KneeChanged)
 	}
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -18,8 +18,6 @@
 const (
 	// answerGrace is the time after a call's deadline for which the node still waits for the server's answer.
 	answerGrace = 300 * time.Millisecond
-	// sweepInterval is the interval between two sweeps of the waiting calls.
-	sweepInterval = 20 * time.Millisecond
 )
 
 // Serve runs a call at the server and passes the frame that ends it to reply. The memory of an answer is held until reply
@@ -76,7 +74,7 @@
 		return err
 	default:
 	}
-	s.scheduleSweep()
+	s.sweeper.schedule()
 	select {
 	case err := <-decided:
 		return err
@@ -91,27 +89,6 @@
 	}
 }
 
-// scheduleSweep starts periodic sweeps, which continue while calls wait.
-func (s *Server) scheduleSweep() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.sweepScheduled {
-		return
-	}
-	s.sweepScheduled = true
-	time.AfterFunc(sweepInterval, s.runSweep)
-}
-
-func (s *Server) runSweep() {
-	again := s.dispatcher.Sweep()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sweepScheduled = again
-	if again {
-		time.AfterFunc(sweepInterval, s.runSweep)
-	}
-}
-
 // clientOf returns the client of the server with the given ID, or nil if it is not the current one.
 func (s *Server) clientOf(id string) *exchange.Client {
 	s.mu.Lock()
