localserver, sidecar: use a server that a health check finds only if it is known what it serves

Cause: after a restart a node took the server that answered at its address for one of the service in its settings as last read. The answer to a health check names an id and no service, and the settings may change without a signal, behind the address.

Weighed: waiting for the first heartbeat after each restart: up to 1.5 s without the server, for a whole fleet after a loss of power. Other nodes' knowledge: lost when all restart together.

Change: the node's row in the store holds the id and the service that its server has announced last. A server that a health check finds is used if its id is that one and the settings name no other service; any other one is used when it announces itself. The row is read with the call that adds it at the start (a 412 brings it), so that a restart costs no further call; a new server costs one write. While the store is away, and after a planned stop, which removes the row, the server waits for its announcement.

--- a/node/process/localserver/announce.go
+++ b/node/process/localserver/announce.go
@@ -60,6 +60,7 @@
 			return nil
 		}
 		s.current.Sequence, s.current.Slots, s.current.Service = a.Sequence, a.Slots, a.Service
+		s.announced = true
 		if a.Draining {
 			return s.fireEvent(eventDrained)
 		}
@@ -88,7 +89,7 @@
 	s.starts++
 	s.current = a
 	s.current.Sequence = a.Sequence - 1
-	s.unannouncedSince = time.Time{}
+	s.unannouncedSince, s.announced = time.Time{}, false
 	s.stated = Statement{}
 	s.warmUpEnd = s.config.Now().Add(a.WarmUp)
 	s.client = exchange.New(a.Address, s.config.Names.ID, s.config.Memory)
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -63,6 +63,8 @@
 	WarmUpLeft time.Duration
 	// StartedAtMs is the start of the server, as in Announcement.
 	StartedAtMs int64
+	// Announced is set when the server has announced itself to this process.
+	Announced bool
 }
 
 // Leaving returns the server if it drains or has left, and nil otherwise.
@@ -95,6 +97,8 @@
 	departed  departures.List
 	// starts counts the servers that were current.
 	starts int
+	// announced is set when the current server has announced itself.
+	announced bool
 	// unannouncedSince is when a health check found the current server; zero once the server has announced itself.
 	unannouncedSince time.Time
 }
@@ -179,6 +183,7 @@
 	return Status{
 		ID: s.current.ID, Service: s.current.Service, Slots: s.current.Slots, State: s.state.Current(),
 		Ready: s.state.Is(stateReady), WarmUpLeft: max(s.warmUpEnd.Sub(s.config.Now()), 0), StartedAtMs: s.current.StartedAtMs,
+		Announced: s.announced,
 	}
 }
 
--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -20,8 +20,10 @@
 )
 
 // Probe requests the identity of the server at the configured address with a health check. It is used only while no
-// announcement identifies the server there: after a start of this node, and after the server refused a connection.
-func (s *Server) Probe(ctx context.Context, service, healthPath string) error {
+// announcement identifies the server there: after a start of this node, and after the server refused a connection. The answer names
+// the server's id only. A server whose service is not known by that id is not used until it announces itself: its address may have
+// belonged to a server of another service.
+func (s *Server) Probe(ctx context.Context, healthPath string, serviceOf func(id string) (service string, known bool)) error {
 	if !s.dispatcher.AllowHealthCheck() {
 		return nil
 	}
@@ -45,6 +47,13 @@
 	if response.Status != http.StatusOK {
 		return nil
 	}
+	service, known := s.serviceOfCurrent(id)
+	if !known {
+		service, known = serviceOf(id)
+	}
+	if !known {
+		return nil
+	}
 	load, ok := names.ParseLoad(response.Header.Get(names.ServerLoad))
 	if !ok {
 		return nil // the server cannot be used without its number of slots; its announcement will contain it
@@ -56,6 +65,13 @@
 	return nil
 }
 
+// serviceOfCurrent returns the service of the current server if it has the id.
+func (s *Server) serviceOfCurrent(id string) (service string, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current.Service, id != "" && s.current.ID == id
+}
+
 // probeSlowness requests the slowness of the server with a health check and passes the result to the dispatcher.
 func (s *Server) probeSlowness() {
 	s.mu.Lock()
--- a/node/process/sidecar/config.go
+++ b/node/process/sidecar/config.go
@@ -58,6 +58,8 @@
 	AwaitRouting(ctx context.Context, after uint64, wait time.Duration) (document []byte, revision uint64, err error)
 	// Fleet returns the member entries of all nodes and the stored knees.
 	Fleet(ctx context.Context) (Fleet, error)
+	// AddMember writes the entry of a node if there is none for its address, and otherwise returns the entry that is there.
+	AddMember(ctx context.Context, m Member) (existing *Member, err error)
 	// PutMember writes the entry of a node.
 	PutMember(ctx context.Context, m Member) error
 	// RemoveMember deletes the entry of the node with an address.
@@ -72,6 +74,15 @@
 	Address string
 	Name    string
 	Place   string
+	// Server is the backend server that has announced itself to the node last; empty if none has. It tells a later process of the
+	// node what the server is that a health check finds.
+	Server ServerIdentity
+}
+
+// ServerIdentity is a backend server and its service.
+type ServerIdentity struct {
+	ID      string
+	Service string
 }
 
 // ServerKind identifies backend servers of the same service with the same number of slots.
--- /dev/null
+++ b/node/process/sidecar/identity.go
@@ -0,0 +1,76 @@
+package sidecar
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// identityRetryInterval is the mean time between two attempts to write the identity of the server.
+const identityRetryInterval = 2 * time.Second
+
+// identity holds what is known about which backend server runs beside the node. It is safe for concurrent use.
+type identity struct {
+	// writing is set while the identity is being written to the store.
+	writing atomic.Bool
+
+	mu        sync.Mutex
+	known     ServerIdentity
+	announced bool
+}
+
+// restore sets the identity that an earlier process has stored, unless the server has announced itself since.
+func (i *identity) restore(stored ServerIdentity) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.announced {
+		i.known = stored
+	}
+}
+
+// announce sets the identity that a server has announced, and reports whether it is new.
+func (i *identity) announce(server ServerIdentity) (changed bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	changed = i.known != server
+	i.known, i.announced = server, true
+	return changed
+}
+
+// get returns the identity, which is empty while none is known.
+func (i *identity) get() ServerIdentity {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.known
+}
+
+// serviceOf returns the service of the server with an id, if it has announced it to this or an earlier process of the node and the
+// configuration names no other one.
+func (n *Node) serviceOf(id string) (service string, known bool) {
+	server := n.identity.get()
+	return server.Service, id != "" && server.ID == id && server.Service == n.config.Load().Service
+}
+
+// self returns the entry of this node in the store.
+func (n *Node) self() Member {
+	c := n.config.Load()
+	return Member{Address: c.Listen.Peers, Name: c.Name, Place: c.Place, Server: n.identity.get()}
+}
+
+// storeIdentity writes the entry of this node until the store has the identity of its server, or the node stops.
+func (n *Node) storeIdentity() {
+	if !n.identity.writing.CompareAndSwap(false, true) {
+		return
+	}
+	defer n.identity.writing.Store(false)
+	for stored := (ServerIdentity{}); stored != n.identity.get() && !n.stopping.Load() && n.ctx.Err() == nil; {
+		m := n.self()
+		err := n.store.PutMember(n.ctx, m)
+		if err == nil {
+			stored = m.Server
+			continue
+		}
+		n.log.Warn("failed to store the server's identity", "server", m.Server.ID, "error", err)
+		sleep(n.ctx, jitter(identityRetryInterval))
+	}
+}
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -62,12 +62,15 @@
 // the entry is written before the others are read: of two nodes that start together, at least one then reads the other's
 // entry.
 func (n *Node) syncMembers(ctx context.Context, registered bool) error {
-	c := n.config.Load()
-	self := Member{Address: c.Listen.Peers, Name: c.Name, Place: c.Place}
 	if !registered {
-		if err := n.store.PutMember(ctx, self); err != nil {
+		existing, err := n.store.AddMember(ctx, n.self())
+		if err != nil {
 			return err
 		}
+		if existing != nil {
+			n.identity.restore(existing.Server)
+			n.log.Info("entry of an earlier process found", "server", existing.Server.ID, "service", existing.Server.Service)
+		}
 	}
 	readAt := time.Now()
 	fleet, err := n.store.Fleet(ctx)
@@ -84,6 +87,7 @@
 	}
 	n.peers.Retain(addresses, readAt)
 	n.knees.replace(fleet.Knees)
+	self := n.self()
 	if fleet.Members[self.Address] == self || n.stopping.Load() {
 		return nil
 	}
@@ -97,7 +101,7 @@
 		v := n.routing.Current()
 		c := n.config.Load()
 		if v != nil && n.server.NeedsProbe() && c.ServerAddress != "" {
-			if err := n.server.Probe(ctx, c.Service, v.Services[c.Service].HealthPath); errors.Is(err, localserver.ErrInvalid) {
+			if err := n.server.Probe(ctx, v.Services[c.Service].HealthPath, n.serviceOf); errors.Is(err, localserver.ErrInvalid) {
 				n.log.Warn("invalid health check response", "error", err)
 			}
 		}
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -44,7 +44,9 @@
 	front   *front.Handler
 	metrics metrics.Registry
 	knees   knees
-	poll    routingPoll
+	// identity is that of the backend server.
+	identity identity
+	poll     routingPoll
 	// pollersChanged receives when this node may have become one of the frequent pollers.
 	pollersChanged chan struct{}
 	callers        atomic.Pointer[ingress.Server] // nil before the node listens
@@ -134,6 +136,9 @@
 // serverChanged reports a change of the backend server's state to the other nodes.
 func (n *Node) serverChanged(status localserver.Status) {
 	n.log.Info("server state", "server", status.ID, "service", status.Service, "state", status.State, "slots", status.Slots)
+	if status.Announced && n.identity.announce(ServerIdentity{ID: status.ID, Service: status.Service}) {
+		go n.storeIdentity()
+	}
 	n.broadcastState()
 }
 
