peers: let an answer of the local server take its memory once

Found while reading the diff: the answer was charged for the caller while its charge at the server's part of the node was still held, so that one of more than half of the budget could never be passed on (502).

Test: TestLocalAnswerTakesItsMemoryOnce failed before and passes.

--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -283,17 +283,15 @@
 	return s.session.Do(ctx, client, call, wait)
 }
 
-// serveLocally runs a call at the server beside this node. The memory of the answer is reserved before the server's part of the node
-// releases it.
+// serveLocally runs a call at the server beside this node. The server's part of the node releases the memory of the answer when it has
+// passed it on; the answer then takes it again for the caller.
 func (p *Set) serveLocally(ctx context.Context, call *linkpb.Call) *link.Result {
-	memory := p.config.Memory.Reserve()
 	var frame *linkpb.Frame
-	p.config.Serve(ctx, call, func(f *linkpb.Frame) {
-		frame = f
-		if err := memory.Grow(int64(len(f.GetAnswer().GetBody()))); err != nil {
-			frame = &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: err.Error()}}}
-		}
-	})
+	p.config.Serve(ctx, call, func(f *linkpb.Frame) { frame = f })
+	memory := p.config.Memory.Reserve()
+	if err := memory.Grow(int64(len(frame.GetAnswer().GetBody()))); err != nil {
+		frame = &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: err.Error()}}}
+	}
 	return link.NewResult(frame, memory)
 }
 
--- a/node/process/peers/peers_test.go
+++ b/node/process/peers/peers_test.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/link"
+	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
 // fleet returns the sets of n nodes that count as linked to each other. No connection is opened.
@@ -87,3 +89,26 @@
 	known, _ = s.Linked()
 	assert.Zero(t, known, "neither listed nor linked")
 }
+
+// Guards against an answer of the server beside the node that is in no memory budget until its caller has read it, and against one that
+// needs its memory twice.
+func TestLocalAnswerTakesItsMemoryOnce(t *testing.T) {
+	const limit, body = 1 << 20, 700 << 10
+	memory := membudget.New(limit)
+	s := New(t.Context(), Config{
+		Hello: &linkpb.Hello{Address: "10.0.0.1:1"}, Memory: memory,
+		Serve: func(_ context.Context, _ *linkpb.Call, reply func(*linkpb.Frame)) {
+			reservation := memory.Reserve()
+			defer reservation.Release()
+			if reservation.Grow(body) == nil {
+				reply(&linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: &linkpb.Answer{Body: make([]byte, body)}}})
+			}
+		},
+	})
+	result, err := s.Send(t.Context(), s.local, &linkpb.Call{}, func() bool { return false })
+	require.NoError(t, err)
+	assert.Len(t, result.GetAnswer().GetBody(), body)
+	assert.EqualValues(t, body, memory.Held())
+	result.Release()
+	assert.Zero(t, memory.Held())
+}
