sidecar: write the identity of a server again that changed during the write

Found while reading the diff: a server that announced itself between the end of a write and the release of its mark was not stored, so that a restarted node would have waited for its next announcement.

--- a/node/process/sidecar/identity.go
+++ b/node/process/sidecar/identity.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -11,12 +10,11 @@
 
 // identity holds what is known about which backend server runs beside the node. It is safe for concurrent use.
 type identity struct {
-	// writing is set while the identity is being written to the store.
-	writing atomic.Bool
-
 	mu        sync.Mutex
 	known     ServerIdentity
 	announced bool
+	// writing is set while the identity is being written to the store.
+	writing bool
 }
 
 // restore sets the identity that an earlier process has stored, unless the server has announced itself since.
@@ -44,6 +42,23 @@
 	return i.known
 }
 
+// startWriting reports whether the caller must write the identity to the store: nobody else does.
+func (i *identity) startWriting() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	start := !i.writing
+	i.writing = true
+	return start
+}
+
+// endWriting ends the writing if the identity that was written is still the known one, and reports whether it is.
+func (i *identity) endWriting(written ServerIdentity) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.writing = i.known != written
+	return !i.writing
+}
+
 // serviceOf returns the service of the server with an id, if it has announced it to this or an earlier process of the node and the
 // configuration names no other one.
 func (n *Node) serviceOf(id string) (service string, known bool) {
@@ -59,18 +74,18 @@
 
 // storeIdentity writes the entry of this node until the store has the identity of its server, or the node stops.
 func (n *Node) storeIdentity() {
-	if !n.identity.writing.CompareAndSwap(false, true) {
+	if !n.identity.startWriting() {
 		return
 	}
-	defer n.identity.writing.Store(false)
-	for stored := (ServerIdentity{}); stored != n.identity.get() && !n.stopping.Load() && n.ctx.Err() == nil; {
+	for !n.stopping.Load() && n.ctx.Err() == nil {
 		m := n.self()
 		err := n.store.PutMember(n.ctx, m)
-		if err == nil {
-			stored = m.Server
-			continue
+		switch {
+		case err != nil:
+			n.log.Warn("failed to store the server's identity", "server", m.Server.ID, "error", err)
+			sleep(n.ctx, jitter(identityRetryInterval))
+		case n.identity.endWriting(m.Server):
+			return
 		}
-		n.log.Warn("failed to store the server's identity", "server", m.Server.ID, "error", err)
-		sleep(n.ctx, jitter(identityRetryInterval))
 	}
 }
