front: take the time in which a body arrives off the time left

What callers saw: nothing; servers worked on requests with slow bodies for longer than their callers waited, up to the time that the body had taken (BUDGET counts more than 0.5 s).

Cause: the time left counted from a clock that was read when the body had arrived.

--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -11,7 +11,6 @@
 	"github.com/radishstand/radishstand/api/linkpb"
 	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/protocol"
-	"github.com/radishstand/radishstand/node/internal/boottime"
 	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/choice"
 	"github.com/radishstand/radishstand/node/process/localserver"
@@ -72,11 +71,11 @@
 	server     *peers.Server
 }
 
-func (h *Handler) newCall(r *http.Request, a accepted, body []byte, memory *membudget.Reservation, now time.Time) *call {
+func (h *Handler) newCall(r *http.Request, a accepted, body []byte, memory *membudget.Reservation, arrived arrival) *call {
 	return &call{
-		handler: h, memory: memory, route: a.route, service: a.route.Split.Next(), arrived: now,
-		objective: now.Add(a.route.Objective), deadline: now.Add(a.timeout),
-		timeout: a.timeout, arrivedBoot: boottime.Now(),
+		handler: h, memory: memory, route: a.route, service: a.route.Split.Next(), arrived: arrived.at,
+		objective: arrived.at.Add(a.route.Objective), deadline: arrived.at.Add(a.timeout),
+		timeout: a.timeout, arrivedBoot: arrived.boot,
 		message: &linkpb.Call{
 			Method: r.Method, Target: a.target.Raw, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header), Body: body,
 			Rank: uint32(max(a.route.Rank, 0)), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -16,6 +16,7 @@
 
 	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/connection/protocol"
+	"github.com/radishstand/radishstand/node/internal/boottime"
 	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/budget"
 	"github.com/radishstand/radishstand/node/process/peers"
@@ -93,8 +94,7 @@
 // respond returns the response to a request, or nil when the caller has left. The memory is that of the request's body and of the
 // answers to it.
 func (h *Handler) respond(r *http.Request, memory *membudget.Reservation) *ingress.Response {
-	now := time.Now()
-	c, problem := h.accept(r, now, memory)
+	c, problem := h.accept(r, arrival{at: time.Now(), boot: boottime.Now()}, memory)
 	if problem != nil {
 		h.config.Log.Info("request refused", "id", r.Header.Get(h.config.Names.ID), "status", problem.status, "cause", problem.cause)
 		h.config.Counters.Count("refused." + problem.cause)
@@ -123,6 +123,13 @@
 	retryAfter time.Duration
 }
 
+// arrival is the time at which the head of a request had arrived, by the clock of the process and by the one that also runs while the
+// host is suspended.
+type arrival struct {
+	at   time.Time
+	boot time.Duration
+}
+
 // accepted is what a valid head of a request determines.
 type accepted struct {
 	version *routing.Version
@@ -167,8 +174,8 @@
 }
 
 // accept validates and reads a request. The memory for the body is reserved.
-func (h *Handler) accept(r *http.Request, now time.Time, memory *membudget.Reservation) (*call, *problem) {
-	a, failed := h.acceptHead(r, now)
+func (h *Handler) accept(r *http.Request, arrived arrival, memory *membudget.Reservation) (*call, *problem) {
+	a, failed := h.acceptHead(r, arrived.at)
 	if failed != nil {
 		return nil, failed
 	}
@@ -176,7 +183,7 @@
 	if failed != nil {
 		return nil, failed
 	}
-	return h.newCall(r, a, body, memory, now), nil
+	return h.newCall(r, a, body, memory, arrived), nil
 }
 
 func readBody(r *http.Request, limit int64, memory *membudget.Reservation) ([]byte, *problem) {
