--- /dev/null
+++ b/node/process/sidecar/poll.go
@@ -0,0 +1,83 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// errPollEnded is the cause of the end of a poll that this node has ended to send another one.
+var errPollEnded = errors.New("poll ended for another one")
+
+// routingPoll is the request for routing changes that is in progress. It is safe for concurrent use.
+type routingPoll struct {
+	mu       sync.Mutex
+	count    uint64                  // of the requests so far
+	cancel   context.CancelCauseFunc // nil while no request is in progress
+	began    time.Time
+	revision uint64
+	wait     time.Duration
+}
+
+// begin records the start of a request and returns its context, which end or shorten may cancel. The wait time is set later.
+func (p *routingPoll) begin(ctx context.Context, revision uint64) context.Context {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ctx, p.cancel = context.WithCancelCause(ctx)
+	p.count++
+	p.began, p.revision, p.wait = time.Now(), revision, routingPollTimeout
+	return ctx
+}
+
+// setWait records the wait time of the request in progress.
+func (p *routingPoll) setWait(wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wait = wait
+}
+
+// finish records the end of a request.
+func (p *routingPoll) finish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cancel(nil)
+	p.cancel = nil
+}
+
+// shorten ends the request in progress if it is a long poll.
+func (p *routingPoll) shorten() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil && p.wait > frequentPollTimeout {
+		p.cancel(errPollEnded)
+	}
+}
+
+// endAfter ends the request that is in progress now if it still is after a delay.
+func (p *routingPoll) endAfter(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel == nil {
+		return
+	}
+	count := p.count
+	time.AfterFunc(delay, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.cancel != nil && p.count == count {
+			p.cancel(errPollEnded)
+		}
+	})
+}
+
+// String describes the request for logs and for the dump of the process's state.
+func (p *routingPoll) String() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel == nil {
+		return "none"
+	}
+	return fmt.Sprintf("after revision %d for %s, sent %s ago", p.revision, p.wait, time.Since(p.began).Round(time.Millisecond))
+}
