peers: bound the number of nodes that poll often while the store is away

Cause: replaced each frequent poller whose calls fail by the next node. A store that refuses at once fails all of them within a second, one group after the other, so that the whole fleet called it in its backoff interval.

Test: TestSubsetStaysSmallWhileNoNodeReachesTheStore: 20 of 20 nodes before, 6 now.

--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -152,20 +152,29 @@
 	return len(p.peers), linked
 }
 
+// maxSubsetFactor bounds the subset of InSubset, in multiples of its size, while nodes in it do not reach the store: in an outage for
+// all, not every node must call the store.
+const maxSubsetFactor = 2
+
 // InSubset reports whether this node is one of the size nodes with the lowest address hashes among this node and its linked
-// peers whose calls to the store succeed. Nodes with the same links select the same subset, and a node whose own calls fail may be
-// in it besides. A node without links is always in it.
+// peers whose calls to the store succeed, and one of the maxSubsetFactor*size nodes with the lowest hashes among all linked ones. Nodes
+// with the same links select the same subset, and a node whose own calls fail may be in it besides. A node without links is always
+// in it.
 func (p *Set) InSubset(size int) bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	own := xxhash.Sum64String(p.config.Hello.Address)
-	before := 0
+	linked, reachStore := 0, 0
 	for address, known := range p.peers {
-		if xxhash.Sum64String(address) < own && known.server.reachesStore() {
-			before++
+		if xxhash.Sum64String(address) >= own || !known.server.linked() {
+			continue
+		}
+		linked++
+		if known.server.reachesStore() {
+			reachStore++
 		}
 	}
-	return before < size
+	return reachStore < size && linked < maxSubsetFactor*size
 }
 
 // servers returns the servers that accept calls for a service.
--- a/node/process/peers/peers_test.go
+++ b/node/process/peers/peers_test.go
@@ -49,6 +49,20 @@
 	assert.True(t, sets[0].InSubset(1))
 }
 
+// Guards against a store that all nodes call at short intervals during its outage, one group after the other.
+func TestSubsetStaysSmallWhileNoNodeReachesTheStore(t *testing.T) {
+	sets := fleet(20)
+	for failing := range sets {
+		address := sets[failing].config.Hello.Address
+		for _, s := range sets {
+			if known := s.peers[address]; known != nil {
+				known.server.setState(&linkpb.State{StoreFailing: true}, time.Now())
+			}
+		}
+	}
+	assert.Equal(t, 6, countInSubset(sets, 3))
+}
+
 // Guards against a node that never reads the addresses of others again after it has lost a link.
 func TestUnlinkedNodeIsReported(t *testing.T) {
 	s := fleet(2)[0]
