exchange: an endless answer of small chunks is broken off within the test's deadline beside load too

Trace: it decodes 8 MB in chunks of 4 bytes, 2 million, with the race detector: 3.8 s alone (3 of 3 runs), 6.5 s beside 16 busy loops. The client was still reading within its budget; nothing hung.

Change: the answers of this test get a budget of 2 MB, so that an eighth to a quarter is decoded.

--- a/node/connection/exchange/endless_test.go
+++ b/node/connection/exchange/endless_test.go
@@ -20,7 +20,8 @@
 
 // Guards against a server whose answer never ends and takes all memory of the host.
 func TestEndlessAnswerIsBrokenOffWithLittleMemory(t *testing.T) {
-	const maxAllocated = 4 * testMemory // a growing buffer is copied, so that more is allocated than held
+	const memory = 2 << 20          // bytes; small chunks take long to read
+	const maxAllocated = 4 * memory // a growing buffer is copied, so that more is allocated than held
 	for name, c := range map[string]struct{ first, repeated string }{
 		"status line":     {"HTTP/1.1 200 ", "x"},
 		"header line":     {"HTTP/1.1 200 OK\r\nX: ", "x"},
@@ -48,7 +49,8 @@
 			defer cancel()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			_, err := s.client().Do(ctx, get("a"))
+			client := exchange.New(s.listener.Addr().String(), idHeader, membudget.New(memory))
+			_, err := client.Do(ctx, get("a"))
 			runtime.ReadMemStats(&after)
 			var broken *exchange.BrokenError
 			require.ErrorAs(t, err, &broken)
