--- a/node/connection/protocol/protocol.go
+++ b/node/connection/protocol/protocol.go
@@ -27,6 +27,12 @@
 	// Leaving has the value LeavingValue in the answers of a server that is about to end.
 	Leaving      string
 	LeavingValue string
+	// TeamKey is the key by which a caller's team is known. It is never sent to a server.
+	TeamKey string
+	// Team is the name of the caller's team, as a server gets it.
+	Team string
+	// ColdMs is the time for which a server stays cold, in milliseconds.
+	ColdMs string
 	// ParseLoad parses the value of the ServerLoad header.
 	ParseLoad func(value string) (ServerLoad, bool)
 	// ParseRateLimit parses the value of the RateLimit header.
--- a/node/process/sidecar/config.go
+++ b/node/process/sidecar/config.go
@@ -27,6 +27,13 @@
 	Limits           budget.Limits
 	// MemoryBytes is the memory that the process may use; 0 when it is not limited.
 	MemoryBytes int64
+	// RevokeWithin is the time after which a key that operators took away must not work any more at any node, also without the
+	// store; 0 if nodes without the store serve on.
+	RevokeWithin time.Duration
+	// CPUShare is the share of a core that the process has; 0 if unknown.
+	CPUShare float64
+	// LinkBitsPerSecond is the speed of the host's link; 0 if unknown.
+	LinkBitsPerSecond float64
 	// StopGrace is the longest time between the signal to stop and the end of the process.
 	StopGrace time.Duration
 }
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -203,6 +203,7 @@
 		Ready: status.Ready && !n.stoppedServing.Load(), ColdMs: uint32(status.WarmUpLeft.Milliseconds()), Load: n.server.Load(),
 		Knee: uint32(n.server.Knee()), StartedMs: uint64(max(status.StartedAtMs, 0)),
 		Leaving: status.Leaving(), StoreFailing: n.storeFailing.Load(),
+		LinkKbps: uint32(max(c.LinkBitsPerSecond/1000, 0)), CpuMillis: uint32(max(c.CPUShare*1000, 0)),
 	}
 }
 
--- a/node/version/routing/routing.go
+++ b/node/version/routing/routing.go
@@ -21,6 +21,7 @@
 	// Document is the encoded version as it is stored in the operators' store.
 	Document []byte
 
+	teams teams
 	hosts map[string][]*Route // by lower-case host, longest prefix first
 }
 
@@ -31,6 +32,10 @@
 	HealthPath string
 	// MaxConnections is the number of connections that a server accepts from all its callers.
 	MaxConnections int
+	// ColdStart is the time for which a server of the service stays cold after its start.
+	ColdStart time.Duration
+	// ColdPerSecond is the number of requests per second that a cold server bears; 0 if it is not limited.
+	ColdPerSecond float64
 }
 
 // Limits bounds what callers may send and the time in which they must send it.
@@ -58,15 +63,31 @@
 	MaxAttempts int
 	// Split distributes the calls over services by weight.
 	Split Split
+	// Public routes serve callers without a key.
+	Public bool
+}
+
+// Definition is what operators configure in a version.
+type Definition struct {
+	Number   uint64
+	Services []Service
+	Limits   Limits
+	Routes   []*Route
+	// Teams are the callers' teams with their keys. Without any, callers need no key.
+	Teams []TeamKeys
 }
 
 // New compiles a version. Among the routes of a host, the one with the longest matching prefix is used.
-func New(number uint64, services []Service, limits Limits, routes []*Route) (*Version, error) {
-	v := &Version{Number: number, Services: map[string]Service{}, Limits: limits, hosts: map[string][]*Route{}}
-	for _, s := range services {
+func New(d Definition) (*Version, error) {
+	teams, err := newTeams(d.Teams)
+	if err != nil {
+		return nil, err
+	}
+	v := &Version{Number: d.Number, Services: map[string]Service{}, Limits: d.Limits, teams: teams, hosts: map[string][]*Route{}}
+	for _, s := range d.Services {
 		v.Services[s.Name] = s
 	}
-	for _, r := range routes {
+	for _, r := range d.Routes {
 		if err := v.add(r); err != nil {
 			return nil, err
 		}
--- a/node/version/routing/routing_test.go
+++ b/node/version/routing/routing_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestMatchUsesLongestPrefixOfHost(t *testing.T) {
-	v, err := routing.New(1, nil, routing.Limits{}, []*routing.Route{route(t, "short", "/a/"), route(t, "long", "/a/b/"), route(t, "other", "/c/")})
+	v, err := routing.New(routing.Definition{Number: 1, Routes: []*routing.Route{route(t, "short", "/a/"), route(t, "long", "/a/b/"), route(t, "other", "/c/")}})
 	require.NoError(t, err)
 	cases := map[string]struct{ host, path, want string }{
 		"a short prefix":         {"co-op.example", "/a/x", "short"},
@@ -85,14 +85,14 @@
 	var group sync.WaitGroup
 	for number := range uint64(100) {
 		group.Go(func() {
-			v, err := routing.New(number, nil, routing.Limits{}, nil)
+			v, err := routing.New(routing.Definition{Number: number})
 			assert.NoError(t, err)
 			h.Offer(v)
 		})
 	}
 	group.Wait()
 	assert.EqualValues(t, 99, h.Number())
-	v, err := routing.New(42, nil, routing.Limits{}, nil)
+	v, err := routing.New(routing.Definition{Number: 42})
 	require.NoError(t, err)
 	assert.False(t, h.Offer(v))
 }
