--- a/node/version/routing/routing.go
+++ b/node/version/routing/routing.go
@@ -21,8 +21,9 @@
 	// Document is the encoded version as it is stored in the operators' store.
 	Document []byte
 
-	teams teams
-	hosts map[string][]*Route // by lower-case host, longest prefix first
+	teams     teams
+	downloads bool
+	hosts     map[string][]*Route // by lower-case host, longest prefix first
 }
 
 // Service holds the configuration of a service.
@@ -63,6 +64,8 @@
 	MaxAttempts int
 	// Split distributes the calls over services by weight.
 	Split Split
+	// Download routes have large answers.
+	Download bool
 	// Public routes serve callers without a key.
 	Public bool
 }
@@ -107,9 +110,13 @@
 	}
 	host := strings.ToLower(r.Host)
 	v.hosts[host] = append(v.hosts[host], r)
+	v.downloads = v.downloads || r.Download
 	return nil
 }
 
+// HasDownloads reports whether any route has large answers.
+func (v *Version) HasDownloads() bool { return v.downloads }
+
 // Match returns the route of a request, or nil when none matches.
 func (v *Version) Match(host, path string) *Route {
 	host = strings.ToLower(host)
