--- a/node/connection/ingress/request.go
+++ b/node/connection/ingress/request.go
@@ -42,7 +42,7 @@
 	parser.Reset(bytes.NewReader(head))
 	request, err := http.ReadRequest(parser)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errMalformed, err)
+		return nil, fmt.Errorf("%w: unreadable head", errMalformed) // the parser's error quotes lines, which may hold a key
 	}
 	if request.ProtoMajor != 1 {
 		return nil, fmt.Errorf("%w: protocol %s", errMalformed, request.Proto)
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -50,7 +50,7 @@
 	if client == nil {
 		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer}), nil
 	}
-	s.inProgress.add(call.Id)
+	s.inProgress.add(call)
 	defer s.inProgress.remove(call.Id)
 	remaining := time.Duration(call.LeftMs)*time.Millisecond - (s.config.Boottime() - arrived)
 	sentAt := s.config.Now()
@@ -132,6 +132,12 @@
 	header.Set(names.DeadlineMs, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	header.Set(names.ServerID, call.ServerId)
 	header.Set(names.CallerService, call.CallerService)
+	// An entry node of an older build forwards what its caller has sent.
+	delete(header, names.TeamKey)
+	delete(header, names.Team)
+	if call.NameTeam {
+		header.Set(names.Team, call.Team)
+	}
 	s.requests.Add(1)
 	return client.Do(ctx, &exchange.Request{
 		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body, ID: call.Id,
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -9,6 +9,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,6 +55,8 @@
 	ctx      context.Context
 	local    *Server
 	versions versionSources
+	// newestVersion is the highest routing version number that any node has reported.
+	newestVersion atomic.Uint64
 
 	mu    sync.RWMutex
 	peers map[string]*peer
--- a/node/process/peers/versions.go
+++ b/node/process/peers/versions.go
@@ -65,6 +65,7 @@
 	if number <= p.config.LocalVersion() { // the usual case needs no lock
 		return
 	}
+	p.recordVersion(number)
 	p.mu.RLock()
 	known := p.peers[address]
 	p.mu.RUnlock()
@@ -77,13 +78,31 @@
 // reported it, one after the other, when the store has not delivered it within routingRequestDelay.
 func (p *Set) observeVersion(s *Server, number uint64) {
 	current := p.config.LocalVersion()
-	if number <= current || !p.versions.add(s, number) {
+	if number <= current {
+		return
+	}
+	p.recordVersion(number)
+	if !p.versions.add(s, number) {
 		return
 	}
 	p.config.Log.Info("peer has a newer routing version", "peer", s.address, "version", number, "current", current)
 	time.AfterFunc(routingRequestDelay, p.requestRouting)
 }
 
+// NewestVersion returns the highest routing version number above the local one that any node has reported so far, or a lower number
+// when there is none.
+func (p *Set) NewestVersion() uint64 { return p.newestVersion.Load() }
+
+// recordVersion records a routing version number that a node has reported.
+func (p *Set) recordVersion(number uint64) {
+	for {
+		newest := p.newestVersion.Load()
+		if number <= newest || p.newestVersion.CompareAndSwap(newest, number) {
+			return
+		}
+	}
+}
+
 // requestRouting requests the routing version from the next linked node that has a newer one. A node without a link is passed
 // over: when it is linked again it reports its version.
 func (p *Set) requestRouting() {
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -86,8 +86,9 @@
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
-		Service: func() string { return n.config.Load().Service }, Serves: n.server.Serves,
-		Memory: memory, Log: log, Counters: counters{n.metrics},
+		Service: func() string { return n.config.Load().Service }, Parent: n.server.Parent,
+		Freshness: freshnessOf{n},
+		Memory:    memory, Log: log, Counters: counters{n.metrics},
 	})
 	return n
 }
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -72,22 +72,30 @@
 }
 
 func (h *Handler) newCall(r *http.Request, a accepted, body []byte, memory *membudget.Reservation, arrived arrival) *call {
-	return &call{
+	c := &call{
 		handler: h, memory: memory, route: a.route, service: a.route.Split.Next(), arrived: arrived.at,
 		objective: arrived.at.Add(a.route.Objective), deadline: arrived.at.Add(a.timeout),
 		timeout: a.timeout, arrivedBoot: arrived.boot,
 		message: &linkpb.Call{
 			Method: r.Method, Target: a.target.Raw, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header), Body: body,
-			Rank: uint32(max(a.route.Rank, 0)), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
-			Nested: h.isNested(a.id),
+			Rank: a.version.RankOf(a.route, a.team), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
 		},
 	}
+	if a.team != nil { // the backend server's own calls have no key
+		c.message.Team, c.message.NameTeam = a.team.Name, true
+	} else if parent, ok := h.parent(a.id); ok {
+		c.message.Nested, c.message.Team, c.message.ParentRank = true, parent.Team, parent.Rank
+	}
+	return c
 }
 
-// isNested reports whether the backend server at this host makes the call for one that is in progress there.
-func (h *Handler) isNested(id string) bool {
+// parent returns the call in progress at the backend server at this host for which that makes the call with an ID.
+func (h *Handler) parent(id string) (localserver.Parent, bool) {
 	parent, ok := h.config.Names.ParentID(id)
-	return ok && h.config.Serves(parent)
+	if !ok {
+		return localserver.Parent{}, false
+	}
+	return h.config.Parent(parent)
 }
 
 // forwardedHeader returns the header lines of a request that are sent to a server. It does not change the header, since the
@@ -96,7 +104,7 @@
 	header = maps.Clone(header)
 	protocol.StripConnection(header)
 	names := h.config.Names
-	for _, reserved := range []string{names.ID, names.DeadlineMs, names.ServerID, names.CallerService, "Expect"} {
+	for _, reserved := range []string{names.ID, names.DeadlineMs, names.ServerID, names.CallerService, names.TeamKey, names.Team, "Expect"} {
 		delete(header, reserved)
 	}
 	return localserver.Headers(header)
@@ -194,6 +202,6 @@
 	if server != nil {
 		address = server.Address()
 	}
-	fields := append([]any{"id", c.message.Id, "route", c.route.Name, "service", c.service, "server", c.message.ServerId, "peer", address}, keyvals...)
+	fields := append([]any{"id", c.message.Id, "route", c.route.Name, "service", c.service, "team", c.message.Team, "server", c.message.ServerId, "peer", address}, keyvals...)
 	c.handler.config.Log.Info(message, fields...)
 }
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/radishstand/radishstand/node/internal/boottime"
 	"github.com/radishstand/radishstand/node/internal/membudget"
 	"github.com/radishstand/radishstand/node/process/budget"
+	"github.com/radishstand/radishstand/node/process/localserver"
 	"github.com/radishstand/radishstand/node/process/peers"
 	"github.com/radishstand/radishstand/node/request/requesturi"
 	"github.com/radishstand/radishstand/node/version/routing"
@@ -55,8 +56,10 @@
 	Budget  *budget.Budget
 	// Service returns the service of the backend server at this host.
 	Service func() string
-	// Serves reports whether a call is in progress at the backend server at this host.
-	Serves func(id string) bool
+	// Parent returns the call with an ID that is in progress at the backend server at this host.
+	Parent func(id string) (localserver.Parent, bool)
+	// Freshness shows whether a key that is not known here may still be valid, and whether one that is known may have been revoked.
+	Freshness Freshness
 	// Memory bounds the bytes of the bodies that are held.
 	Memory   *membudget.Budget
 	Log      Log
@@ -137,6 +140,8 @@
 	target  requesturi.URI
 	id      string
 	timeout time.Duration
+	// team is the team whose key the request has; nil on a public route and in a version without teams.
+	team *routing.Team
 }
 
 // acceptHead validates the head of a request and matches its route.
@@ -159,6 +164,10 @@
 	if a.route == nil {
 		return a, &problem{status: http.StatusNotFound, cause: "no route"}
 	}
+	var failed *problem
+	if a.team, failed = h.authenticate(r.Header, a.version, a.route); failed != nil {
+		return a, failed
+	}
 	if !utf8.ValidString(a.id + a.target.Raw + r.Host) { // nodes could not send it to each other
 		return a, &problem{status: http.StatusBadRequest, cause: "bytes that are not UTF-8"}
 	}
@@ -215,6 +224,9 @@
 	if p.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(p.retryAfter.Seconds(), 'f', 3, 64))
 	}
+	if p.status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", authenticationScheme)
+	}
 	invalid := p.status == http.StatusBadRequest || p.status == http.StatusRequestEntityTooLarge
 	return &ingress.Response{Status: p.status, Header: header, Close: invalid}
 }
--- /dev/null
+++ b/node/request/front/team.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/radishstand/radishstand/node/version/routing"
+)
+
+const (
+	// staleRetryAfter is the Retry-After time while this node may not have the newest routing version.
+	staleRetryAfter = 300 * time.Millisecond
+	// authenticationScheme is the challenge of a response with status 401.
+	authenticationScheme = "ApiKey"
+)
+
+// Freshness shows how current the routing version of the node is. It is safe for concurrent use.
+type Freshness interface {
+	// NewerKnown reports whether a node has reported a newer version than the given one.
+	NewerKnown(version uint64) bool
+	// Leased reports whether the node may accept keys of a version: without a lease, keys may have been revoked since.
+	Leased(version uint64) bool
+}
+
+// authenticate returns the team whose key a request has. It returns no team on a public route and in a version without teams. A
+// response with status 401 is final for callers, so that it is sent only when no newer version may hold the key.
+func (h *Handler) authenticate(header http.Header, v *routing.Version, r *routing.Route) (*routing.Team, *problem) {
+	if r.Public || !v.HasTeams() {
+		return nil, nil
+	}
+	if !h.config.Freshness.Leased(v.Number) {
+		return nil, &problem{status: http.StatusServiceUnavailable, cause: "no freshness lease", retryAfter: staleRetryAfter}
+	}
+	keys := header.Values(h.config.Names.TeamKey)
+	if len(keys) == 1 {
+		if team := v.TeamOf(keys[0]); team != nil {
+			return team, nil
+		}
+	}
+	switch {
+	case h.config.Freshness.NewerKnown(v.Number):
+		return nil, &problem{status: http.StatusServiceUnavailable, cause: "newer routing version known", retryAfter: staleRetryAfter}
+	case len(keys) == 1:
+		return nil, &problem{status: http.StatusUnauthorized, cause: "unknown key"}
+	}
+	return nil, &problem{status: http.StatusUnauthorized, cause: "not exactly one key"}
+}
