--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -41,6 +41,8 @@
 	Routing func([]byte)
 	// LocalVersion returns the number of the current routing version of this node.
 	LocalVersion func() uint64
+	// Proof is called with each proof that a routing version was the newest one at a time of the boot clock.
+	Proof func(version uint64, at time.Duration)
 }
 
 // Client is a link to another node. It is safe for concurrent use.
@@ -52,6 +54,7 @@
 	lastReceived atomic.Int64
 	pingSent     atomic.Int64
 	done         chan struct{}
+	asked        questions
 }
 
 // dial opens a link to the node of a session and sends hello.
@@ -106,10 +109,20 @@
 		return
 	}
 	if c.pingSent.CompareAndSwap(0, now.UnixNano()) {
+		c.ping()
+	}
+}
+
+// ping sends a ping.
+func (c *Client) ping() {
+	if c.asked.push(boottime.Now()) {
 		c.conn.writeOrClose(&linkpb.Frame{Body: &linkpb.Frame_Ping{Ping: &linkpb.Ping{}}})
 	}
 }
 
+// Ask asks the other node for its proof of freshness. The answer is passed to Events.Proof.
+func (c *Client) Ask() { c.ping() }
+
 func (c *Client) receive() {
 	defer close(c.done)
 	defer c.conn.close()
@@ -140,6 +153,10 @@
 		c.events.State(body.State)
 	case *linkpb.Frame_Routing:
 		c.events.Routing(body.Routing.Document)
+	case *linkpb.Frame_Pong:
+		if asked, ok := c.asked.pop(); ok {
+			c.events.handleProof(f.Frame, asked)
+		}
 	case *linkpb.Frame_Answer, *linkpb.Frame_Refusal, *linkpb.Frame_Broken:
 		c.session.deliver(f)
 		return
--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -29,6 +29,7 @@
 // handler answers calls with their target. A call to /wait is answered after its context has ended.
 type handler struct {
 	version   atomic.Uint64
+	proofAge  atomic.Uint32
 	hello     chan *linkpb.Hello
 	cancelled chan struct{}
 	// observed holds the version number that each address has sent last.
@@ -54,6 +55,7 @@
 func (h *handler) Routing() []byte           { return []byte("document") }
 func (h *handler) LocalVersion() uint64      { return h.version.Load() }
 
+func (h *handler) ProofAge(uint64) uint32                       { return h.proofAge.Load() }
 func (h *handler) ObserveVersion(address string, number uint64) { h.observed.Store(address, number) }
 
 // events collects what a client receives outside its calls.
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -27,6 +27,8 @@
 	Routing() []byte
 	// LocalVersion returns the number of the current routing version, or 0.
 	LocalVersion() uint64
+	// ProofAge returns the age of this node's proof that a routing version was the newest one, as in Frame.proof_age_ms.
+	ProofAge(version uint64) uint32
 	// ObserveVersion is called with the routing version number of each frame that has one, and the address of the node that
 	// sent it.
 	ObserveVersion(address string, number uint64)
@@ -269,5 +271,10 @@
 // withVersion returns a frame with the current routing version. The frame itself is not changed, since a retained result may be sent
 // on two links.
 func (l *serverLink) withVersion(f *linkpb.Frame) *linkpb.Frame {
-	return &linkpb.Frame{Stream: f.Stream, Version: l.server.handler.LocalVersion(), Body: f.Body}
+	version := l.server.handler.LocalVersion()
+	stamped := &linkpb.Frame{Stream: f.Stream, Version: version, Body: f.Body}
+	if answersQuestion(f) {
+		stamped.ProofAgeMs = l.server.handler.ProofAge(version)
+	}
+	return stamped
 }
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/internal/boottime"
 	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
@@ -34,6 +35,8 @@
 type call struct {
 	// link is the link that the call was sent on.
 	link *Client
+	// sentAt is a time of the boot clock before the call was sent.
+	sentAt time.Duration
 	// result receives the frame that ends the call. It is closed when there will be none.
 	result chan *Result
 }
@@ -231,7 +234,7 @@
 }
 
 func (s *Session) register(stream uint64, link *Client) *call {
-	c := &call{link: link, result: make(chan *Result, 1)}
+	c := &call{link: link, sentAt: boottime.Now(), result: make(chan *Result, 1)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[stream] = c
@@ -255,12 +258,14 @@
 // deliver passes a result to the call of its stream. A result for a call that has ended is dropped.
 func (s *Session) deliver(f *Result) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	c := s.calls[f.Stream]
 	if c == nil {
+		s.mu.Unlock()
 		f.Release()
 		return
 	}
 	delete(s.calls, f.Stream)
 	c.result <- f
+	s.mu.Unlock()
+	s.events.handleProof(f.Frame, c.sentAt)
 }
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -48,6 +48,8 @@
 	lostAt time.Time
 	// excludedUntil is the end of the exclusion of a server that accepts no calls.
 	excludedUntil time.Time
+	// proofAt is the time of the youngest proof of freshness that the node has passed on, by the boot clock.
+	proofAt time.Duration
 }
 
 // setState records a new state of the server's node. The load and failures of another server are reset.
@@ -198,6 +200,7 @@
 		Routing:      func(document []byte) { p.config.Routing(s.address, document) },
 		LocalVersion: p.config.LocalVersion,
 		Version:      func(number uint64) { p.observeVersion(s, number) },
+		Proof:        func(version uint64, at time.Duration) { p.observeProof(s, version, at) },
 	}, p.config.Memory)
 }
 
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -44,6 +44,8 @@
 	Routing func(peer string, document []byte)
 	// PollersChanged is called when the result of InSubset may have changed. It must not block.
 	PollersChanged func()
+	// Proof handles a proof from another node that a routing version was the newest one at a time of the boot clock.
+	Proof func(version uint64, at time.Duration)
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
 	Log    Log
--- /dev/null
+++ b/node/process/peers/proofs.go
@@ -0,0 +1,120 @@
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// proofSources is the number of nodes that are asked first for a proof of freshness: those that poll the store often.
+	proofSources = 3
+	// maxDirectAskers is the number of linked nodes up to which all nodes ask those. In larger fleets a node asks nodes of its own
+	// place, which ask them.
+	maxDirectAskers = 256
+)
+
+// observeProof handles a proof of freshness that another node has passed on.
+func (p *Set) observeProof(s *Server, version uint64, at time.Duration) {
+	s.mu.Lock()
+	s.proofAt = max(s.proofAt, at)
+	s.mu.Unlock()
+	p.config.Proof(version, at)
+}
+
+// AskForProof pings linked nodes, whose answers hold their proof of freshness. The nodes are ordered by where a young proof is
+// expected; count of them are asked from position first on. After the last node the first one follows.
+func (p *Set) AskForProof(first, count int) {
+	sources := p.proofOrder()
+	for i := range min(count, len(sources)) {
+		if client := sources[(first+i)%len(sources)].currentClient(); client != nil {
+			go client.Ask()
+		}
+	}
+}
+
+// proofSource is a linked node as a source of proofs.
+type proofSource struct {
+	server *Server
+	// hash is that of the node's address.
+	hash         uint64
+	proofAt      time.Duration
+	samePlace    bool
+	reachesStore bool
+}
+
+// proofOrder returns the linked nodes: the one from which the youngest proof came, the nodes that poll the store often as far as this
+// node can tell, and the others. A node that reaches no poller is served by nodes that do.
+func (p *Set) proofOrder() []*Server {
+	sources := p.linkedSources()
+	slices.SortFunc(sources, func(a, b proofSource) int { return cmp.Compare(a.hash, b.hash) })
+	ownHash := xxhash.Sum64String(p.config.Hello.Address)
+	preferred := func(s proofSource) bool { return s.reachesStore }
+	if len(sources) > maxDirectAskers && !leadsPlace(sources, ownHash) {
+		preferred = func(s proofSource) bool { return s.samePlace }
+	}
+	slices.SortStableFunc(sources, func(a, b proofSource) int { return boolFirst(preferred(a), preferred(b)) })
+	if len(sources) > proofSources { // each node asks the others in its own order, so that no node is asked by all
+		others := sources[proofSources:]
+		i := slices.IndexFunc(others, func(s proofSource) bool { return s.hash > ownHash })
+		if i > 0 {
+			copy(others, slices.Concat(others[i:], others[:i]))
+		}
+	}
+	ordered := make([]*Server, 0, len(sources)+1)
+	if len(sources) > 0 {
+		youngest := slices.MaxFunc(sources, func(a, b proofSource) int { return cmp.Compare(a.proofAt, b.proofAt) })
+		if youngest.proofAt > 0 {
+			ordered = append(ordered, youngest.server)
+		}
+	}
+	for _, s := range sources {
+		if len(ordered) == 0 || s.server != ordered[0] {
+			ordered = append(ordered, s.server)
+		}
+	}
+	return ordered
+}
+
+// leadsPlace reports whether the node with a hash is one of those that the others of its place ask. The sources are in the order of
+// their hashes.
+func leadsPlace(sources []proofSource, hash uint64) bool {
+	before := 0
+	for _, s := range sources {
+		if s.samePlace && s.hash < hash {
+			before++
+		}
+	}
+	return before < proofSources
+}
+
+func boolFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// linkedSources returns the linked nodes in no particular order.
+func (p *Set) linkedSources() []proofSource {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var sources []proofSource
+	for address, known := range p.peers {
+		s := known.server
+		s.mu.Lock()
+		if s.client != nil {
+			sources = append(sources, proofSource{
+				server: s, hash: xxhash.Sum64String(address), proofAt: s.proofAt,
+				samePlace: s.state.GetPlace() == p.config.Hello.Place, reachesStore: !s.state.GetStoreFailing(),
+			})
+		}
+		s.mu.Unlock()
+	}
+	return sources
+}
--- a/node/process/peers/versions_test.go
+++ b/node/process/peers/versions_test.go
@@ -26,6 +26,7 @@
 func (n *routingNode) Leaving(*linkpb.Leaving)                                  {}
 func (n *routingNode) Routing() []byte                                          { return n.document }
 func (n *routingNode) LocalVersion() uint64                                     { return n.version }
+func (n *routingNode) ProofAge(uint64) uint32                                   { return 0 }
 func (n *routingNode) ObserveVersion(string, uint64)                            {}
 
 // startRoutingNode accepts links for a node and returns its address.
--- a/node/process/sidecar/routing.go
+++ b/node/process/sidecar/routing.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/radishstand/radishstand/node/internal/boottime"
 )
 
 const (
@@ -29,7 +31,7 @@
 	var revision uint64
 	retryBackoff := newBackoff()
 	for ctx.Err() == nil {
-		requestedAt := time.Now()
+		requestedAt, began, direct := time.Now(), boottime.Now(), revision == 0
 		document, next, err := n.pollRouting(ctx, revision)
 		switch {
 		case errors.Is(err, errPollEnded):
@@ -50,6 +52,7 @@
 		n.setStoreFailing(false)
 		retryBackoff = newBackoff()
 		revision = next
+		n.freshness.read(document, began, direct)
 		if document != nil {
 			n.applyRouting(document, "store")
 			// The long polls of other nodes may be lost, and a node without traffic receives no other frame.
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -47,6 +47,7 @@
 	go n.watchPollers(ctx)
 	go n.maintainMembership(ctx)
 	go n.superviseServer(ctx)
+	n.freshness.start(ctx)
 	n.log.Info("started", "node", n.config.Load().Name, "place", n.config.Load().Place, "service", n.config.Load().Service)
 	select {
 	case <-ctx.Done():
@@ -196,6 +197,6 @@
 func (n *Node) writeDump(w http.ResponseWriter, _ *http.Request) {
 	known, linked := n.peers.Linked()
 	requests, _ := n.callers.Load().InProgress()
-	fmt.Fprintf(w, "version %d\nrouting poll %s\nstate %v\npeers %d linked %d\nrequests %d calls %d\n",
-		n.routing.Number(), &n.poll, n.State(), known, linked, requests, n.activeCalls.Load())
+	fmt.Fprintf(w, "version %d\nrouting poll %s\nstate %v\npeers %d linked %d\nrequests %d calls %d\nfreshness proof %s\n",
+		n.routing.Number(), &n.poll, n.State(), known, linked, requests, n.activeCalls.Load(), n.freshness)
 }
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -47,6 +47,8 @@
 	// identity is that of the backend server.
 	identity identity
 	poll     routingPoll
+	// freshness holds the proofs that the current routing version is the newest one.
+	freshness *freshnessLease
 	// pollersChanged receives when this node may have become one of the frequent pollers.
 	pollersChanged chan struct{}
 	callers        atomic.Pointer[ingress.Server] // nil before the node listens
@@ -66,6 +68,10 @@
 	n := &Node{ctx: ctx, adapter: adapter, store: adapter.Store(), log: log, routing: &routing.Holder{}, metrics: metrics.NewRegistry()}
 	n.pollersChanged = make(chan struct{}, 1)
 	n.config.Store(&c)
+	n.freshness = &freshnessLease{node: n}
+	if c.RevokeWithin > 0 {
+		n.freshness.registerMetrics(n.metrics)
+	}
 	memory := membudget.New(bodyBytes(c.MemoryBytes))
 	n.server = localserver.New(localserver.Config{
 		Address:    func() string { return n.config.Load().ServerAddress },
@@ -82,12 +88,13 @@
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
 		LocalVersion: n.routing.Number, Memory: memory, Log: log,
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
+		Proof: n.freshness.addProof,
 	})
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
 		Service: func() string { return n.config.Load().Service }, Parent: n.server.Parent,
-		Freshness: freshnessOf{n},
+		Freshness: n.freshness,
 		Memory:    memory, Log: log, Counters: counters{n.metrics},
 	})
 	return n
@@ -113,6 +120,7 @@
 	old := n.config.Swap(&c)
 	if *old != c {
 		n.log.Info("configuration reloaded", "service", c.Service, "serverAddress", c.ServerAddress)
+		n.freshness.start(n.ctx)
 	}
 }
 
@@ -234,6 +242,9 @@
 // LocalVersion returns the number of the current routing version, or 0.
 func (n *Node) LocalVersion() uint64 { return n.routing.Number() }
 
+// ProofAge returns the age of the proof that a routing version is the newest one, as it is passed on to other nodes.
+func (n *Node) ProofAge(version uint64) uint32 { return n.freshness.proofAge(version) }
+
 // ObserveVersion handles the routing version number of a node that opened a link.
 func (n *Node) ObserveVersion(address string, number uint64) { n.peers.ObserveVersion(address, number) }
 
