--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -9,6 +9,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,8 @@
 	Routing func(peer string, document []byte)
 	// PollersChanged is called when the result of InSubset may have changed. It must not block.
 	PollersChanged func()
+	// Proof handles a proof from another node that a routing version was the newest one at a time of the boot clock.
+	Proof func(version uint64, at time.Duration)
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
 	Log    Log
@@ -54,6 +57,8 @@
 	ctx      context.Context
 	local    *Server
 	versions versionSources
+	// newestVersion is the highest routing version number that any node has reported.
+	newestVersion atomic.Uint64
 
 	mu    sync.RWMutex
 	peers map[string]*peer
