--- a/node/process/dispatch/cold.go
+++ b/node/process/dispatch/cold.go
@@ -48,6 +48,9 @@
 	Start time.Duration
 	// PerSecond is the number of requests per second that a cold server handles; 0 if cold servers are not limited.
 	PerSecond float64
+	// Provisional is set while the configuration is not known. The limit then applies only to a server that has stated that it is
+	// cold.
+	Provisional bool
 }
 
 // ColdReport is what the server says about whether it is cold.
@@ -195,6 +198,9 @@
 
 // warm reports whether calls may start without regard to the limit.
 func (c *coldState) warm(now time.Time) bool {
+	if c.limit.Provisional {
+		return !c.cold(now)
+	}
 	return !c.cold(now) && !c.warmAt.IsZero() && now.Sub(c.answeredAt) <= maxSilence && c.unreportedLeft() > 0
 }
 
--- a/node/process/dispatch/cold_test.go
+++ b/node/process/dispatch/cold_test.go
@@ -187,3 +187,21 @@
 	assert.Len(t, s.arrivals, 12)
 	assert.Empty(t, s.changes)
 }
+
+// Guards against a node that has just started and lets calls of other nodes through to a cold server while it does not know the
+// configuration, and against checks of warm servers in that time.
+func TestStatedColdTimeCountsBeforeTheConfigurationIsKnown(t *testing.T) {
+	s := newColdServer(0)
+	limit := dispatch.ColdLimit{PerSecond: 10, Provisional: true}
+	s.LimitCold(dispatch.ColdControl{Limit: func() dispatch.ColdLimit { return limit }, Check: s.check, Changed: func(dispatch.ColdChange) {}})
+	s.run(100, time.Second)
+	assert.Len(t, s.arrivals, 100)
+	s.announce(testColdStart)
+	event := s.now
+	s.run(100, time.Second)
+	assert.LessOrEqual(t, mostInASecond(s.arrivals, event), 11)
+	assert.Zero(t, s.checks)
+	limit = dispatch.ColdLimit{Start: testColdStart, PerSecond: testColdPerSecond}
+	s.run(100, time.Second)
+	assert.EqualValues(t, testColdPerSecond, s.ColdLimit(), "what the server has stated still counts")
+}
--- a/node/process/dispatch/coldlimit.go
+++ b/node/process/dispatch/coldlimit.go
@@ -85,7 +85,7 @@
 		return true
 	}
 	if c.warm(now) {
-		if c.unreportedLeft() <= c.unreported()/renewalDivisor {
+		if !c.limit.Provisional && c.unreportedLeft() <= c.unreported()/renewalDivisor {
 			d.checkCold(now)
 		}
 		return true
--- a/node/process/localserver/cold.go
+++ b/node/process/localserver/cold.go
@@ -36,11 +36,13 @@
 }
 
 // coldChanged keeps the time for which the server is expected to stay cold, and reports the change. It looks at the queue again at
-// the end of that time.
+// the end of that time. The warm-up that a server of a service without the limit has announced is kept.
 func (s *Server) coldChanged(c dispatch.ColdChange) {
-	s.mu.Lock()
-	s.warmUpEnd = s.config.Now().Add(c.Left)
-	s.mu.Unlock()
+	if c.PerSecond > 0 {
+		s.mu.Lock()
+		s.warmUpEnd = s.config.Now().Add(c.Left)
+		s.mu.Unlock()
+	}
 	if c.Cold {
 		time.AfterFunc(c.Left, func() { s.dispatcher.Sweep() })
 	}
--- a/node/process/sidecar/cold.go
+++ b/node/process/sidecar/cold.go
@@ -1,14 +1,16 @@
 package sidecar
 
-import (
-	"github.com/radishstand/radishstand/node/process/dispatch"
-)
+import "github.com/radishstand/radishstand/node/process/dispatch"
 
-// coldLimit returns the limit for cold servers of a service. Before the first routing version there is none.
+// provisionalColdPerSecond limits a server that states that it is cold before this process has a routing version. Other nodes, which
+// have one, send calls already.
+const provisionalColdPerSecond = 10
+
+// coldLimit returns the limit for cold servers of a service.
 func (n *Node) coldLimit(service string) dispatch.ColdLimit {
 	v := n.routing.Current()
 	if v == nil {
-		return dispatch.ColdLimit{}
+		return dispatch.ColdLimit{PerSecond: provisionalColdPerSecond, Provisional: true}
 	}
 	s := v.Services[service]
 	return dispatch.ColdLimit{Start: s.ColdStart, PerSecond: s.ColdPerSecond}
