--- a/node/process/dispatch/cold.go
+++ b/node/process/dispatch/cold.go
@@ -36,6 +36,7 @@
 	SourceAnnouncement = "announcement"
 	SourceLost         = "lost connection"
 	SourceNewServer    = "new server"
+	SourceEvacuation   = "evacuation"
 	SourceNoReport     = "no report"
 	SourceTime         = "time"
 	// SourceConfiguration means that a routing version has removed the limit.
--- a/node/process/dispatch/cold_test.go
+++ b/node/process/dispatch/cold_test.go
@@ -205,3 +205,51 @@
 	s.run(100, time.Second)
 	assert.EqualValues(t, testColdPerSecond, s.ColdLimit(), "what the server has stated still counts")
 }
+
+// Guards against a call that starts before a health check has shown the state of a server that was silent or has broken a
+// connection, also when an announcement arrives that was made before, and against such delays at a busy server.
+func TestCallWaitsForTheHealthCheckAfterADoubt(t *testing.T) {
+	warm := func(s *coldServer) { s.run(20, time.Second) }
+	cases := map[string]struct {
+		event func(s *coldServer)
+		delay time.Duration
+	}{
+		"busy":                         {func(*coldServer) {}, 0},
+		"silent":                       {func(s *coldServer) { s.sleep(600 * time.Millisecond) }, testCheckTime},
+		"broken connection":            {func(s *coldServer) { s.ServerLost() }, testCheckTime},
+		"earlier announcement":         {func(s *coldServer) { s.ServerLost(); s.sleep(20 * time.Millisecond); s.announce(0) }, testCheckTime},
+		"later announcement":           {func(s *coldServer) { s.ServerLost(); s.sleep(200 * time.Millisecond); s.announce(0) }, 0},
+		"another server":               {func(s *coldServer) { s.Reset() }, testCheckTime},
+		"silent, health check is lost": {func(s *coldServer) { s.lostChecks = true; s.sleep(600 * time.Millisecond) }, 15 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newColdServer(testColdPerSecond)
+			warm(s)
+			c.event(s)
+			submitted := s.now
+			s.call(1)
+			s.sleep(100 * time.Millisecond)
+			assert.Equal(t, c.delay, s.arrivals[len(s.arrivals)-1].Sub(submitted))
+		})
+	}
+}
+
+// Guards against calls that wait in vain when the server turns cold, and against a limit that outlasts the stated time.
+func TestCallsAreRefusedAtOnceWhenTheServerTurnsCold(t *testing.T) {
+	s := newColdServer(testColdPerSecond)
+	s.announce(0)
+	s.run(10, 500*time.Millisecond)
+	for range 42 { // most of them wait for slots and for a health check
+		s.call(1)
+		s.sleep(10 * time.Microsecond)
+	}
+	queued := s.Load().Queued
+	s.announce(testColdStart)
+	assert.Less(t, s.Load().Queued, queued)
+	assert.Positive(t, s.ColdRefusals())
+	s.run(10, testColdStart)
+	s.sleep(20 * time.Millisecond)
+	assert.Zero(t, s.ColdLimit())
+	assert.Equal(t, dispatch.SourceTime, s.changes[len(s.changes)-1].Source)
+}
--- a/node/process/dispatch/coldlimit.go
+++ b/node/process/dispatch/coldlimit.go
@@ -31,8 +31,12 @@
 }
 
 // ServerLost records that the server refused or broke a connection, so that it may have restarted.
-func (d *Dispatcher) ServerLost() {
-	d.updateCold(func(now time.Time) { d.cold.doubt(SourceLost, now) })
+func (d *Dispatcher) ServerLost() { d.DoubtWarm(SourceLost) }
+
+// DoubtWarm records that the server may have turned cold unnoticed. Calls wait for a health check that shows its state, and start at
+// the cold rate if it fails.
+func (d *Dispatcher) DoubtWarm(source string) {
+	d.updateCold(func(now time.Time) { d.cold.doubt(source, now) })
 }
 
 // updateCold changes what is known about whether the server is cold.
