--- a/node/process/localserver/cold.go
+++ b/node/process/localserver/cold.go
@@ -15,6 +15,9 @@
 const (
 	// lateCheckTimeout is the timeout of a health check that shows whether the server is cold. Calls wait for slownessTimeout only.
 	lateCheckTimeout = 250 * time.Millisecond
+	// checkGrace is the last part of slownessTimeout. It begins with a timer of its own, so that a process that was throttled reads the
+	// answer that has arrived meanwhile before the health check fails.
+	checkGrace = 2 * time.Millisecond
 	// maxColdMs bounds the time for which a server may state that it stays cold.
 	maxColdMs = int64(24 * time.Hour / time.Millisecond)
 )
@@ -113,7 +116,8 @@
 		return
 	}
 	var once sync.Once
-	timer := time.AfterFunc(slownessTimeout, func() { once.Do(s.dispatcher.ProbeFailed) })
+	fail := func() { once.Do(s.dispatcher.ProbeFailed) }
+	timer := time.AfterFunc(slownessTimeout-checkGrace, func() { time.AfterFunc(checkGrace, fail) })
 	go func() {
 		defer timer.Stop()
 		slowness, ok := s.requestSlowness(client, path, lateCheckTimeout)
