--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -41,6 +41,7 @@
 	Routing func([]byte)
 	// LocalVersion returns the number of the current routing version of this node.
 	LocalVersion func() uint64
+	Evacuations  EvacuationExchange
 }
 
 // Client is a link to another node. It is safe for concurrent use.
@@ -140,6 +141,8 @@
 		c.events.State(body.State)
 	case *linkpb.Frame_Routing:
 		c.events.Routing(body.Routing.Document)
+	case *linkpb.Frame_Evacuations:
+		c.events.Evacuations.receive(c.session.address, body.Evacuations)
 	case *linkpb.Frame_Answer, *linkpb.Frame_Refusal, *linkpb.Frame_Broken:
 		c.session.deliver(f)
 		return
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -37,7 +37,8 @@
 	handler Handler
 	memory  *membudget.Budget
 	// clock is boottime.Now.
-	clock func() time.Duration
+	clock       func() time.Duration
+	evacuations EvacuationExchange
 
 	broadcast sync.Mutex // held while a state is sent to all links
 
@@ -229,6 +230,8 @@
 		l.session.cancel(f.Stream)
 	case *linkpb.Frame_Leaving:
 		l.server.handler.Leaving(body.Leaving)
+	case *linkpb.Frame_Evacuations:
+		l.server.evacuations.receive(l.address, body.Evacuations)
 	case *linkpb.Frame_Ping:
 		l.send(&linkpb.Frame{Body: &linkpb.Frame_Pong{Pong: &linkpb.Pong{}}})
 	case *linkpb.Frame_RoutingRequest:
@@ -249,6 +252,9 @@
 	l.conn.rawHeaders.Store(hello.RawHeaders)
 	l.server.handler.Hello(hello)
 	l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: l.server.state()}})
+	if f := l.server.evacuations.frame(); f != nil {
+		l.send(f)
+	}
 }
 
 // send writes a frame of the link itself with the current routing version.
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -94,6 +94,9 @@
 		client.Close()
 		return nil, err
 	}
+	if f := s.events.Evacuations.frame(); f != nil {
+		client.conn.writeOrClose(f)
+	}
 	go client.receive()
 	return client, nil
 }
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -65,6 +65,8 @@
 	StartedAtMs int64
 	// Announced is set when the server has announced itself to this process.
 	Announced bool
+	// Evacuated is set while the place of the server is evacuated.
+	Evacuated bool
 }
 
 // Leaving returns the server if it drains or has left, and nil otherwise.
@@ -101,6 +103,10 @@
 	announced bool
 	// unannouncedSince is when a health check found the current server; zero once the server has announced itself.
 	unannouncedSince time.Time
+	evacuated        bool
+	// afterEvacuation is called at the end of an evacuation, before calls are accepted, with transition held but not mu. It may be
+	// nil.
+	afterEvacuation func()
 }
 
 // New returns a Server in the absent state.
@@ -127,11 +133,12 @@
 	})
 }
 
-// NeedsProbe reports whether a health check may find a server to use: none is known, or the current one is unreachable.
+// NeedsProbe reports whether a health check may find a server to use: none is known, or the current one is unreachable. A server in an
+// evacuated place gets none.
 func (s *Server) NeedsProbe() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.current.ID == "" || s.state.Is(stateUnreachable)
+	return !s.evacuated && (s.current.ID == "" || s.state.Is(stateUnreachable))
 }
 
 // updateState runs an update of the state, opens or closes the dispatcher accordingly, and reports the change to
@@ -148,6 +155,9 @@
 	if replaced {
 		s.dispatcher.Reset()
 	}
+	if before.Evacuated && !after.Evacuated && s.afterEvacuation != nil {
+		s.afterEvacuation()
+	}
 	if after.Ready && (replaced || !before.Ready || before.Slots != after.Slots) {
 		s.dispatcher.Open(after.Slots)
 	}
@@ -182,8 +192,8 @@
 func (s *Server) status() Status {
 	return Status{
 		ID: s.current.ID, Service: s.current.Service, Slots: s.current.Slots, State: s.state.Current(),
-		Ready: s.state.Is(stateReady), WarmUpLeft: max(s.warmUpEnd.Sub(s.config.Now()), 0), StartedAtMs: s.current.StartedAtMs,
-		Announced: s.announced,
+		Ready: s.state.Is(stateReady) && !s.evacuated, WarmUpLeft: max(s.warmUpEnd.Sub(s.config.Now()), 0), StartedAtMs: s.current.StartedAtMs,
+		Announced: s.announced, Evacuated: s.evacuated,
 	}
 }
 
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -104,7 +104,7 @@
 func (s *Server) clientFor(id string) *exchange.Client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.current.ID != id || !s.state.Is(stateReady) {
+	if s.current.ID != id || !s.state.Is(stateReady) || s.evacuated {
 		return nil
 	}
 	return s.client
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -181,9 +181,11 @@
 	s.recordLeaving(state.Leaving, now)
 	reachedStore := s.reachesStore()
 	s.setState(state, now)
-	if s.reachesStore() != reachedStore {
+	reachesStore := s.reachesStore()
+	if reachesStore != reachedStore {
 		p.config.PollersChanged()
 	}
+	p.observeStore(s, state, reachedStore, reachesStore)
 	p.logState(s.address, state)
 	if leaving := s.unannouncedLeaving(now); leaving != nil {
 		p.config.Log.Info("peer uses a server that leaves", "peer", s.address, "server", leaving.ServerId)
@@ -198,6 +200,7 @@
 		Routing:      func(document []byte) { p.config.Routing(s.address, document) },
 		LocalVersion: p.config.LocalVersion,
 		Version:      func(number uint64) { p.observeVersion(s, number) },
+		Evacuations:  p.config.Evacuations,
 	}, p.config.Memory)
 }
 
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -9,6 +9,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,10 @@
 	Routing func(peer string, document []byte)
 	// PollersChanged is called when the result of InSubset may have changed. It must not block.
 	PollersChanged func()
+	// Evacuations exchanges the set of evacuated places with other nodes.
+	Evacuations link.EvacuationExchange
+	// StoreEra is called with the era of the store that the node at an address reports. It must not block. It may be nil.
+	StoreEra func(peer string, era uint64)
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
 	Log    Log
@@ -54,6 +59,8 @@
 	ctx      context.Context
 	local    *Server
 	versions versionSources
+	// evacuated holds the evacuated places; nil if there has been none.
+	evacuated atomic.Pointer[map[string]bool]
 
 	mu    sync.RWMutex
 	peers map[string]*peer
@@ -183,11 +190,11 @@
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	var usable []*Server
-	if p.local.usable(service, now) {
+	if p.local.usable(service, now) && !p.isEvacuated(p.local) {
 		usable = append(usable, p.local)
 	}
 	for _, known := range p.peers {
-		if known.server.usable(service, now) {
+		if known.server.usable(service, now) && !p.isEvacuated(known.server) {
 			usable = append(usable, known.server)
 		}
 	}
--- a/node/process/sidecar/config.go
+++ b/node/process/sidecar/config.go
@@ -9,6 +9,7 @@
 	"github.com/radishstand/radishstand/node/connection/protocol"
 	"github.com/radishstand/radishstand/node/process/budget"
 	"github.com/radishstand/radishstand/node/process/localserver"
+	"github.com/radishstand/radishstand/node/version/evacuation"
 	"github.com/radishstand/radishstand/node/version/routing"
 )
 
@@ -52,17 +53,41 @@
 	Metrics string
 }
 
-// ErrHistoryGone is returned when the store no longer holds the changes after a revision, so that the whole document must be
-// read again.
+// ErrHistoryGone is returned when the store does not have a revision, no longer holds the changes after it, or has changed its era
+// during a read, so that everything must be read again.
 var ErrHistoryGone = errors.New("history is no longer available")
 
-// Store is the platform's store, which holds the operators' routing and the addresses of the nodes.
+// Revision identifies a state of the store: its era, and the row version in that era. Apart from its order it is opaque.
+type Revision = evacuation.Revision
+
+// OperatorState is what operators have written to the store.
+type OperatorState struct {
+	// Document is that of the newest routing version; nil if there is none, or if it was read earlier.
+	Document []byte
+	// Evacuated holds the places whose servers get no calls.
+	Evacuated []string
+	Revision  Revision
+}
+
+// revision returns the revision of a state, which is zero for none.
+func (s *OperatorState) revision() Revision {
+	if s == nil {
+		return Revision{}
+	}
+	return s.Revision
+}
+
+// Store is the platform's store, which holds the operators' routing and evacuations, and the addresses of the nodes.
 type Store interface {
-	// Routing returns the document of the newest routing version, nil when there is none, and the store's revision.
-	Routing(ctx context.Context) (document []byte, revision uint64, err error)
-	// AwaitRouting waits for a change after a revision. The document is nil when there was none. It returns ErrHistoryGone
-	// when the store no longer holds the changes after the revision.
-	AwaitRouting(ctx context.Context, after uint64, wait time.Duration) (document []byte, revision uint64, err error)
+	// ObserveEra sets the function that is called with the era of each response, before the call returns. It is called
+	// concurrently.
+	ObserveEra(observe func(era uint64))
+	// Routing reads the operators' state.
+	Routing(ctx context.Context) (OperatorState, error)
+	// AwaitRouting waits for a change after a state and returns the state with the change. Its document is nil when the routing
+	// did not change. If the era has changed, only the revision of the result has a meaning. It returns ErrHistoryGone when the
+	// store does not hold the changes after the revision.
+	AwaitRouting(ctx context.Context, after OperatorState, wait time.Duration) (OperatorState, error)
 	// Fleet returns the member entries of all nodes and the stored knees.
 	Fleet(ctx context.Context) (Fleet, error)
 	// AddMember writes the entry of a node if there is none for its address, and otherwise returns the entry that is there.
--- /dev/null
+++ b/node/process/sidecar/evacuations.go
@@ -0,0 +1,79 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+
+	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/version/evacuation"
+)
+
+// evacuations holds the evacuated places of this node. It is safe for concurrent use.
+type evacuations struct {
+	holder evacuation.Holder
+	// applying serializes changes of the set with their effect.
+	applying sync.Mutex
+}
+
+// readEvacuations applies the evacuated places in the store. The set is settled if it shows what operators wrote again in its era.
+func (n *Node) readEvacuations(state OperatorState, settled bool) {
+	set := evacuation.NewSet(state.Revision, state.Evacuated)
+	n.changeEvacuations("store", func() bool { return n.evacuations.holder.Read(set, settled) })
+}
+
+// receiveEvacuations applies the evacuated places that another node has sent.
+func (n *Node) receiveEvacuations(peer string, e *linkpb.Evacuations) {
+	set := evacuation.NewSet(Revision{Era: e.Era, Row: e.Revision}, e.Places)
+	n.changeEvacuations(peer, func() bool { return n.evacuations.holder.Receive(set) })
+	n.peerReportedEra(peer, e.Era)
+	if n.evacuations.holder.NeedsRead() {
+		n.poll.end()
+	}
+}
+
+// changeEvacuations changes the set. If the places in force have changed, no more calls go to their servers, and other nodes are told:
+// all linked ones by the frequent pollers, and those that may not hear it from a frequent poller by each node.
+func (n *Node) changeEvacuations(source string, change func() bool) {
+	n.evacuations.applying.Lock()
+	settledBefore, _ := n.evacuations.holder.Settled()
+	changed := change()
+	places := n.evacuations.holder.InForce()
+	if changed {
+		n.log.Info("evacuated places changed", "places", places, "source", source)
+		n.evacuated.Update(int64(len(places)))
+		n.peers.SetEvacuated(places)
+		n.server.SetEvacuated(slices.Contains(places, n.config.Load().Place))
+	}
+	settled, _ := n.evacuations.holder.Settled()
+	n.evacuations.applying.Unlock()
+	if slices.Equal(settledBefore.Places, settled.Places) && settledBefore.Revision.Era == settled.Revision.Era {
+		return
+	}
+	if n.currentEvacuations() == nil {
+		return
+	}
+	if n.peers.InSubset(frequentPollers) {
+		n.links.BroadcastEvacuations()
+		return
+	}
+	n.peers.ForwardEvacuations()
+}
+
+// currentEvacuations returns the frame with the evacuated places, or nil if no place has ever been evacuated.
+func (n *Node) currentEvacuations() *linkpb.Evacuations {
+	set, any := n.evacuations.holder.Settled()
+	if !any {
+		return nil
+	}
+	return &linkpb.Evacuations{Era: set.Revision.Era, Revision: set.Revision.Row, Places: set.Places}
+}
+
+// dumpEvacuations writes the evacuated places as text, unless no place has ever been evacuated.
+func (n *Node) dumpEvacuations(w io.Writer) {
+	if set, any := n.evacuations.holder.Settled(); any || n.evacuations.holder.NeedsRead() {
+		fmt.Fprintf(w, "evacuated %q, sent to others %q of revision %d of era %d\n",
+			n.evacuations.holder.InForce(), set.Places, set.Revision.Row, set.Revision.Era)
+	}
+}
--- a/node/process/sidecar/knees.go
+++ b/node/process/sidecar/knees.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,19 @@
 	k.byKind = byKind
 }
 
+// set sets the knee of a kind of server.
+func (k *knees) set(kind ServerKind, knee int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	changed := map[ServerKind]int{kind: knee}
+	for known, value := range k.byKind {
+		if known != kind {
+			changed[known] = value
+		}
+	}
+	k.byKind = changed
+}
+
 func (k *knees) get(kind ServerKind) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -63,20 +77,41 @@
 
 func abs(n int) int { return max(n, -n) }
 
-// storeKnee writes the current knee to the store. It retries while the store is unavailable, until the knee is removed or
-// the node stops.
+// knownKnee returns the kind of this node's server and its knee as this node or the store knows it; 0 if neither does.
+func (n *Node) knownKnee() (ServerKind, int) {
+	status := n.server.Status()
+	kind := ServerKind{Service: status.Service, Slots: status.Slots}
+	if knee := n.server.Knee(); knee > 0 {
+		return kind, knee
+	}
+	return kind, n.knees.get(kind)
+}
+
+// restoreKnee writes the knee of a kind of server again if the store, whose knees were just read, has lost it.
+func (n *Node) restoreKnee(ctx context.Context, kind ServerKind, knee int) error {
+	if knee == 0 || abs(n.knees.get(kind)-knee) <= kind.Slots/kneeToleranceDivisor {
+		return nil
+	}
+	n.knees.set(kind, knee)
+	return n.store.PutKnee(ctx, kind, knee)
+}
+
+// storeKnee writes the current knee to the store. It retries while the store is unavailable, until the knee is removed or the node
+// stops. A write during which the era of the store changed is repeated, since it may be lost.
 func (n *Node) storeKnee(kind ServerKind, current func() int) {
 	defer n.knees.writing.Store(false)
 	for n.ctx.Err() == nil {
-		knee := current()
+		knee, changes := current(), n.eras.count()
 		if knee == 0 {
 			return
 		}
 		err := n.store.PutKnee(n.ctx, kind, knee)
-		if err == nil {
+		switch {
+		case err != nil:
+			n.log.Warn("failed to store knee", "service", kind.Service, "error", err)
+			sleep(n.ctx, jitter(kneeRetryInterval))
+		case n.eras.count() == changes:
 			return
 		}
-		n.log.Warn("failed to store knee", "service", kind.Service, "error", err)
-		sleep(n.ctx, jitter(kneeRetryInterval))
 	}
 }
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -15,6 +15,8 @@
 	maxStoreBackoff = 500 * time.Millisecond
 	// probeInterval is the time between two health checks of a server that is unknown or unreachable.
 	probeInterval = 250 * time.Millisecond
+	// rewriteSpread is the time over which the nodes spread their calls after a change of the store's era.
+	rewriteSpread = 500 * time.Millisecond
 )
 
 // logStoreFailure logs a failed call to the store, but only the first of consecutive failures.
@@ -33,25 +35,44 @@
 	}
 }
 
-// maintainMembership keeps this node's entry in the store and reads the entries of the other nodes, until ctx ends.
+// maintainMembership keeps this node's entry in the store and reads the entries of the other nodes, until ctx ends. After a change of
+// the store's era it does both at once, and ensures that the knee of its server is there.
 func (n *Node) maintainMembership(ctx context.Context) {
 	retryBackoff := newBackoff()
-	registered := false
+	registered, restored := false, n.eras.count()
 	schedule := newMembersSchedule(func() bool { return n.peers.AnyUnlinkedFor(unlinkedTimeout) })
 	for ctx.Err() == nil {
-		if err := n.syncMembers(ctx, registered); err != nil {
+		changes := n.eras.count()
+		kind, knee := n.knownKnee()
+		err := n.syncMembers(ctx, registered)
+		if err == nil && changes != restored {
+			err = n.restoreKnee(ctx, kind, knee)
+		}
+		if err != nil {
 			n.logStoreFailure(ctx, "members", err)
 			retryBackoff.wait(ctx)
 			continue
 		}
 		n.logStoreRecovery("members")
 		retryBackoff = newBackoff()
-		if !registered {
-			registered = true
-			sleep(ctx, jitter(shortMembersInterval))
-			continue
-		}
-		schedule.wait(ctx)
+		restored = changes
+		n.waitForMembers(ctx, schedule, changes, !registered)
+		registered = true
+	}
+}
+
+// waitForMembers waits until the members are to be read again: as scheduled, or when the store's era has changed since they were read,
+// which was after the given number of changes.
+func (n *Node) waitForMembers(ctx context.Context, schedule *membersSchedule, changes uint64, first bool) {
+	unchanged, cancel := n.eras.untilChange(ctx, changes)
+	defer cancel()
+	if first {
+		sleep(unchanged, jitter(shortMembersInterval))
+	} else {
+		schedule.wait(unchanged)
+	}
+	if unchanged.Err() != nil {
+		sleep(ctx, rand.N(rewriteSpread))
 	}
 }
 
@@ -88,10 +109,22 @@
 	n.peers.Retain(addresses, readAt)
 	n.knees.replace(fleet.Knees)
 	self := n.self()
-	if fleet.Members[self.Address] == self || n.stopping.Load() {
+	stored, found := fleet.Members[self.Address]
+	switch {
+	case n.stopping.Load():
+		return n.removeRestored(ctx, found)
+	case stored != self:
+		return n.store.PutMember(ctx, self)
+	}
+	return nil
+}
+
+// removeRestored removes the entry of this node, which stops, if a copy of the store has brought it back.
+func (n *Node) removeRestored(ctx context.Context, found bool) error {
+	if !found || n.eras.count() == 0 {
 		return nil
 	}
-	return n.store.PutMember(ctx, self)
+	return n.store.RemoveMember(ctx, n.config.Load().Listen.Peers)
 }
 
 // superviseServer sends health checks to the backend server's address while no reachable server is known there, and checks
--- a/node/process/sidecar/poll.go
+++ b/node/process/sidecar/poll.go
@@ -17,12 +17,12 @@
 	count    uint64                  // of the requests so far
 	cancel   context.CancelCauseFunc // nil while no request is in progress
 	began    time.Time
-	revision uint64
+	revision Revision
 	wait     time.Duration
 }
 
 // begin records the start of a request and returns its context, which end or shorten may cancel. The wait time is set later.
-func (p *routingPoll) begin(ctx context.Context, revision uint64) context.Context {
+func (p *routingPoll) begin(ctx context.Context, revision Revision) context.Context {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ctx, p.cancel = context.WithCancelCause(ctx)
@@ -55,6 +55,15 @@
 	}
 }
 
+// end ends the request in progress.
+func (p *routingPoll) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil {
+		p.cancel(errPollEnded)
+	}
+}
+
 // endAfter ends the request that is in progress now if it still is after a delay.
 func (p *routingPoll) endAfter(delay time.Duration) {
 	p.mu.Lock()
@@ -79,5 +88,5 @@
 	if p.cancel == nil {
 		return "none"
 	}
-	return fmt.Sprintf("after revision %d for %s, sent %s ago", p.revision, p.wait, time.Since(p.began).Round(time.Millisecond))
+	return fmt.Sprintf("after revision %d of era %d for %s, sent %s ago", p.revision.Row, p.revision.Era, p.wait, time.Since(p.began).Round(time.Millisecond))
 }
--- a/node/process/sidecar/routing.go
+++ b/node/process/sidecar/routing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 )
 
@@ -22,21 +23,46 @@
 	// pollersChangeDelay is the time in which several links and states may change before the frequent pollers are determined
 	// again.
 	pollersChangeDelay = 50 * time.Millisecond
+	// feedDelay is the longest time for which the response to a poll may miss a change.
+	feedDelay = 1200 * time.Millisecond
+	// readSpacing is the least time between two reads of the whole by a node that has a routing version, and the time over which the
+	// nodes spread such a read.
+	readSpacing = 250 * time.Millisecond
 )
 
-// watchRouting applies new routing versions from the store until ctx ends.
+// errOldEra reports a response of an older era of the store than an earlier response.
+var errOldEra = errors.New("response of an older era")
+
+// operatorsRead is a successful read of the operators' state.
+type operatorsRead struct {
+	state OperatorState
+	// sentAt is the time before the request was sent.
+	sentAt time.Time
+	// direct is set when the rows were read, and not the feed of changes.
+	direct bool
+}
+
+// shows reports whether the read shows every change that was made before a time.
+func (r *operatorsRead) shows(changesBefore time.Time) bool {
+	if r.direct {
+		return !r.sentAt.Before(changesBefore)
+	}
+	return !r.sentAt.Add(-feedDelay).Before(changesBefore)
+}
+
+// watchRouting applies new routing versions and evacuations from the store until ctx ends.
 func (n *Node) watchRouting(ctx context.Context) {
-	var revision uint64
+	var last *OperatorState // nil when the whole must be read
 	retryBackoff := newBackoff()
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
-		document, next, err := n.pollRouting(ctx, revision)
+		read, err := n.pollRouting(ctx, last)
 		switch {
 		case errors.Is(err, errPollEnded):
 			continue
 		case errors.Is(err, ErrHistoryGone):
-			n.log.Info("routing history no longer available", "revision", revision)
-			revision = 0
+			n.log.Info("routing history no longer available", "revision", last.revision().Row, "era", last.revision().Era)
+			last = nil
 			continue
 		case err != nil:
 			n.logStoreFailure(ctx, "routing", err)
@@ -49,13 +75,14 @@
 		n.logStoreRecovery("routing")
 		n.setStoreFailing(false)
 		retryBackoff = newBackoff()
-		revision = next
-		if document != nil {
-			n.applyRouting(document, "store")
-			// The long polls of other nodes may be lost, and a node without traffic receives no other frame.
-			if n.peers.InSubset(frequentPollers) {
-				n.links.BroadcastVersion()
-			}
+		if !read.direct && read.state.Revision.Era != last.Revision.Era {
+			last = nil // the changes since then are those of another copy of the store
+			continue
+		}
+		last = &read.state
+		n.applyRead(read)
+		if last.Document != nil {
+			last.Document = nil // the routing version holds it
 			sleep(ctx, routingPollDelay)
 		} else if n.routing.Current() == nil {
 			sleep(ctx, minStoreBackoff)
@@ -63,21 +90,69 @@
 	}
 }
 
-// pollRouting reads the current routing document when revision is 0 and otherwise waits for a change after the revision. The error
-// is errPollEnded when another poll must be sent at once.
-func (n *Node) pollRouting(ctx context.Context, revision uint64) ([]byte, uint64, error) {
-	if revision == 0 {
-		return n.store.Routing(ctx)
+// applyRead applies what a successful read of the store has brought.
+func (n *Node) applyRead(read *operatorsRead) {
+	n.readEvacuations(read.state, read.shows(n.eras.settles(read.state.Revision.Era)))
+	if read.state.Document == nil {
+		return
 	}
-	ctx = n.poll.begin(ctx, revision)
+	n.applyRouting(read.state.Document, "store")
+	// The long polls of other nodes may be lost, and a node without traffic receives no other frame.
+	if n.peers.InSubset(frequentPollers) {
+		n.links.BroadcastVersion()
+	}
+}
+
+// pollRouting reads the whole when last is nil or must not be used any more, and otherwise waits for a change after it. The error is
+// errPollEnded when another request must be sent at once.
+func (n *Node) pollRouting(ctx context.Context, last *OperatorState) (*operatorsRead, error) {
+	if last.revision().Row == 0 || n.eras.outdated(last.Revision) || n.evacuationsDue(last.Revision.Era) {
+		return n.readOperators(ctx)
+	}
+	ctx = n.poll.begin(ctx, last.Revision)
 	defer n.poll.finish()
+	// From here on, whatever makes a read of the whole necessary ends the poll.
+	if n.eras.outdated(last.Revision) {
+		return nil, errPollEnded
+	}
 	wait := pollWait(n.peers.InSubset(frequentPollers), n.storeFailing.Load())
+	if n.evacuations.holder.NeedsRead() {
+		wait = min(wait, max(time.Until(n.eras.settles(last.Revision.Era)), time.Millisecond))
+	}
 	n.poll.setWait(wait)
-	document, next, err := n.store.AwaitRouting(ctx, revision, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errPollEnded) {
-		return nil, 0, errPollEnded
+	sentAt := time.Now()
+	state, err := n.store.AwaitRouting(ctx, *last, wait)
+	if err != nil {
+		if errors.Is(context.Cause(ctx), errPollEnded) {
+			err = errPollEnded
+		}
+		return nil, err
+	}
+	return &operatorsRead{state: state, sentAt: sentAt}, nil
+}
+
+// evacuationsDue reports whether the evacuated places must be read again and operators have had the time to write them in an era.
+func (n *Node) evacuationsDue(era uint64) bool {
+	return n.evacuations.holder.NeedsRead() && !time.Now().Before(n.eras.settles(era))
+}
+
+// readOperators reads the whole of the operators' state. After the first time, nodes spread these reads.
+func (n *Node) readOperators(ctx context.Context) (*operatorsRead, error) {
+	if n.routing.Current() != nil {
+		sleep(ctx, max(time.Until(n.lastRead.Add(readSpacing)), rand.N(readSpacing)))
+	}
+	succeeded := n.eras.beginRead()
+	n.lastRead = time.Now()
+	read := &operatorsRead{sentAt: n.lastRead, direct: true}
+	var err error
+	if read.state, err = n.store.Routing(ctx); err != nil {
+		return nil, err
+	}
+	if read.state.Revision.Era < n.eras.get() {
+		return nil, errOldEra
 	}
-	return document, next, err
+	succeeded()
+	return read, nil
 }
 
 // setStoreFailing records whether the latest call for changes has failed. Other nodes are told of a change, since those whose calls
--- a/node/process/sidecar/routing_test.go
+++ b/node/process/sidecar/routing_test.go
@@ -20,7 +20,7 @@
 func TestOnlyTheLostPollIsEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var p routingPoll
-		lost := p.begin(t.Context(), 1)
+		lost := p.begin(t.Context(), Revision{Row: 1})
 		p.endAfter(lostPollDelay)
 		time.Sleep(lostPollDelay / 2)
 		assert.NoError(t, lost.Err(), "the response may still come")
@@ -28,11 +28,11 @@
 		assert.ErrorIs(t, context.Cause(lost), errPollEnded)
 		p.finish()
 
-		answered := p.begin(t.Context(), 1)
+		answered := p.begin(t.Context(), Revision{Row: 1})
 		p.endAfter(lostPollDelay)
 		p.finish()
 		assert.NotErrorIs(t, context.Cause(answered), errPollEnded)
-		next := p.begin(t.Context(), 2)
+		next := p.begin(t.Context(), Revision{Row: 2})
 		p.setWait(frequentPollTimeout)
 		p.shorten()
 		time.Sleep(2 * lostPollDelay)
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -43,6 +43,7 @@
 		return err
 	}
 	n.setLocalState()
+	n.store.ObserveEra(n.storeResponded)
 	go n.watchRouting(ctx)
 	go n.watchPollers(ctx)
 	go n.maintainMembership(ctx)
@@ -198,4 +199,5 @@
 	requests, _ := n.callers.Load().InProgress()
 	fmt.Fprintf(w, "version %d\nrouting poll %s\nstate %v\npeers %d linked %d\nrequests %d calls %d\n",
 		n.routing.Number(), &n.poll, n.State(), known, linked, requests, n.activeCalls.Load())
+	n.dumpEvacuations(w)
 }
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -47,6 +47,12 @@
 	// identity is that of the backend server.
 	identity identity
 	poll     routingPoll
+	eras     eras
+	// lastRead is the time of the latest read of the whole operators' state. It is used by watchRouting only.
+	lastRead    time.Time
+	evacuations evacuations
+	evacuated   metrics.Gauge   // number of evacuated places
+	eraChanges  metrics.Counter // how often the store came back from an older copy
 	// pollersChanged receives when this node may have become one of the frequent pollers.
 	pollersChanged chan struct{}
 	callers        atomic.Pointer[ingress.Server] // nil before the node listens
@@ -77,11 +83,16 @@
 	})
 	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
 	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
+	n.evacuated = metrics.NewRegisteredGauge("evacuated.places", n.metrics)
+	n.eraChanges = metrics.NewRegisteredCounter("store.era_changes", n.metrics)
+	evacuations := link.EvacuationExchange{Current: n.currentEvacuations, Received: n.receiveEvacuations}
 	n.links = link.NewServer(n, memory)
+	n.links.ExchangeEvacuations(evacuations)
 	n.peers = peers.New(ctx, peers.Config{
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
 		LocalVersion: n.routing.Number, Memory: memory, Log: log,
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
+		Evacuations: evacuations, StoreEra: n.peerReportedEra,
 	})
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
@@ -202,7 +213,7 @@
 		Node: c.Name, Place: c.Place, Service: status.Service, ServerId: status.ID, Slots: uint32(max(status.Slots, 0)),
 		Ready: status.Ready && !n.stoppedServing.Load(), ColdMs: uint32(status.WarmUpLeft.Milliseconds()), Load: n.server.Load(),
 		Knee: uint32(n.server.Knee()), StartedMs: uint64(max(status.StartedAtMs, 0)),
-		Leaving: status.Leaving(), StoreFailing: n.storeFailing.Load(),
+		Leaving: status.Leaving(), StoreFailing: n.storeFailing.Load(), StoreEra: n.eras.get(),
 		LinkKbps: uint32(max(c.LinkBitsPerSecond/1000, 0)), CpuMillis: uint32(max(c.CPUShare*1000, 0)),
 	}
 }
