--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -142,7 +142,9 @@
 	case *linkpb.Frame_Routing:
 		c.events.Routing(body.Routing.Document)
 	case *linkpb.Frame_Evacuations:
-		c.events.Evacuations.receive(c.session.address, body.Evacuations)
+		if reply := c.events.Evacuations.receive(c.session.address, body.Evacuations); reply != nil {
+			c.conn.writeOrClose(reply)
+		}
 	case *linkpb.Frame_Answer, *linkpb.Frame_Refusal, *linkpb.Frame_Broken:
 		c.session.deliver(f)
 		return
--- a/node/connection/link/evacuations.go
+++ b/node/connection/link/evacuations.go
@@ -7,8 +7,9 @@
 type EvacuationExchange struct {
 	// Current returns the set to send, or nil if there is none.
 	Current func() *linkpb.Evacuations
-	// Received is called with a set and the address of the node that sent it. It must not block.
-	Received func(peer string, e *linkpb.Evacuations)
+	// Received is called with a set and the address of the node that sent it, and reports whether that node must get the current set.
+	// It must not block.
+	Received func(peer string, e *linkpb.Evacuations) (reply bool)
 }
 
 // frame returns the frame with the current set, or nil if there is none.
@@ -23,10 +24,12 @@
 	return &linkpb.Frame{Body: &linkpb.Frame_Evacuations{Evacuations: e}}
 }
 
-func (x EvacuationExchange) receive(peer string, e *linkpb.Evacuations) {
-	if x.Received != nil {
-		x.Received(peer, e)
+// receive handles a set of another node and returns the frame that answers it, or nil.
+func (x EvacuationExchange) receive(peer string, e *linkpb.Evacuations) (reply *linkpb.Frame) {
+	if x.Received == nil || !x.Received(peer, e) {
+		return nil
 	}
+	return x.frame()
 }
 
 // ExchangeEvacuations sets the exchange of evacuated places. It must be called before Serve.
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -231,7 +231,9 @@
 	case *linkpb.Frame_Leaving:
 		l.server.handler.Leaving(body.Leaving)
 	case *linkpb.Frame_Evacuations:
-		l.server.evacuations.receive(l.address, body.Evacuations)
+		if reply := l.server.evacuations.receive(l.address, body.Evacuations); reply != nil {
+			l.send(reply)
+		}
 	case *linkpb.Frame_Ping:
 		l.send(&linkpb.Frame{Body: &linkpb.Frame_Pong{Pong: &linkpb.Pong{}}})
 	case *linkpb.Frame_RoutingRequest:
--- a/node/process/sidecar/evacuations.go
+++ b/node/process/sidecar/evacuations.go
@@ -23,14 +23,18 @@
 	n.changeEvacuations("store", func() bool { return n.evacuations.holder.Read(set, settled) })
 }
 
-// receiveEvacuations applies the evacuated places that another node has sent.
-func (n *Node) receiveEvacuations(peer string, e *linkpb.Evacuations) {
+// receiveEvacuations applies the evacuated places that another node has sent, and reports whether that node has older ones.
+func (n *Node) receiveEvacuations(peer string, e *linkpb.Evacuations) (outdated bool) {
 	set := evacuation.NewSet(Revision{Era: e.Era, Row: e.Revision}, e.Places)
-	n.changeEvacuations(peer, func() bool { return n.evacuations.holder.Receive(set) })
+	n.changeEvacuations(peer, func() (changed bool) {
+		changed, outdated = n.evacuations.holder.Receive(set)
+		return changed
+	})
 	n.peerReportedEra(peer, e.Era)
 	if n.evacuations.holder.NeedsRead() {
 		n.poll.end()
 	}
+	return outdated
 }
 
 // changeEvacuations changes the set. If the places in force have changed, no more calls go to their servers, and other nodes are told:
--- a/node/version/evacuation/evacuation.go
+++ b/node/version/evacuation/evacuation.go
@@ -47,7 +47,7 @@
 	unsettled *Set
 	// earlier holds the places of unsettled sets of eras before that of unsettled.
 	earlier []string
-	// changed is set when there has been an evacuated place.
+	// changed is set when there has been an evacuated place, here or at another node.
 	changed bool
 }
 
@@ -72,11 +72,14 @@
 }
 
 // Receive applies a settled set of another node if it is newer than this node's, and reports whether the places in force have changed.
-func (h *Holder) Receive(set Set) (changed bool) {
+// It also reports whether the other node's set is outdated: this node's is newer and has other places.
+func (h *Holder) Receive(set Set) (changed, outdated bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.settled.Revision.Before(set.Revision) {
-		return false
+		outdated = set.Revision.Before(h.settled.Revision) && !slices.Equal(set.Places, h.settled.Places)
+		h.changed = h.changed || outdated
+		return false, outdated
 	}
 	before := h.inForce()
 	if h.unsettled != nil && set.Revision.Before(h.unsettled.Revision) {
@@ -84,7 +87,7 @@
 	} else {
 		h.replace(set)
 	}
-	return h.update(before)
+	return h.update(before), false
 }
 
 // replace makes a set the settled one and discards the unsettled one. h.mu must be held.
