--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -144,9 +144,19 @@
 // updateState runs an update of the state, opens or closes the dispatcher accordingly, and reports the change to
 // Config.Changed.
 func (s *Server) updateState(update func() error) error {
+	changed, err := s.applyUpdate(update)
+	if changed {
+		s.config.Changed(s.Status())
+	}
+	return err
+}
+
+// applyUpdate runs an update of the state, opens or closes the dispatcher accordingly, and reports whether the state has changed.
+func (s *Server) applyUpdate(update func() error) (changed bool, err error) {
 	s.transition.Lock()
+	defer s.transition.Unlock()
 	before, startsBefore := s.snapshot()
-	err := s.updateLocked(update)
+	err = s.updateLocked(update)
 	after, starts := s.snapshot()
 	replaced := starts != startsBefore
 	if before.Ready && (replaced || !after.Ready) {
@@ -161,12 +171,8 @@
 	if after.Ready && (replaced || !before.Ready || before.Slots != after.Slots) {
 		s.dispatcher.Open(after.Slots)
 	}
-	s.transition.Unlock()
 	before.WarmUpLeft, after.WarmUpLeft = 0, 0
-	if before != after {
-		s.config.Changed(s.Status())
-	}
-	return err
+	return before != after, err
 }
 
 func (s *Server) updateLocked(update func() error) error {
--- a/node/process/sidecar/evacuations.go
+++ b/node/process/sidecar/evacuations.go
@@ -48,7 +48,7 @@
 		n.log.Info("evacuated places changed", "places", places, "source", source)
 		n.evacuated.Update(int64(len(places)))
 		n.peers.SetEvacuated(places)
-		n.server.SetEvacuated(slices.Contains(places, n.config.Load().Place))
+		n.closeOwnPlace(places)
 	}
 	settled, _ := n.evacuations.holder.Settled()
 	n.evacuations.applying.Unlock()
@@ -65,6 +65,22 @@
 	n.peers.ForwardEvacuations()
 }
 
+// closeOwnPlace opens or closes the server beside this node, and tells other nodes of a change. The links, on which sets are received,
+// must not wait for that.
+func (n *Node) closeOwnPlace(evacuated []string) {
+	if n.server.SetEvacuated(slices.Contains(evacuated, n.config.Load().Place)) {
+		n.log.Info("place of the server", "server", n.server.Status().ID, "evacuated", n.server.Status().Evacuated)
+		go n.broadcastState()
+	}
+}
+
+// reloadEvacuations applies the evacuated places after a change of the configuration.
+func (n *Node) reloadEvacuations() {
+	n.evacuations.applying.Lock()
+	defer n.evacuations.applying.Unlock()
+	n.closeOwnPlace(n.evacuations.holder.InForce())
+}
+
 // currentEvacuations returns the frame with the evacuated places, or nil if no place has ever been evacuated.
 func (n *Node) currentEvacuations() *linkpb.Evacuations {
 	set, any := n.evacuations.holder.Settled()
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -44,8 +44,9 @@
 	for ctx.Err() == nil {
 		changes := n.eras.count()
 		kind, knee := n.knownKnee()
-		err := n.syncMembers(ctx, registered)
-		if err == nil && changes != restored {
+		restoring := changes != restored
+		err := n.syncMembers(ctx, registered, restoring)
+		if err == nil && restoring {
 			err = n.restoreKnee(ctx, kind, knee)
 		}
 		if err != nil {
@@ -56,17 +57,17 @@
 		n.logStoreRecovery("members")
 		retryBackoff = newBackoff()
 		restored = changes
-		n.waitForMembers(ctx, schedule, changes, !registered)
+		n.waitForMembers(ctx, schedule, changes, !registered || restoring)
 		registered = true
 	}
 }
 
 // waitForMembers waits until the members are to be read again: as scheduled, or when the store's era has changed since they were read,
-// which was after the given number of changes.
-func (n *Node) waitForMembers(ctx context.Context, schedule *membersSchedule, changes uint64, first bool) {
+// which was after the given number of changes. The wait is short while other nodes may be writing their entries.
+func (n *Node) waitForMembers(ctx context.Context, schedule *membersSchedule, changes uint64, short bool) {
 	unchanged, cancel := n.eras.untilChange(ctx, changes)
 	defer cancel()
-	if first {
+	if short {
 		sleep(unchanged, jitter(shortMembersInterval))
 	} else {
 		schedule.wait(unchanged)
@@ -81,8 +82,8 @@
 
 // syncMembers adds the nodes in the store to the peers and ensures that this node's entry is in the store. The first time,
 // the entry is written before the others are read: of two nodes that start together, at least one then reads the other's
-// entry.
-func (n *Node) syncMembers(ctx context.Context, registered bool) error {
+// entry. While the nodes restore their entries, a node that is not listed is kept.
+func (n *Node) syncMembers(ctx context.Context, registered, restoring bool) error {
 	if !registered {
 		existing, err := n.store.AddMember(ctx, n.self())
 		if err != nil {
@@ -106,7 +107,9 @@
 		addresses = append(addresses, address)
 		n.peers.Add(address)
 	}
-	n.peers.Retain(addresses, readAt)
+	if !restoring {
+		n.peers.Retain(addresses, readAt)
+	}
 	n.knees.replace(fleet.Knees)
 	self := n.self()
 	stored, found := fleet.Members[self.Address]
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -123,6 +123,7 @@
 	old := n.config.Swap(&c)
 	if *old != c {
 		n.log.Info("configuration reloaded", "service", c.Service, "serverAddress", c.ServerAddress)
+		n.reloadEvacuations()
 	}
 }
 
