--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -42,7 +42,8 @@
 	// LocalVersion returns the number of the current routing version of this node.
 	LocalVersion func() uint64
 	// Proof is called with each proof that a routing version was the newest one at a time of the boot clock.
-	Proof func(version uint64, at time.Duration)
+	Proof       func(version uint64, at time.Duration)
+	Evacuations EvacuationExchange
 }
 
 // Client is a link to another node. It is safe for concurrent use.
@@ -157,6 +158,10 @@
 		if asked, ok := c.asked.pop(); ok {
 			c.events.handleProof(f.Frame, asked)
 		}
+	case *linkpb.Frame_Evacuations:
+		if reply := c.events.Evacuations.receive(c.session.address, body.Evacuations); reply != nil {
+			c.conn.writeOrClose(reply)
+		}
 	case *linkpb.Frame_Answer, *linkpb.Frame_Refusal, *linkpb.Frame_Broken:
 		c.session.deliver(f)
 		return
--- a/node/process/sidecar/freshness.go
+++ b/node/process/sidecar/freshness.go
@@ -174,16 +174,20 @@
 	defer f.reading.Store(false)
 	f.count("reads")
 	began := boottime.Now()
-	document, _, err := f.node.store.Routing(ctx)
+	state, err := f.node.store.Routing(ctx)
 	if err != nil {
 		f.node.logStoreFailure(ctx, "freshness", err)
 		return
 	}
 	f.node.logStoreRecovery("freshness")
-	if document != nil {
-		f.node.applyRouting(document, "store")
+	if state.Revision.Era < f.node.eras.get() {
+		return // a late response from before the store came back from an older copy
 	}
-	f.read(document, began, true)
+	if state.Document != nil {
+		f.node.applyRouting(state.Document, "store")
+	}
+	f.SetEra(state.Revision.Era)
+	f.read(state.Document, began, true)
 }
 
 // registerMetrics registers the gauges of the lease.
