--- /dev/null
+++ b/node/process/quota/lending.go
@@ -0,0 +1,246 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/radishstand/radishstand/api/linkpb"
+)
+
+// ownerLink is what this node knows of a node that owns quotas. A process that is started again at its address gets another one.
+type ownerLink struct {
+	address string
+	linked  bool
+	// clock is the clock that the owner stated last, received at clockAt; 0 if none. The owner's clock is never less than clock plus the
+	// time since clockAt.
+	clock   uint64
+	clockAt time.Duration
+	// unansweredSince is the time of the first request since the latest reply; 0 if there is none.
+	unansweredSince time.Duration
+	requestedAt     time.Duration
+	// renewedAt is the time at which all shares were lent.
+	renewedAt time.Duration
+	// failed is set while the node is not chosen as an owner because it does not answer.
+	failed bool
+}
+
+// clockNow returns a clock that the owner's has reached; 0 if none is known.
+func (o *ownerLink) clockNow(now time.Duration) uint64 {
+	if o.clock == 0 {
+		return 0
+	}
+	return o.clock + uint64((now - o.clockAt).Milliseconds())
+}
+
+// silentFor returns the time for which the node has not answered.
+func (o *ownerLink) silentFor(now time.Duration) time.Duration {
+	if o.unansweredSince == 0 {
+		return 0
+	}
+	return now - o.unansweredSince
+}
+
+// observeClock applies the clock of a reply. A clock far from the expected one is that of another process, to which shares are lent
+// only when the loans to the process before have ended.
+func (b *Borrower) observeClock(o *ownerLink, clock uint64, now time.Duration) {
+	expected := o.clockNow(now)
+	difference := time.Duration(int64(clock)-int64(expected)) * time.Millisecond
+	if expected != 0 && difference.Abs() > otherProcess {
+		b.config.Log.Info("quota owner restarted", "peer", o.address)
+		successor := &ownerLink{address: o.address, linked: o.linked}
+		b.owners[o.address] = successor
+		o = successor
+	}
+	if o.failed {
+		b.config.Log.Info("quota owner answers again", "peer", o.address)
+	}
+	o.clock, o.clockAt, o.unansweredSince, o.failed = clock, now, 0, false
+}
+
+// updateOwners applies the links and returns the addresses of the nodes among which owners are chosen.
+func (b *Borrower) updateOwners(v View, now time.Duration) []string {
+	// Replies may wait unread after a suspension.
+	resumed := now-b.lastTick > answerTimeout
+	for _, o := range b.owners {
+		o.linked = o.address == b.config.Self
+		if resumed && o.unansweredSince != 0 {
+			o.unansweredSince = now
+		}
+	}
+	eligible := append(make([]Node, 0, len(v.Linked)+1), Node{Address: b.config.Self, CPUMillis: v.CPUMillis})
+	for _, n := range v.Linked {
+		o := b.owners[n.Address]
+		if o != nil {
+			o.linked = true
+		}
+		if o == nil || !b.fails(o, now) {
+			eligible = append(eligible, n)
+		}
+	}
+	for _, o := range b.owners {
+		if !o.linked {
+			o.unansweredSince, o.failed = 0, false
+		}
+	}
+	candidates := ownerCandidates(eligible)
+	for _, address := range candidates {
+		if b.owners[address] == nil {
+			b.owners[address] = &ownerLink{address: address, linked: true}
+		}
+	}
+	return candidates
+}
+
+// fails updates and reports whether a node is passed over as an owner.
+func (b *Borrower) fails(o *ownerLink, now time.Duration) bool {
+	if !o.failed && o.silentFor(now) >= ownerTimeout {
+		o.failed = true
+		b.config.Count("quota.owner_failed")
+		b.config.Log.Info("quota owner does not answer", "peer", o.address, "silentMs", o.silentFor(now).Milliseconds())
+	}
+	return o.failed
+}
+
+// newRequest returns a request with the next sequence.
+func (b *Borrower) newRequest() *linkpb.QuotaRequest {
+	b.sequence++
+	return &linkpb.QuotaRequest{Sequence: b.sequence}
+}
+
+// mayLend reports whether the share of a team may be lent to its owner.
+func (b *Borrower) mayLend(t *teamState, now time.Duration) bool {
+	o := b.owners[t.owner]
+	return b.nodes > 0 && t.limited && o != nil && o.linked && o.clock != 0 && o.silentFor(now) < answerTimeout &&
+		(t.lentTo == nil || t.lentTo == o || now >= t.lentUntil)
+}
+
+// addLoans makes the question of a team a loan if its share may be lent, and renews the shares of the other teams of that owner unless
+// they were renewed a short time ago.
+func (b *Borrower) addLoans(t *teamState, r *linkpb.QuotaRequest, now time.Duration) {
+	if !b.mayLend(t, now) {
+		return
+	}
+	o := b.owners[t.owner]
+	b.lend(t, o, r, now)
+	if now-o.renewedAt < renewAfter {
+		return
+	}
+	o.renewedAt = now
+	for _, other := range b.teams {
+		if other != t && other.owner == t.owner && b.mayLend(other, now) {
+			r.Asks = append(r.Asks, &linkpb.QuotaAsk{Team: other.name})
+			b.lend(other, o, r, now)
+		}
+	}
+}
+
+// lend records that a request lends the share of a team.
+func (b *Borrower) lend(t *teamState, o *ownerLink, r *linkpb.QuotaRequest, now time.Duration) {
+	r.OwnerClockMs, r.Nodes = o.clockNow(now), uint32(b.nodes)
+	t.lentTo, t.lentUntil, t.release = o, now+loanTime+loanMargin, 0
+}
+
+// renew lends the shares whose loans end soon, and asks for the clock of owners that have not stated it or do not answer.
+func (b *Borrower) renew(now time.Duration) {
+	due := map[*ownerLink]*linkpb.QuotaRequest{}
+	for _, t := range b.teams {
+		o := b.owners[t.owner]
+		if o == nil || !b.mayLend(t, now) || !o.needsRenewal(t, now) {
+			continue
+		}
+		if due[o] == nil {
+			due[o] = b.newRequest()
+		}
+	}
+	for o, r := range due {
+		for _, t := range b.teams {
+			if t.owner == o.address && b.mayLend(t, now) {
+				r.Asks = append(r.Asks, &linkpb.QuotaAsk{Team: t.name})
+				b.lend(t, o, r, now)
+			}
+		}
+		o.renewedAt = now
+		b.config.Count("quota.renewals")
+		b.send(o.address, r, now)
+	}
+	b.probe(now)
+}
+
+// needsRenewal reports whether the loan of a team to this owner has to be renewed now.
+func (o *ownerLink) needsRenewal(t *teamState, now time.Duration) bool {
+	return t.lentTo != o || t.lentUntil-now <= loanTime+loanMargin-renewLatest
+}
+
+// probe sends empty requests to the linked owners whose clock is unknown and to those that do not answer.
+func (b *Borrower) probe(now time.Duration) {
+	for _, o := range b.owners {
+		unknown := o.clock == 0 && (o.requestedAt == 0 || now-o.requestedAt >= answerTimeout)
+		silent := o.silentFor(now) >= answerTimeout && now-o.requestedAt >= answerTimeout
+		if o.linked && (unknown || silent) {
+			b.config.Count("quota.probes")
+			b.send(o.address, b.newRequest(), now)
+		}
+	}
+}
+
+// releaseMoved takes back the shares that are lent to a node which no longer owns the team, if it is linked. Otherwise the loans end by
+// themselves.
+func (b *Borrower) releaseMoved(now time.Duration) {
+	b.forgetReleases(now)
+	moved := map[*ownerLink]*linkpb.QuotaRequest{}
+	for _, t := range b.teams {
+		from, to := t.lentTo, b.owners[t.owner]
+		if from == nil || t.release != 0 || now >= t.lentUntil || !from.linked || b.owners[from.address] != from {
+			continue
+		}
+		if to == nil || to == from || to.clock == 0 { // it cannot be lent yet
+			continue
+		}
+		if moved[from] == nil {
+			moved[from] = b.newRequest()
+			moved[from].Release = true
+		}
+		moved[from].Asks = append(moved[from].Asks, &linkpb.QuotaAsk{Team: t.name})
+		t.release = moved[from].Sequence
+	}
+	for from, r := range moved {
+		b.releases[r.Sequence] = b.releasing(r.Sequence)
+		b.config.Log.Info("quota owner changes", "from", from.address, "teams", len(r.Asks))
+		b.config.Count("quota.releases")
+		b.send(from.address, r, now)
+	}
+}
+
+// releasing returns the teams that a request releases.
+func (b *Borrower) releasing(sequence uint64) []*teamState {
+	var teams []*teamState
+	for _, t := range b.teams {
+		if t.release == sequence {
+			teams = append(teams, t)
+		}
+	}
+	return teams
+}
+
+// forgetReleases forgets the releases that were not answered. Their loans have ended.
+func (b *Borrower) forgetReleases(now time.Duration) {
+	for sequence, teams := range b.releases {
+		if now >= teams[0].lentUntil || teams[0].release != sequence {
+			delete(b.releases, sequence)
+		}
+	}
+}
+
+// send sends a request to an owner. The owner in this process replies at once.
+func (b *Borrower) send(address string, r *linkpb.QuotaRequest, now time.Duration) {
+	if address == b.config.Self {
+		b.handleReply(address, b.config.Owner.Handle(address, r), now)
+		return
+	}
+	if o := b.owners[address]; o != nil {
+		o.requestedAt = now
+		if o.unansweredSince == 0 {
+			o.unansweredSince = now
+		}
+	}
+	b.config.Send(address, r)
+}
