--- a/node/process/quota/quota_test.go
+++ b/node/process/quota/quota_test.go
@@ -45,18 +45,25 @@
 // a constant.
 func TestNoWindowExceedsTheQuotaUnderFaults(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		teams := []*routing.Team{team("small", 4, 8), team("middle", 40, 40), team("large", 150, 0)}
+		teams := []*routing.Team{team("small", 4, 8), team("middle", 40, 40), team("large", 100, 200)}
 		f := newFleet(rapid.Uint64().Draw(r, "seed"), rapid.IntRange(2, 8).Draw(r, "nodes"), teams)
 		f.slow = rapid.SampledFrom([]float64{0, 0.01, 0.2}).Draw(r, "slow")
 		f.returned = rapid.SampledFrom([]float64{0, 0.3}).Draw(r, "returned")
 		f.run(3 * time.Second)
 		const steps, step = 12, 900 * time.Millisecond
-		for _, team := range teams {
-			f.load(team, f.all(), 6*team.Quota.PerSecond, steps*step)
-		}
 		for range steps {
 			injectFault(r, f)
-			f.run(step)
+			if factor := rapid.SampledFrom([]float64{0, 0, 0.3, 6}).Draw(r, "load"); factor > 0 { // buckets fill in pauses
+				for _, team := range teams {
+					f.load(team, f.all(), factor*team.Quota.PerSecond, step)
+				}
+			}
+			for range 30 {
+				f.run(step / 30)
+				if team, lent := mostLent(f); lent > 1+roundingError {
+					r.Fatalf("%s: %.3f of the quota is lent", team, lent)
+				}
+			}
 		}
 		for _, team := range teams {
 			most := mostIn(f.sent(team.Name), window)
@@ -67,6 +74,27 @@
 	})
 }
 
+// mostLent returns the team with the largest part of its quota at all owners together, and that part.
+func mostLent(f *fleet) (team string, lent float64) {
+	sums := map[string]float64{}
+	for _, n := range f.nodes {
+		if n.borrower == nil {
+			continue
+		}
+		for name, b := range n.owner.buckets {
+			for _, l := range b.loans {
+				if l.end > f.now {
+					sums[name] += l.share
+				}
+			}
+			if sums[name] > lent {
+				team, lent = name, sums[name]
+			}
+		}
+	}
+	return team, lent
+}
+
 // injectFault has one thing fail, or recover.
 func injectFault(r *rapid.T, f *fleet) {
 	node := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(r, "node")]
@@ -337,6 +365,7 @@
 	assert.Equal(t, token, again)
 	_, err = take()
 	assert.Error(t, err)
+	assert.LessOrEqual(t, tokenLife.Seconds(), window.Seconds()*(overage-1), "tokens of a longer time add up in one window")
 	f.now += tokenLife
 	again.Return()
 	assert.Empty(t, b.teams["big"].tokens)
