--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -39,6 +39,8 @@
 	Version func(uint64)
 	// Routing is called with the routing document that answers RequestRouting.
 	Routing func([]byte)
+	// QuotaReply is called with each reply to a request about quotas; nil if none are sent.
+	QuotaReply func(*linkpb.QuotaReply)
 	// LocalVersion returns the number of the current routing version of this node.
 	LocalVersion func() uint64
 	// Proof is called with each proof that a routing version was the newest one at a time of the boot clock.
@@ -157,6 +159,10 @@
 		if asked, ok := c.asked.pop(); ok {
 			c.events.handleProof(f.Frame, asked)
 		}
+	case *linkpb.Frame_QuotaReply:
+		if c.events.QuotaReply != nil {
+			c.events.QuotaReply(body.QuotaReply)
+		}
 	case *linkpb.Frame_Answer, *linkpb.Frame_Refusal, *linkpb.Frame_Broken:
 		c.session.deliver(f)
 		return
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -34,6 +34,12 @@
 	ObserveVersion(address string, number uint64)
 }
 
+// QuotaHandler is implemented by handlers that own quotas.
+type QuotaHandler interface {
+	// HandleQuota returns the reply to a request of the node at an address. It must not block.
+	HandleQuota(address string, r *linkpb.QuotaRequest) *linkpb.QuotaReply
+}
+
 // Server accepts links from other nodes. It is safe for concurrent use.
 type Server struct {
 	handler Handler
@@ -233,6 +239,8 @@
 		l.server.handler.Leaving(body.Leaving)
 	case *linkpb.Frame_Ping:
 		l.send(&linkpb.Frame{Body: &linkpb.Frame_Pong{Pong: &linkpb.Pong{}}})
+	case *linkpb.Frame_QuotaRequest:
+		l.handleQuota(body.QuotaRequest)
 	case *linkpb.Frame_RoutingRequest:
 		if document := l.server.handler.Routing(); document != nil {
 			l.send(&linkpb.Frame{Body: &linkpb.Frame_Routing{Routing: &linkpb.Routing{Document: document}}})
@@ -243,6 +251,13 @@
 	}
 }
 
+// handleQuota replies to a request about quotas of a node that has introduced itself.
+func (l *serverLink) handleQuota(r *linkpb.QuotaRequest) {
+	if handler, ok := l.server.handler.(QuotaHandler); ok && l.address != "" {
+		l.send(&linkpb.Frame{Body: &linkpb.Frame_QuotaReply{QuotaReply: handler.HandleQuota(l.address, r)}})
+	}
+}
+
 func (l *serverLink) handleHello(hello *linkpb.Hello) {
 	if hello.Session != 0 && l.id == 0 {
 		l.known = l.server.openSession(hello.Session, l)
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -223,6 +223,11 @@
 	s.sendOnLink(&linkpb.Frame{Body: &linkpb.Frame_Leaving{Leaving: l}})
 }
 
+// SendQuotaRequest sends a request about quotas. Without a link it does nothing.
+func (s *Session) SendQuotaRequest(r *linkpb.QuotaRequest) {
+	s.sendOnLink(&linkpb.Frame{Body: &linkpb.Frame_QuotaRequest{QuotaRequest: r}})
+}
+
 // sendOnLink writes a frame if there is a link. A failed write closes the link.
 func (s *Session) sendOnLink(f *linkpb.Frame) {
 	s.mu.Lock()
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -42,6 +42,8 @@
 	LocalVersion func() uint64
 	// Routing handles the document of a routing version from the node at an address.
 	Routing func(peer string, document []byte)
+	// QuotaReply handles a reply about quotas of the node at an address; nil if no requests are sent.
+	QuotaReply func(peer string, r *linkpb.QuotaReply)
 	// PollersChanged is called when the result of InSubset may have changed. It must not block.
 	PollersChanged func()
 	// Proof handles a proof from another node that a routing version was the newest one at a time of the boot clock.
--- a/node/process/quota/borrower.go
+++ b/node/process/quota/borrower.go
@@ -345,6 +345,16 @@
 	b.lastTick = now
 }
 
+// Resume must be called when Tick is called again after a pause in which no version had quotas.
+func (b *Borrower) Resume() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lastTick = b.config.Now()
+	for _, o := range b.owners {
+		o.unansweredSince = 0
+	}
+}
+
 // updateTeams applies the teams with a quota and their owners. A team without one is forgotten when its loan has ended.
 func (b *Borrower) updateTeams(teams iter.Seq[*routing.Team], candidates []string, now time.Duration) {
 	for _, t := range b.teams {
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -86,6 +86,7 @@
 		n.peers.Add(address)
 	}
 	n.peers.Retain(addresses, readAt)
+	n.quotas.membersRead()
 	n.knees.replace(fleet.Knees)
 	self := n.self()
 	if fleet.Members[self.Address] == self || n.stopping.Load() {
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -199,4 +199,7 @@
 	requests, _ := n.callers.Load().InProgress()
 	fmt.Fprintf(w, "version %d\nrouting poll %s\nstate %v\npeers %d linked %d\nrequests %d calls %d\nfreshness proof %s\n",
 		n.routing.Number(), &n.poll, n.State(), known, linked, requests, n.activeCalls.Load(), n.freshness)
+	if n.quotas.running.Load() {
+		fmt.Fprintf(w, "quotas %+v buckets %d\n", n.quotas.borrower.Status(), n.quotas.owner.Sweep())
+	}
 }
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -49,6 +49,7 @@
 	poll     routingPoll
 	// freshness holds the proofs that the current routing version is the newest one.
 	freshness *freshnessLease
+	quotas    quotas
 	// pollersChanged receives when this node may have become one of the frequent pollers.
 	pollersChanged chan struct{}
 	callers        atomic.Pointer[ingress.Server] // nil before the node listens
@@ -88,8 +89,10 @@
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
 		LocalVersion: n.routing.Number, Memory: memory, Log: log,
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
-		Proof: n.freshness.addProof,
+		Proof:      n.freshness.addProof,
+		QuotaReply: func(peer string, r *linkpb.QuotaReply) { n.quotas.borrower.HandleReply(peer, r) },
 	})
+	n.quotas.init(n)
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
@@ -192,6 +195,7 @@
 	if applied {
 		n.log.Info("routing version applied", "version", v.Number, "source", source, "poll", n.poll.String())
 		n.applyLimits()
+		n.quotas.start(n)
 	}
 	return applied
 }
@@ -212,7 +216,7 @@
 		Ready: status.Ready && !n.stoppedServing.Load(), ColdMs: uint32(status.WarmUpLeft.Milliseconds()), Load: n.server.Load(),
 		Knee: uint32(n.server.Knee()), StartedMs: uint64(max(status.StartedAtMs, 0)),
 		Leaving: status.Leaving(), StoreFailing: n.storeFailing.Load(),
-		LinkKbps: uint32(max(c.LinkBitsPerSecond/1000, 0)), CpuMillis: uint32(max(c.CPUShare*1000, 0)),
+		LinkKbps: uint32(max(c.LinkBitsPerSecond/1000, 0)), CpuMillis: uint32(n.cpuMillis()),
 	}
 }
 
