--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -39,6 +39,8 @@
 	Version func(uint64)
 	// Routing is called with the routing document that answers RequestRouting.
 	Routing func([]byte)
+	// Dial opens the connection to the node at an address; nil for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// QuotaReply is called with each reply to a request about quotas; nil if none are sent.
 	QuotaReply func(*linkpb.QuotaReply)
 	// LocalVersion returns the number of the current routing version of this node.
@@ -61,8 +63,13 @@
 
 // dial opens a link to the node of a session and sends hello.
 func dial(ctx context.Context, session *Session) (*Client, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setSocketOptions, KeepAliveConfig: keepAlive}
-	conn, err := dialer.DialContext(ctx, "tcp4", session.address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	open := session.events.Dial
+	if open == nil {
+		open = dialTCP
+	}
+	conn, err := open(ctx, session.address)
 	if err != nil {
 		return nil, err
 	}
@@ -76,6 +83,12 @@
 	return c, nil
 }
 
+// dialTCP opens a TCP connection.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: setSocketOptions, KeepAliveConfig: keepAlive}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
 // sentMs returns the time for Frame.SentMs.
 func sentMs() uint64 { return uint64(boottime.Now().Milliseconds()) }
 
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -201,6 +201,7 @@
 		LocalVersion: p.config.LocalVersion,
 		Version:      func(number uint64) { p.observeVersion(s, number) },
 		Proof:        func(version uint64, at time.Duration) { p.observeProof(s, version, at) },
+		Dial:         p.config.Dial,
 		QuotaReply:   func(r *linkpb.QuotaReply) { p.handleQuotaReply(s.address, r) },
 	}, p.config.Memory)
 }
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,8 @@
 	LocalVersion func() uint64
 	// Routing handles the document of a routing version from the node at an address.
 	Routing func(peer string, document []byte)
+	// Dial opens the connection to the node at an address; nil for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// QuotaReply handles a reply about quotas of the node at an address; nil if no requests are sent.
 	QuotaReply func(peer string, r *linkpb.QuotaReply)
 	// PollersChanged is called when the result of InSubset may have changed. It must not block.
--- a/node/process/sidecar/config.go
+++ b/node/process/sidecar/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -121,6 +122,12 @@
 	Store() Store
 }
 
+// PeerDialer is implemented by adapters of deployments, and of tests, that do not connect nodes by plain TCP.
+type PeerDialer interface {
+	// DialPeer opens the connection to the node at an address.
+	DialPeer(ctx context.Context, address string) (net.Conn, error)
+}
+
 // AnnouncementHandler handles the backend server's announcements.
 type AnnouncementHandler interface {
 	// Announce applies an announcement of the state of a server.
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -85,7 +86,12 @@
 	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
 	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
 	n.links = link.NewServer(n, memory)
+	var dial func(ctx context.Context, address string) (net.Conn, error)
+	if dialer, ok := adapter.(PeerDialer); ok {
+		dial = dialer.DialPeer
+	}
 	n.peers = peers.New(ctx, peers.Config{
+		Dial:  dial,
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
 		LocalVersion: n.routing.Number, Memory: memory, Log: log,
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
@@ -97,8 +103,8 @@
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
 		Service: func() string { return n.config.Load().Service }, Parent: n.server.Parent,
-		Freshness: n.freshness,
-		Memory:    memory, Log: log, Counters: counters{n.metrics},
+		Freshness: n.freshness, Quota: n.quotas.borrower,
+		Memory: memory, Log: log, Counters: counters{n.metrics},
 	})
 	return n
 }
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -37,6 +37,7 @@
 // call is the state of one request of a caller.
 type call struct {
 	handler   *Handler
+	team      *routing.Team // nil if the request has none
 	route     *routing.Route
 	service   string
 	message   *linkpb.Call
@@ -73,7 +74,7 @@
 
 func (h *Handler) newCall(r *http.Request, a accepted, body []byte, memory *membudget.Reservation, arrived arrival) *call {
 	c := &call{
-		handler: h, memory: memory, route: a.route, service: a.route.Split.Next(), arrived: arrived.at,
+		handler: h, memory: memory, team: a.team, route: a.route, service: a.route.Split.Next(), arrived: arrived.at,
 		objective: arrived.at.Add(a.route.Objective), deadline: arrived.at.Add(a.timeout),
 		timeout: a.timeout, arrivedBoot: arrived.boot,
 		message: &linkpb.Call{
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -60,6 +60,8 @@
 	Parent func(id string) (localserver.Parent, bool)
 	// Freshness shows whether a key that is not known here may still be valid, and whether one that is known may have been revoked.
 	Freshness Freshness
+	// Quota limits the requests of teams; nil if they are not limited.
+	Quota Quota
 	// Memory bounds the bytes of the bodies that are held.
 	Memory   *membudget.Budget
 	Log      Log
@@ -99,13 +101,21 @@
 func (h *Handler) respond(r *http.Request, memory *membudget.Reservation) *ingress.Response {
 	c, problem := h.accept(r, arrival{at: time.Now(), boot: boottime.Now()}, memory)
 	if problem != nil {
-		h.config.Log.Info("request refused", "id", r.Header.Get(h.config.Names.ID), "status", problem.status, "cause", problem.cause)
-		h.config.Counters.Count("refused." + problem.cause)
-		return problem.response(http.Header{})
+		return h.refuse(r, problem)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	token, problem := h.takeToken(ctx, c.team)
+	switch {
+	case problem == nil:
+	case r.Context().Err() != nil:
+		h.config.Counters.Count("caller.left")
+		return nil
+	default:
+		return h.refuse(r, problem)
+	}
 	result := c.run(ctx)
+	c.returnToken(token, result)
 	if r.Context().Err() != nil {
 		h.config.Counters.Count("caller.left")
 		return nil
@@ -113,6 +123,13 @@
 	return c.finish(result)
 }
 
+// refuse returns the response to a request that is not sent to any server.
+func (h *Handler) refuse(r *http.Request, p *problem) *ingress.Response {
+	h.config.Log.Info("request refused", "id", r.Header.Get(h.config.Names.ID), "status", p.status, "cause", p.cause)
+	h.config.Counters.Count("refused." + p.cause)
+	return p.response(http.Header{})
+}
+
 // Repeatable reports whether a request is valid and may run more than once.
 func (h *Handler) Repeatable(r *http.Request) bool {
 	a, problem := h.acceptHead(r, time.Now())
