--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -201,4 +201,7 @@
 	fmt.Fprintf(w, "version %d\nrouting poll %s\nstate %v\npeers %d linked %d\nrequests %d calls %d\nfreshness proof %s\n",
 		n.routing.Number(), &n.poll, n.State(), known, linked, requests, n.activeCalls.Load(), n.freshness)
 	n.dumpEvacuations(w)
+	if n.quotas.running.Load() {
+		fmt.Fprintf(w, "quotas %+v buckets %d\n", n.quotas.borrower.Status(), n.quotas.owner.Sweep())
+	}
 }
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -55,6 +56,7 @@
 	evacuations evacuations
 	evacuated   metrics.Gauge   // number of evacuated places
 	eraChanges  metrics.Counter // how often the store came back from an older copy
+	quotas      quotas
 	// pollersChanged receives when this node may have become one of the frequent pollers.
 	pollersChanged chan struct{}
 	callers        atomic.Pointer[ingress.Server] // nil before the node listens
@@ -97,19 +99,26 @@
 	evacuations := link.EvacuationExchange{Current: n.currentEvacuations, Received: n.receiveEvacuations}
 	n.links = link.NewServer(n, memory)
 	n.links.ExchangeEvacuations(evacuations)
+	var dial func(ctx context.Context, address string) (net.Conn, error)
+	if dialer, ok := adapter.(PeerDialer); ok {
+		dial = dialer.DialPeer
+	}
 	n.peers = peers.New(ctx, peers.Config{
+		Dial:  dial,
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
 		LocalVersion: n.routing.Number, Memory: memory, Log: log,
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
 		Proof:       n.freshness.addProof,
 		Evacuations: evacuations, StoreEra: n.peerReportedEra,
+		QuotaReply: func(peer string, r *linkpb.QuotaReply) { n.quotas.borrower.HandleReply(peer, r) },
 	})
+	n.quotas.init(n)
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
 		Service: func() string { return n.config.Load().Service }, Parent: n.server.Parent,
-		Freshness: n.freshness,
-		Memory:    memory, Log: log, Counters: counters{n.metrics},
+		Freshness: n.freshness, Quota: n.quotas.borrower,
+		Memory: memory, Log: log, Counters: counters{n.metrics},
 	})
 	return n
 }
@@ -207,6 +216,7 @@
 	if applied {
 		n.log.Info("routing version applied", "version", v.Number, "source", source, "poll", n.poll.String())
 		n.applyLimits()
+		n.quotas.start(n)
 	}
 	return applied
 }
@@ -227,7 +237,7 @@
 		Ready: status.Ready && !n.stoppedServing.Load(), ColdMs: uint32(status.WarmUpLeft.Milliseconds()), Load: n.server.Load(),
 		Knee: uint32(n.server.Knee()), StartedMs: uint64(max(status.StartedAtMs, 0)),
 		Leaving: status.Leaving(), StoreFailing: n.storeFailing.Load(), StoreEra: n.eras.get(),
-		LinkKbps: uint32(max(c.LinkBitsPerSecond/1000, 0)), CpuMillis: uint32(max(c.CPUShare*1000, 0)),
+		LinkKbps: uint32(max(c.LinkBitsPerSecond/1000, 0)), CpuMillis: uint32(n.cpuMillis()),
 	}
 }
 
