--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -48,6 +48,8 @@
 	// Proof is called with each proof that a routing version was the newest one at a time of the boot clock.
 	Proof       func(version uint64, at time.Duration)
 	Evacuations EvacuationExchange
+	// Egress sends large frames in pieces; nil if they are sent whole.
+	Egress *Egress
 }
 
 // Client is a link to another node. It is safe for concurrent use.
@@ -74,8 +76,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{conn: newFramedConn(conn, session.memory), events: session.events, session: session, done: make(chan struct{})}
-	c.lastReceived.Store(time.Now().UnixNano())
+	c := &Client{
+		conn: newFramedConn(conn, session.memory, session.events.Egress), events: session.events, session: session,
+		done: make(chan struct{}),
+	}
+	c.conn.alive = c.recordReceipt
+	c.recordReceipt()
 	first := &linkpb.Frame{Version: c.events.LocalVersion(), SentMs: sentMs(), Body: &linkpb.Frame_Hello{Hello: session.hello}}
 	if err := c.conn.write(first); err != nil {
 		c.conn.close()
@@ -139,6 +145,12 @@
 // Ask asks the other node for its proof of freshness. The answer is passed to Events.Proof.
 func (c *Client) Ask() { c.ping() }
 
+// recordReceipt records that the other node has sent a frame or a piece of one.
+func (c *Client) recordReceipt() {
+	c.lastReceived.Store(time.Now().UnixNano())
+	c.pingSent.Store(0)
+}
+
 func (c *Client) receive() {
 	defer close(c.done)
 	defer c.conn.close()
@@ -148,8 +160,7 @@
 		if err != nil && !errors.As(err, &noMemory) {
 			return
 		}
-		c.lastReceived.Store(time.Now().UnixNano())
-		c.pingSent.Store(0)
+		c.recordReceipt()
 		if noMemory != nil {
 			c.session.deliver(&Result{Frame: brokenResult(noMemory.stream, "no memory for the answer")})
 			continue
@@ -166,6 +177,7 @@
 	case *linkpb.Frame_State:
 		c.session.resumes.Store(body.State.Resumes)
 		c.conn.rawHeaders.Store(body.State.RawHeaders)
+		c.conn.readsChunks.Store(body.State.Chunks)
 		c.events.State(body.State)
 	case *linkpb.Frame_Routing:
 		c.events.Routing(body.Routing.Document)
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -71,45 +71,75 @@
 	memory *membudget.Budget
 	// rawHeaders is set when the other node reads header values that are not UTF-8.
 	rawHeaders atomic.Bool
+	// readsChunks is set when the other node reads frames in pieces.
+	readsChunks atomic.Bool
+	// egress is nil if frames are sent whole.
+	egress     *Egress
+	boundOnce  sync.Once
+	pieces     *pieceOrder
+	reassembly reassembly
+	// alive is called with each frame and piece that is read.
+	alive func()
 
 	mu     sync.Mutex
 	buffer []byte
 	err    error
 }
 
-func newFramedConn(conn net.Conn, memory *membudget.Budget) *framedConn {
-	return &framedConn{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), memory: memory}
+func newFramedConn(conn net.Conn, memory *membudget.Budget, egress *Egress) *framedConn {
+	return &framedConn{
+		conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), memory: memory, egress: egress, pieces: newPieceOrder(),
+		reassembly: reassembly{memory: memory, frames: map[uint64]*partialFrame{}}, alive: func() {},
+	}
 }
 
 // write sends a frame. After a failed write it closes the connection and writes nothing more, so that the other node either
 // reads a frame whole or does not read it. The error is an *EncodeError when the frame cannot be sent at all.
-func (c *framedConn) write(f *linkpb.Frame) error {
+func (c *framedConn) write(f *linkpb.Frame) error { return c.writeUnless(f, nil) }
+
+// writeUnless is like write. When stop returns true, it stops sending a frame that is sent in pieces; the error is then errStopped, and
+// the other node does not get the frame.
+func (c *framedConn) writeUnless(f *linkpb.Frame, stop func() bool) error {
 	if !c.rawHeaders.Load() && hasRawHeaders(f) {
 		return &EncodeError{Cause: errRawHeaders}
 	}
+	if body, _, _ := bodyOf(f); len(body) > chunkBytes && c.sendsChunks() {
+		large, err := encodeLarge(f)
+		if err != nil {
+			return err
+		}
+		return c.writeLarge(large, stop)
+	}
+	large, err := c.writeWhole(f)
+	if large == nil || err != nil {
+		return err
+	}
+	return c.writeLarge(large, stop)
+}
+
+// writeWhole sends a frame at once. It returns one that must be sent in pieces instead.
+func (c *framedConn) writeWhole(f *linkpb.Frame) (*largeFrame, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil { // nothing of this frame is written
-		return ErrClosed
+		return nil, ErrClosed
 	}
 	encoded, err := proto.MarshalOptions{}.MarshalAppend(append(c.buffer[:0], 0, 0, 0, 0), f)
 	if err != nil {
-		return &EncodeError{Cause: err}
+		return nil, &EncodeError{Cause: err}
 	}
 	if len(encoded)-headerBytes > maxFrameBytes {
-		return &EncodeError{Cause: errFrameTooLong}
+		return nil, &EncodeError{Cause: errFrameTooLong}
+	}
+	if len(encoded)-headerBytes > chunkBytes && c.sendsChunks() {
+		c.buffer = nil // it holds the frame
+		return &largeFrame{stream: f.Stream, head: encoded[headerBytes:]}, nil
 	}
 	binary.BigEndian.PutUint32(encoded, uint32(len(encoded)-headerBytes))
 	if cap(encoded) <= maxRetainedBufferBytes {
 		c.buffer = encoded
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.conn.Write(encoded); err != nil {
-		c.err = fmt.Errorf("write frame: %w", err)
-		_ = c.conn.Close()
-		return c.err
-	}
-	return nil
+	return nil, c.writeEncoded(encoded)
 }
 
 // writeOrClose sends a frame of the link itself, which belongs to no call that could be told of an error. After any error the
@@ -131,9 +161,26 @@
 
 func (e *noMemoryError) Error() string { return "no memory for a frame" }
 
-// read returns the next frame and the reservation of its memory. It fails on a frame that is longer than maxFrameBytes or cannot be
-// decoded, and with a *noMemoryError on one that finds no memory.
+// read returns the next frame and the reservation of its memory; one that is sent in pieces when all have arrived. It fails on a frame
+// that is longer than maxFrameBytes or cannot be decoded, and with a *noMemoryError on one that finds no memory.
 func (c *framedConn) read() (*linkpb.Frame, *membudget.Reservation, error) {
+	f, memory, err := c.readWhole()
+	for err == nil && f.GetChunk() != nil {
+		piece := f
+		f, memory, err = c.reassembly.add(piece.Stream, piece.GetChunk())
+		if f == nil && err == nil {
+			f, memory, err = c.readWhole()
+		}
+	}
+	var noMemory *noMemoryError
+	if err != nil && !errors.As(err, &noMemory) {
+		c.reassembly.release()
+	}
+	return f, memory, err
+}
+
+// readWhole returns the next frame, which may be a piece of another one.
+func (c *framedConn) readWhole() (*linkpb.Frame, *membudget.Reservation, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(c.reader, header[:]); err != nil {
 		return nil, nil, err
@@ -148,6 +195,10 @@
 		reservation.Release()
 		return nil, nil, err
 	}
+	c.alive()
+	if f.GetChunk() != nil {
+		reservation.Release() // the reassembled frame has its own
+	}
 	return f, reservation, nil
 }
 
--- a/node/connection/link/served.go
+++ b/node/connection/link/served.go
@@ -45,6 +45,8 @@
 	cancel     context.CancelFunc
 	idempotent bool
 	deadline   time.Time
+	// cancelled is set when the other node no longer waits for the result.
+	cancelled  bool
 	finished   bool
 	finishedAt time.Time
 	// result is the retained result of a finished call, or nil.
@@ -139,17 +141,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if call := s.calls[stream]; call != nil {
+		call.cancelled = true
 		call.cancel()
 	}
 }
 
+// isCancelled reports whether the other node no longer waits for the result of a call.
+func (s *servedSession) isCancelled(call *servedCall) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return call != nil && call.cancelled
+}
+
 // finish sends the result of a call, and retains it for the case that it is lost with the link.
 func (s *servedSession) finish(stream uint64, result *linkpb.Frame) {
 	result.Stream = stream
 	s.mu.Lock()
 	now := time.Now()
 	s.sweep(now)
-	if call := s.calls[stream]; call != nil {
+	call := s.calls[stream]
+	if call != nil {
 		call.cancel()
 		call.finished, call.finishedAt = true, now
 		s.retain(call, result)
@@ -157,7 +168,7 @@
 	link := s.link
 	s.mu.Unlock()
 	if link != nil {
-		link.sendResult(result)
+		link.sendResult(result, func() bool { return s.isCancelled(call) })
 	}
 }
 
@@ -213,7 +224,7 @@
 	s.cancelIdempotent(keep)
 	s.mu.Unlock()
 	for _, result := range results {
-		l.sendResult(result)
+		l.sendResult(result, nil)
 	}
 }
 
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -47,6 +47,7 @@
 	// clock is boottime.Now.
 	clock       func() time.Duration
 	evacuations EvacuationExchange
+	egress      *Egress
 
 	broadcast sync.Mutex // held while a state is sent to all links
 
@@ -63,6 +64,9 @@
 	}
 }
 
+// SendThrough makes the links send large frames in pieces. It must be called before Serve.
+func (s *Server) SendThrough(e *Egress) { s.egress = e }
+
 // Serve accepts links until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
@@ -70,7 +74,7 @@
 		if err != nil {
 			return err
 		}
-		l := &serverLink{server: s, conn: newFramedConn(conn, s.memory), done: make(chan struct{}), session: newServedSession()}
+		l := &serverLink{server: s, conn: newFramedConn(conn, s.memory, s.egress), done: make(chan struct{}), session: newServedSession()}
 		l.session.attach(l)
 		s.add(l)
 		go l.run()
@@ -101,7 +105,7 @@
 // state returns the state of this node with the capabilities of its links.
 func (s *Server) state() *linkpb.State {
 	state := s.handler.State()
-	state.Resumes, state.RawHeaders = true, true
+	state.Resumes, state.RawHeaders, state.Chunks = true, true, true
 	return state
 }
 
@@ -195,7 +199,7 @@
 		var noMemory *noMemoryError
 		switch {
 		case errors.As(err, &noMemory):
-			l.sendResult(notReceived(noMemory.stream))
+			l.sendResult(notReceived(noMemory.stream), nil)
 		case err != nil:
 			return
 		default:
@@ -247,15 +251,27 @@
 	case *linkpb.Frame_QuotaRequest:
 		l.handleQuota(body.QuotaRequest)
 	case *linkpb.Frame_RoutingRequest:
-		if document := l.server.handler.Routing(); document != nil {
-			l.send(&linkpb.Frame{Body: &linkpb.Frame_Routing{Routing: &linkpb.Routing{Document: document}}})
-		}
+		l.sendRouting()
 	}
 	if f.Version != 0 && l.address != "" {
 		l.server.handler.ObserveVersion(l.address, f.Version)
 	}
 }
 
+// sendRouting sends the current routing document. If it is sent in pieces, frames are received meanwhile.
+func (l *serverLink) sendRouting() {
+	document := l.server.handler.Routing()
+	if document == nil {
+		return
+	}
+	f := &linkpb.Frame{Body: &linkpb.Frame_Routing{Routing: &linkpb.Routing{Document: document}}}
+	if l.conn.sendsChunks() {
+		go l.send(f)
+		return
+	}
+	l.send(f)
+}
+
 // handleQuota replies to a request about quotas of a node that has introduced itself.
 func (l *serverLink) handleQuota(r *linkpb.QuotaRequest) {
 	if handler, ok := l.server.handler.(QuotaHandler); ok && l.address != "" {
@@ -269,6 +285,7 @@
 	}
 	l.address = hello.Address
 	l.conn.rawHeaders.Store(hello.RawHeaders)
+	l.conn.readsChunks.Store(hello.Chunks)
 	l.server.handler.Hello(hello)
 	l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: l.server.state()}})
 	if f := l.server.evacuations.frame(); f != nil {
@@ -282,9 +299,9 @@
 }
 
 // sendResult writes the result of a call. One that cannot be encoded is replaced, so that the other node does not wait for it: the call
-// may have run.
-func (l *serverLink) sendResult(f *linkpb.Frame) {
-	err := l.conn.write(l.withVersion(f))
+// may have run. When stop returns true, the rest of a large result is not sent.
+func (l *serverLink) sendResult(f *linkpb.Frame, stop func() bool) {
+	err := l.conn.writeUnless(l.withVersion(f), stop)
 	var encodeErr *EncodeError
 	if errors.As(err, &encodeErr) {
 		l.send(brokenResult(f.Stream, "answer "+encodeErr.Error()))
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -79,7 +79,7 @@
 // NewSession returns a session with the node at address. The hello introduces this node. Frames that are received take their
 // memory from a budget.
 func NewSession(address string, hello *linkpb.Hello, events Events, memory *membudget.Budget) *Session {
-	introduced := &linkpb.Hello{Node: hello.Node, Address: hello.Address, Place: hello.Place, Session: rand.Uint64() | 1, RawHeaders: true}
+	introduced := &linkpb.Hello{Node: hello.Node, Address: hello.Address, Place: hello.Place, Session: rand.Uint64() | 1, RawHeaders: true, Chunks: true}
 	return &Session{address: address, hello: introduced, events: events, memory: memory, calls: map[uint64]*call{}}
 }
 
@@ -165,11 +165,16 @@
 	frame := &linkpb.Frame{
 		Stream: stream, Version: s.events.LocalVersion(), SentMs: sentMs(), Body: &linkpb.Frame_Call{Call: message},
 	}
-	if err := client.conn.write(frame); err != nil {
-		var encodeErr *EncodeError
-		if errors.Is(err, ErrClosed) || errors.As(err, &encodeErr) {
-			return nil, &NotSentError{Cause: err}
-		}
+	unwanted := func() bool { return ctx.Err() != nil || len(c.result) > 0 }
+	err := client.conn.writeUnless(frame, unwanted)
+	var encodeErr *EncodeError
+	switch {
+	case err == nil:
+	case errors.Is(err, errStopped):
+		return c.resultBeforeSent(ctx)
+	case errors.Is(err, ErrClosed), errors.As(err, &encodeErr):
+		return nil, &NotSentError{Cause: err}
+	default:
 		return s.awaitNextLink(ctx, stream, c, wait)
 	}
 	timer := time.NewTimer(suspectTimeout)
@@ -210,6 +215,16 @@
 	}
 }
 
+// resultBeforeSent returns the result of a call that was not sent whole: the other node has refused it, or ctx has ended.
+func (c *call) resultBeforeSent(ctx context.Context) (*Result, error) {
+	select {
+	case f, ok := <-c.result:
+		return resultOrClosed(f, ok)
+	default:
+		return nil, &NotSentError{Cause: ctx.Err()}
+	}
+}
+
 func resultOrClosed(f *Result, ok bool) (*Result, error) {
 	if !ok {
 		return nil, ErrClosed
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -204,6 +204,7 @@
 		Version:      func(number uint64) { p.observeVersion(s, number) },
 		Proof:        func(version uint64, at time.Duration) { p.observeProof(s, version, at) },
 		Evacuations:  p.config.Evacuations,
+		Egress:       p.config.Egress,
 		Dial:         p.config.Dial,
 		QuotaReply:   func(r *linkpb.QuotaReply) { p.handleQuotaReply(s.address, r) },
 	}, p.config.Memory)
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -55,6 +55,8 @@
 	Evacuations link.EvacuationExchange
 	// StoreEra is called with the era of the store that the node at an address reports. It must not block. It may be nil.
 	StoreEra func(peer string, era uint64)
+	// Egress sends large frames in pieces; nil if they are sent whole.
+	Egress *link.Egress
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
 	Log    Log
--- /dev/null
+++ b/node/process/sidecar/egress.go
@@ -0,0 +1,24 @@
+package sidecar
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/radishstand/radishstand/node/connection/link"
+)
+
+// newEgress returns what the links of this node have in common when they send.
+func (n *Node) newEgress() *link.Egress {
+	egress := link.NewEgress(link.EgressConfig{
+		Chunks:        n.hasDownloads,
+		BitsPerSecond: func() float64 { return n.config.Load().LinkBitsPerSecond },
+		Log:           n.log,
+	})
+	n.metrics.Register("links.waiting_bytes", metrics.NewFunctionalGauge(egress.WaitingBytes))
+	return egress
+}
+
+// hasDownloads reports whether the current routing version has routes with large answers.
+func (n *Node) hasDownloads() bool {
+	v := n.routing.Current()
+	return v != nil && v.HasDownloads()
+}
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -41,6 +41,7 @@
 	routing *routing.Holder
 	server  *localserver.Server
 	links   *link.Server
+	egress  *link.Egress
 	peers   *peers.Set
 	front   *front.Handler
 	metrics metrics.Registry
@@ -99,6 +100,8 @@
 	evacuations := link.EvacuationExchange{Current: n.currentEvacuations, Received: n.receiveEvacuations}
 	n.links = link.NewServer(n, memory)
 	n.links.ExchangeEvacuations(evacuations)
+	n.egress = n.newEgress()
+	n.links.SendThrough(n.egress)
 	var dial func(ctx context.Context, address string) (net.Conn, error)
 	if dialer, ok := adapter.(PeerDialer); ok {
 		dial = dialer.DialPeer
@@ -109,7 +112,7 @@
 		LocalVersion: n.routing.Number, Memory: memory, Log: log,
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
 		Proof:       n.freshness.addProof,
-		Evacuations: evacuations, StoreEra: n.peerReportedEra,
+		Evacuations: evacuations, StoreEra: n.peerReportedEra, Egress: n.egress,
 		QuotaReply: func(peer string, r *linkpb.QuotaReply) { n.quotas.borrower.HandleReply(peer, r) },
 	})
 	n.quotas.init(n)
