--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -53,6 +53,14 @@
 	RateWait  time.Duration
 	// WarmUpLeft is the remaining time for which the server stays slow after its start.
 	WarmUpLeft time.Duration
+	// LinkBytesPerSecond is the speed of the link of the server's host; 0 if unknown.
+	LinkBytesPerSecond float64
+	// EgressBytes is the number of bytes that waited for that link at the time of the report; BytesSinceReport is the expected size
+	// of the answers to the calls sent after it.
+	EgressBytes      int
+	BytesSinceReport int
+	// Local is set for the server at this host, whose answers do not pass a link on their way to this node.
+	Local bool
 	// Failures is the recent share of attempts at the server that failed.
 	Failures float64
 	// Suspect is set for servers whose node does not respond.
@@ -69,6 +77,8 @@
 	RouteTime time.Duration
 	// RouteBytes is the average size of a call on the route and its answer.
 	RouteBytes int
+	// Transfer is what is known of the transfer of the answer; the zero value leaves it out of the choice.
+	Transfer Transfer
 }
 
 // TransferPenalty returns the additional delay that is accepted to keep the call in its place. It grows with the size of
@@ -81,10 +91,11 @@
 func Pick(candidates []Candidate, call Call) int {
 	estimates := make([]time.Duration, len(candidates))
 	minFailureShare := minFailures(candidates)
+	slowest := slowestLink(candidates)
 	samePlace, best := -1, -1
 	for i := range candidates {
 		c := &candidates[i]
-		estimates[i] = c.estimate(call, c.Failures-minFailureShare)
+		estimates[i] = c.estimate(call, c.Failures-minFailureShare) + c.transferTime(call.Transfer) + c.displacement(call.Transfer, slowest)
 		if best < 0 || c.better(estimates[i], &candidates[best], estimates[best]) {
 			best = i
 		}
