--- a/node/process/sidecar/freshness.go
+++ b/node/process/sidecar/freshness.go
@@ -146,9 +146,9 @@
 		if step.Read && f.reading.CompareAndSwap(false, true) {
 			go f.readStore(ctx)
 		}
-		if step.Ask > 0 {
+		if step.Ask {
 			f.count("asked")
-			f.node.peers.AskForProof(step.First, step.Ask)
+			f.node.peers.AskForProof(step.First, step.Others)
 		}
 		held = f.logChange(held)
 		sleep(ctx, step.Wait)
--- a/node/version/freshness/schedule.go
+++ b/node/version/freshness/schedule.go
@@ -10,8 +10,8 @@
 	maxAskAge = time.Second
 	// askInterval is the time in which a question is answered on a working link.
 	askInterval = 250 * time.Millisecond
-	// singleAsks is the number of nodes that are asked one after the other. Then askAtOnce nodes are asked at a time, so
-	// that one with a proof is found before the lease ends although most have none.
+	// singleAsks is the number of further nodes that are asked one after the other beside the best source. Then askAtOnce nodes are
+	// asked at a time, so that one with a proof is found before the lease ends although most have none.
 	singleAsks = 4
 	askAtOnce  = 4
 	// maxReadInterval is the time between two reads of the store.
@@ -20,8 +20,10 @@
 
 // Step is what a node does now for its lease, and the time until it decides again.
 type Step struct {
-	// Ask is the number of nodes to ask, from position First in the order of sources.
-	First, Ask int
+	// Ask is set if the node asks the best source of proofs: it may have a younger one by now. Others is the number of further nodes that
+	// are asked too, from position First in their order.
+	Ask           bool
+	First, Others int
 	// Read is set if the node reads the store.
 	Read bool
 	Wait time.Duration
@@ -29,8 +31,10 @@
 
 // Schedule decides when a node asks other nodes and reads the store. It is not safe for concurrent use.
 type Schedule struct {
-	// asked is the number of nodes that were asked since the last proof that is young enough.
-	asked int
+	// asking is set while questions have brought no proof that is young enough, and others is the number of further nodes that were
+	// asked meanwhile.
+	asking bool
+	others int
 	// readAt is the time from which on the store may be read again.
 	readAt time.Duration
 	// due is set once the proof is old enough for a read.
@@ -43,18 +47,23 @@
 func (s *Schedule) Next(now, age, within time.Duration, poller bool) Step {
 	askAge := min(maxAskAge, within/4)
 	if age < askAge {
-		s.asked, s.due = 0, false
+		s.asking, s.others, s.due = false, 0, false
 		return Step{Wait: askAge - age}
 	}
 	step := Step{Wait: askInterval, Read: s.reads(now, age, within, poller)}
 	if poller && age < askAge+2*askInterval { // its own read is on its way
 		return step
 	}
-	step.First, step.Ask = s.asked, 1
-	if s.asked >= singleAsks {
-		step.Ask = askAtOnce
+	step.Ask, step.First = true, s.others
+	switch {
+	case !s.asking: // most questions bring a proof
+	case s.others < singleAsks:
+		step.Others = 1
+	default:
+		step.Others = askAtOnce
 	}
-	s.asked += step.Ask
+	s.asking = true
+	s.others += step.Others
 	return step
 }
 
