--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -34,12 +34,19 @@
 	ObserveVersion(address string, number uint64)
 }
 
+// QuotaHandler is implemented by handlers that own quotas.
+type QuotaHandler interface {
+	// HandleQuota returns the reply to a request of the node at an address. It must not block.
+	HandleQuota(address string, r *linkpb.QuotaRequest) *linkpb.QuotaReply
+}
+
 // Server accepts links from other nodes. It is safe for concurrent use.
 type Server struct {
 	handler Handler
 	memory  *membudget.Budget
 	// clock is boottime.Now.
-	clock func() time.Duration
+	clock       func() time.Duration
+	evacuations EvacuationExchange
 
 	broadcast sync.Mutex // held while a state is sent to all links
 
@@ -231,8 +238,14 @@
 		l.session.cancel(f.Stream)
 	case *linkpb.Frame_Leaving:
 		l.server.handler.Leaving(body.Leaving)
+	case *linkpb.Frame_Evacuations:
+		if reply := l.server.evacuations.receive(l.address, body.Evacuations); reply != nil {
+			l.send(reply)
+		}
 	case *linkpb.Frame_Ping:
 		l.send(&linkpb.Frame{Body: &linkpb.Frame_Pong{Pong: &linkpb.Pong{}}})
+	case *linkpb.Frame_QuotaRequest:
+		l.handleQuota(body.QuotaRequest)
 	case *linkpb.Frame_RoutingRequest:
 		if document := l.server.handler.Routing(); document != nil {
 			l.send(&linkpb.Frame{Body: &linkpb.Frame_Routing{Routing: &linkpb.Routing{Document: document}}})
@@ -243,6 +256,13 @@
 	}
 }
 
+// handleQuota replies to a request about quotas of a node that has introduced itself.
+func (l *serverLink) handleQuota(r *linkpb.QuotaRequest) {
+	if handler, ok := l.server.handler.(QuotaHandler); ok && l.address != "" {
+		l.send(&linkpb.Frame{Body: &linkpb.Frame_QuotaReply{QuotaReply: handler.HandleQuota(l.address, r)}})
+	}
+}
+
 func (l *serverLink) handleHello(hello *linkpb.Hello) {
 	if hello.Session != 0 && l.id == 0 {
 		l.known = l.server.openSession(hello.Session, l)
@@ -251,6 +271,9 @@
 	l.conn.rawHeaders.Store(hello.RawHeaders)
 	l.server.handler.Hello(hello)
 	l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: l.server.state()}})
+	if f := l.server.evacuations.frame(); f != nil {
+		l.send(f)
+	}
 }
 
 // send writes a frame of the link itself with the current routing version.
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -56,6 +56,7 @@
 	sentAt := s.config.Now()
 	response, err := s.send(ctx, client, call, remaining)
 	if err != nil {
+		s.observeFailure(client, err)
 		return s.failureFrame(call.ServerId, err), nil
 	}
 	leaving := s.observe(serverAnswer{response: response, client: client, request: call.Id, sentAt: sentAt})
@@ -104,7 +105,7 @@
 func (s *Server) clientFor(id string) *exchange.Client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.current.ID != id || !s.state.Is(stateReady) {
+	if s.current.ID != id || !s.state.Is(stateReady) || s.evacuated {
 		return nil
 	}
 	return s.client
@@ -166,6 +167,7 @@
 		s.dispatcher.Observe(load.Slowness, false)
 	}
 	if r.Status == http.StatusMisdirectedRequest {
+		s.dispatcher.ServerLost()
 		s.markUnreachable(id)
 	}
 	if r.Header.Get(names.NotExecuted) != "" || r.Status == http.StatusMisdirectedRequest {
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -183,9 +183,11 @@
 	s.recordLeaving(state.Leaving, now)
 	reachedStore := s.reachesStore()
 	s.setState(state, now)
-	if s.reachesStore() != reachedStore {
+	reachesStore := s.reachesStore()
+	if reachesStore != reachedStore {
 		p.config.PollersChanged()
 	}
+	p.observeStore(s, state, reachedStore, reachesStore)
 	p.logState(s.address, state)
 	if leaving := s.unannouncedLeaving(now); leaving != nil {
 		p.config.Log.Info("peer uses a server that leaves", "peer", s.address, "server", leaving.ServerId)
@@ -201,6 +203,9 @@
 		LocalVersion: p.config.LocalVersion,
 		Version:      func(number uint64) { p.observeVersion(s, number) },
 		Proof:        func(version uint64, at time.Duration) { p.observeProof(s, version, at) },
+		Evacuations:  p.config.Evacuations,
+		Dial:         p.config.Dial,
+		QuotaReply:   func(r *linkpb.QuotaReply) { p.handleQuotaReply(s.address, r) },
 	}, p.config.Memory)
 }
 
