--- a/node/process/sidecar/era.go
+++ b/node/process/sidecar/era.go
@@ -129,6 +129,7 @@
 // storeResponded handles the era of a response of the store. What was read in the era before is read again, and what this node wrote is
 // written again.
 func (n *Node) storeResponded(era uint64) {
+	n.freshness.setEra(era)
 	if !n.eras.observe(era, time.Now()) {
 		return
 	}
--- a/node/process/sidecar/freshness.go
+++ b/node/process/sidecar/freshness.go
@@ -54,13 +54,13 @@
 	return boottime.Now() - at
 }
 
-// SetEra records the era of a response of the store. It must be called before the read of that response.
-func (f *freshnessLease) SetEra(era uint64) { f.lease.SetEra(era, boottime.Now()) }
+// setEra records the era of a response of the store. It must be called before the read of that response.
+func (f *freshnessLease) setEra(era uint64) { f.lease.SetEra(era, boottime.Now()) }
 
 // read records a successful read of the operators' configuration that began at a time of the boot clock. The document is nil if a poll
-// of the feed has brought none. A document that is rejected counts as if it had not been written: the version before it stays in
+// of the feed has brought none; setEra must have been called with the era. A document that is rejected counts as if it had not been written: the version before it stays in
 // force.
-func (f *freshnessLease) read(document []byte, began time.Duration, direct bool) {
+func (f *freshnessLease) read(document []byte, era uint64, began time.Duration, direct bool) {
 	if f.within() == 0 {
 		return
 	}
@@ -71,7 +71,7 @@
 	if f.isOutdated(max(version, f.latestVersion())) {
 		return
 	}
-	f.lease.Read(version, began, direct)
+	f.lease.Read(version, era, began, direct)
 }
 
 // isOutdated reports whether a newer version than the store's is known that this node does not have: the store has lost it.
@@ -186,8 +186,7 @@
 	if state.Document != nil {
 		f.node.applyRouting(state.Document, "store")
 	}
-	f.SetEra(state.Revision.Era)
-	f.read(state.Document, began, true)
+	f.read(state.Document, state.Revision.Era, began, true)
 }
 
 // registerMetrics registers the gauges of the lease.
--- a/node/process/sidecar/freshness_test.go
+++ b/node/process/sidecar/freshness_test.go
@@ -51,17 +51,17 @@
 func TestReadsProveTheVersionThatTheStoreHolds(t *testing.T) {
 	const second = time.Second
 	f := newLease(t)
-	f.read([]byte("x"), 10*second, true)
-	f.read(nil, 10*second, true)
-	f.read(nil, 10*second, false)
+	f.read([]byte("x"), 0, 10*second, true)
+	f.read(nil, 0, 10*second, true)
+	f.read(nil, 0, 10*second, false)
 	assert.EqualValues(t, -1, f.proven(), "the store has shown no version")
-	f.read([]byte("2"), 20*second, true)
+	f.read([]byte("2"), 0, 20*second, true)
 	assert.Equal(t, 20*second, f.proven())
-	f.read([]byte("x"), 21*second, true)
+	f.read([]byte("x"), 0, 21*second, true)
 	assert.Equal(t, 21*second, f.proven())
-	f.read(nil, 23*second, false)
+	f.read(nil, 0, 23*second, false)
 	assert.Greater(t, f.proven(), 21*second)
-	f.read([]byte("3"), 30*second, true)
+	f.read([]byte("3"), 0, 30*second, true)
 	assert.Less(t, f.proven(), 30*second, "version 2 is not the newest one")
 }
 
@@ -69,18 +69,18 @@
 func TestStoreThatHasLostAVersionProvesNothing(t *testing.T) {
 	f := newLease(t)
 	f.node.peers.ObserveVersion("b", 3)
-	f.read([]byte("2"), 20*time.Second, true)
+	f.read([]byte("2"), 0, 20*time.Second, true)
 	assert.EqualValues(t, -1, f.proven())
 	v, _ := f.node.adapter.ParseRouting([]byte("3"))
 	f.node.routing.Offer(v)
-	f.read([]byte("2"), 21*time.Second, true)
+	f.read([]byte("2"), 0, 21*time.Second, true)
 	assert.Equal(t, 21*time.Second, f.proven(), "the node has the lost version")
 
 	f = newLease(t)
-	f.SetEra(4)
-	f.read([]byte("2"), 0, true)
+	f.setEra(4)
+	f.read([]byte("2"), 4, 0, true)
 	assert.EqualValues(t, -1, f.proven(), "the era is new")
-	f.read([]byte("2"), math.MaxInt64, true)
+	f.read([]byte("2"), 4, math.MaxInt64, true)
 	assert.EqualValues(t, math.MaxInt64, f.proven())
 }
 
@@ -88,7 +88,7 @@
 func TestNoProofsAreHeldUnlessTheNodeFailsClosed(t *testing.T) {
 	f := newLease(t)
 	f.node.config.Store(&Config{})
-	f.read([]byte("2"), 20*time.Second, true)
+	f.read([]byte("2"), 0, 20*time.Second, true)
 	f.addProof(2, 20*time.Second)
 	assert.EqualValues(t, -1, f.proven())
 	assert.Zero(t, f.proofAge(2))
--- a/node/process/sidecar/routing.go
+++ b/node/process/sidecar/routing.go
@@ -84,8 +84,7 @@
 			continue
 		}
 		last = &read.state
-		n.freshness.SetEra(last.Revision.Era)
-		n.freshness.read(last.Document, read.began, read.direct)
+		n.freshness.read(last.Document, last.Revision.Era, read.began, read.direct)
 		n.applyRead(read)
 		if last.Document != nil {
 			last.Document = nil // the routing version holds it
--- a/node/version/freshness/fleet_test.go
+++ b/node/version/freshness/fleet_test.go
@@ -224,7 +224,7 @@
 	defer f.mu.Unlock()
 	if reached {
 		n.current = max(n.current, version)
-		n.lease.Read(version, began, true)
+		n.lease.Read(version, 0, began, true)
 	}
 }
 
@@ -251,7 +251,7 @@
 				shown, n.seen = version, version
 			}
 			n.current = max(n.current, shown)
-			n.lease.Read(shown, began, false)
+			n.lease.Read(shown, 0, began, false)
 		}
 		f.mu.Unlock()
 	}
--- a/node/version/freshness/freshness.go
+++ b/node/version/freshness/freshness.go
@@ -68,22 +68,25 @@
 	}
 }
 
-// SetEra records the era of a response of the store. After a change, what the store holds may be older than what it has
-// acknowledged, so that reads are no proofs for eraDelay. A store that never lost anything has era 0.
+// SetEra records the era of a response of the store. After it rose, what the store holds may be older than what it has acknowledged,
+// so that reads are no proofs for eraDelay. A store that never lost anything has era 0. A late response of an older era changes nothing.
 func (l *Lease) SetEra(era uint64, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if era != l.era {
+	if era > l.era {
 		l.era, l.stored, l.validFrom = era, 0, now+eraDelay
 	}
 }
 
 // Read adds the proof of a successful read of the store that began at a time. The version is that of the configuration that was read, or
 // 0 if a poll of the feed has brought none. A direct read proves that the version was the newest one when the read began, a poll that
-// it was FeedLag earlier.
-func (l *Lease) Read(version uint64, began time.Duration, direct bool) {
+// it was FeedLag earlier. A response of an older era than the current one proves nothing.
+func (l *Lease) Read(version, era uint64, began time.Duration, direct bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if era < l.era {
+		return
+	}
 	l.stored = max(l.stored, version)
 	if direct && version == 0 {
 		return // the store holds no configuration
