--- a/node/process/peers/proofs.go
+++ b/node/process/peers/proofs.go
@@ -27,7 +27,7 @@
 // AskForProof pings linked nodes, whose answers hold their proof of freshness: the one of which a young proof is expected most, and count
 // of the others from position first in their order on. After the last of them the first one follows.
 func (p *Set) AskForProof(first, count int) {
-	sources := p.proofOrder()
+	sources := orderSources(p.linkedSources(), xxhash.Sum64String(p.config.Hello.Address))
 	if len(sources) == 0 {
 		return
 	}
@@ -55,12 +55,11 @@
 	reachesStore bool
 }
 
-// proofOrder returns the linked nodes: the one from which the youngest proof came, the nodes that poll the store often as far as this
-// node can tell, and the others. A node that reaches no poller is served by nodes that do.
-func (p *Set) proofOrder() []*Server {
-	sources := p.linkedSources()
+// orderSources returns the nodes in the order in which the node with a hash asks them: the one from which the youngest proof came, the
+// nodes that poll the store often as far as this node can tell, and the others. A node that reaches no poller is served by nodes that
+// do.
+func orderSources(sources []proofSource, ownHash uint64) []*Server {
 	slices.SortFunc(sources, func(a, b proofSource) int { return cmp.Compare(a.hash, b.hash) })
-	ownHash := xxhash.Sum64String(p.config.Hello.Address)
 	preferred := func(s proofSource) bool { return s.reachesStore }
 	if len(sources) > maxDirectAskers && !leadsPlace(sources, ownHash) {
 		preferred = func(s proofSource) bool { return s.samePlace }
--- a/node/process/sidecar/freshness.go
+++ b/node/process/sidecar/freshness.go
@@ -129,6 +129,7 @@
 // start runs the loop that asks for proofs if the node is configured to fail closed and it does not run yet.
 func (f *freshnessLease) start(ctx context.Context) {
 	if f.within() > 0 && f.running.CompareAndSwap(false, true) {
+		f.registerMetrics(f.node.metrics)
 		go f.run(ctx)
 	}
 }
@@ -189,9 +190,9 @@
 	f.read(state.Document, state.Revision.Era, began, true)
 }
 
-// registerMetrics registers the gauges of the lease.
+// registerMetrics registers the gauge of the lease, unless it is there already.
 func (f *freshnessLease) registerMetrics(registry metrics.Registry) {
-	registry.Register("freshness.proof_age_ms", metrics.NewFunctionalGauge(func() int64 {
+	_ = registry.Register("freshness.proof_age_ms", metrics.NewFunctionalGauge(func() int64 {
 		if age := f.age(); age != math.MaxInt64 {
 			return age.Milliseconds()
 		}
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -77,9 +77,6 @@
 	n.pollersChanged = make(chan struct{}, 1)
 	n.config.Store(&c)
 	n.freshness = &freshnessLease{node: n}
-	if c.RevokeWithin > 0 {
-		n.freshness.registerMetrics(n.metrics)
-	}
 	memory := membudget.New(bodyBytes(c.MemoryBytes))
 	n.server = localserver.New(localserver.Config{
 		Address:    func() string { return n.config.Load().ServerAddress },
