--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -63,7 +63,8 @@
 	arrived    time.Time
 	waiting    bool
 	started    time.Time
-	// inProgress is the number of calls in progress after the start of this one; slow is set when the host was slow then.
+	// inProgress is the number of calls in progress after the start of this one; slow is set when the host was slow or the server
+	// cold then.
 	inProgress int
 	slow       bool
 }
@@ -273,7 +274,7 @@
 func (d *Dispatcher) start(j *Job, now time.Time) {
 	d.inProgress++
 	d.cold.started(now)
-	j.started, j.inProgress, j.slow = now, d.inProgress, d.slow(now)
+	j.started, j.inProgress, j.slow = now, d.inProgress, d.slow(now) || d.cold.cold(now)
 	if d.knee.canAdopt(d.inProgress, now) {
 		d.knee.adopt(d.peerKnee(d.slots), now)
 	}
--- a/node/process/dispatch/knee.go
+++ b/node/process/dispatch/knee.go
@@ -265,7 +265,7 @@
 	k.limit, k.confirmedLimit, k.independentUntil = k.slots, 0, independentUntil
 }
 
-// recordKneeSample adds the time of a call to the knee detection, unless the host was slow at its start.
+// recordKneeSample adds the time of a call to the knee detection, unless the host was slow or the server cold at its start.
 func (d *Dispatcher) recordKneeSample(j *Job, elapsed time.Duration, now time.Time) {
 	if j.slow {
 		return
