--- a/node/process/dispatch/cold_test.go
+++ b/node/process/dispatch/cold_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,9 +60,9 @@
 		s.after(15*time.Millisecond, s.ProbeFailed)
 		return
 	}
-	sentAt := s.now
+	sentAt, left := s.now, s.coldLeft() // a report may be as old as the request
 	s.after(testCheckTime, func() {
-		s.ObserveCold(dispatch.ColdReport{Source: dispatch.SourceHealthCheck, Left: s.coldLeft(), SentAt: sentAt})
+		s.ObserveCold(dispatch.ColdReport{Source: dispatch.SourceHealthCheck, Left: left, SentAt: sentAt})
 		s.Observe(normalSlowness, true)
 	})
 }
@@ -253,3 +255,33 @@
 	assert.Zero(t, s.ColdLimit())
 	assert.Equal(t, dispatch.SourceTime, s.changes[len(s.changes)-1].Source)
 }
+
+// Guards against sequences of events in which a cold server gets more than the bound.
+func TestBoundHoldsInRandomSequences(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		s := newColdServer(testColdPerSecond)
+		var coldSince []time.Time
+		for range 12 {
+			switch random.IntN(6) {
+			case 0, 1:
+				coldSince = append(coldSince, s.now)
+				s.turnCold()
+			case 2:
+				s.lostChecks = !s.lostChecks
+			case 3:
+				s.ServerLost()
+			case 4:
+				s.sleep(time.Duration(random.Int64N(int64(time.Second))))
+			case 5:
+				s.announce(s.coldLeft())
+			}
+			s.run(1+random.IntN(250), time.Duration(random.Int64N(int64(2*time.Second))))
+		}
+		for _, since := range coldSince {
+			until := since.Add(testColdStart)
+			during := slices.DeleteFunc(slices.Clone(s.arrivals), func(a time.Time) bool { return a.Before(since) || a.After(until) })
+			assert.LessOrEqual(t, mostInASecond(during, since), int(testColdBound), "seed %d", seed)
+		}
+	}
+}
--- a/node/process/localserver/cold_test.go
+++ b/node/process/localserver/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -161,3 +162,24 @@
 	serveColdCall(s, func(c *linkpb.Call) { c.RateLimit, c.LeftMs = 20, 0 })
 	assert.EqualValues(t, 20, s.Load().RateLimit)
 }
+
+// Guards against a server that crashed and gets its normal load when it is back under its id, before it has announced itself.
+func TestServerThatIsBackUnderItsIDIsCold(t *testing.T) {
+	s, b, _ := newColdServer(t)
+	announce(t, s, b, nil)
+	assert.NotNil(t, serveColdCall(s, nil).GetAnswer())
+	address := b.Listener.Addr().String()
+	b.Close()
+	assert.Equal(t, linkpb.Refusal_REASON_NO_SERVER, serveColdCall(s, nil).GetRefusal().GetReason())
+	assert.True(t, s.NeedsProbe(), "the node looks for it")
+	listener, err := net.Listen("tcp4", address)
+	require.NoError(t, err)
+	b.set(2000, 0, false)
+	b.Server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(b.serve)}}
+	b.Start()
+	t.Cleanup(b.Close)
+	require.NoError(t, s.Probe(context.Background(), "/health", func(string) (string, bool) { return "", false }))
+	assert.True(t, s.Status().Ready)
+	assert.EqualValues(t, coldPerSecond, s.ColdLimit())
+	assert.NotNil(t, serveColdCall(s, nil).GetAnswer())
+}
