--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -27,6 +27,8 @@
 	Routing() []byte
 	// LocalVersion returns the number of the current routing version, or 0.
 	LocalVersion() uint64
+	// ProofAge returns the age of this node's proof that a routing version was the newest one, as in Frame.proof_age_ms.
+	ProofAge(version uint64) uint32
 	// ObserveVersion is called with the routing version number of each frame that has one, and the address of the node that
 	// sent it.
 	ObserveVersion(address string, number uint64)
@@ -37,7 +39,8 @@
 	handler Handler
 	memory  *membudget.Budget
 	// clock is boottime.Now.
-	clock func() time.Duration
+	clock       func() time.Duration
+	evacuations EvacuationExchange
 
 	broadcast sync.Mutex // held while a state is sent to all links
 
@@ -229,6 +232,10 @@
 		l.session.cancel(f.Stream)
 	case *linkpb.Frame_Leaving:
 		l.server.handler.Leaving(body.Leaving)
+	case *linkpb.Frame_Evacuations:
+		if reply := l.server.evacuations.receive(l.address, body.Evacuations); reply != nil {
+			l.send(reply)
+		}
 	case *linkpb.Frame_Ping:
 		l.send(&linkpb.Frame{Body: &linkpb.Frame_Pong{Pong: &linkpb.Pong{}}})
 	case *linkpb.Frame_RoutingRequest:
@@ -249,6 +256,9 @@
 	l.conn.rawHeaders.Store(hello.RawHeaders)
 	l.server.handler.Hello(hello)
 	l.send(&linkpb.Frame{Body: &linkpb.Frame_State{State: l.server.state()}})
+	if f := l.server.evacuations.frame(); f != nil {
+		l.send(f)
+	}
 }
 
 // send writes a frame of the link itself with the current routing version.
@@ -269,5 +279,10 @@
 // withVersion returns a frame with the current routing version. The frame itself is not changed, since a retained result may be sent
 // on two links.
 func (l *serverLink) withVersion(f *linkpb.Frame) *linkpb.Frame {
-	return &linkpb.Frame{Stream: f.Stream, Version: l.server.handler.LocalVersion(), Body: f.Body}
+	version := l.server.handler.LocalVersion()
+	stamped := &linkpb.Frame{Stream: f.Stream, Version: version, Body: f.Body}
+	if answersQuestion(f) {
+		stamped.ProofAgeMs = l.server.handler.ProofAge(version)
+	}
+	return stamped
 }
