--- a/node/process/localserver/cold_test.go
+++ b/node/process/localserver/cold_test.go
@@ -183,3 +183,15 @@
 	assert.EqualValues(t, coldPerSecond, s.ColdLimit())
 	assert.NotNil(t, serveColdCall(s, nil).GetAnswer())
 }
+
+// Guards against a server that turned cold while its place was evacuated and gets its normal load when the evacuation ends.
+func TestServerIsCheckedAfterAnEvacuation(t *testing.T) {
+	s, b, _ := newColdServer(t)
+	announce(t, s, b, nil)
+	assert.NotNil(t, serveColdCall(s, nil).GetAnswer())
+	assert.True(t, s.SetEvacuated(true))
+	b.set(2000, 0, false)
+	assert.True(t, s.SetEvacuated(false))
+	assert.NotNil(t, serveColdCall(s, nil).GetAnswer())
+	assert.EqualValues(t, coldPerSecond, s.ColdLimit())
+}
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -124,6 +124,7 @@
 	s.sweeper = &sweeper{sweep: s.dispatcher.Sweep}
 	if c.ColdLimit != nil {
 		s.dispatcher.LimitCold(dispatch.ColdControl{Limit: s.coldLimit, Check: s.checkCold, Changed: s.coldChanged})
+		s.afterEvacuation = s.doubtAfterEvacuation
 	}
 	if c.PeerKnee != nil {
 		s.dispatcher.ShareKnee(c.PeerKnee, c.KneeChanged)
