--- a/node/process/sidecar/era_test.go
+++ b/node/process/sidecar/era_test.go
@@ -240,6 +240,34 @@
 	})
 }
 
+// Guards against an entry that a copy of the store brings back after its node was stopped as planned.
+func TestRestoredEntryOfAStoppingNodeIsRemoved(t *testing.T) {
+	runWithStore(t, func(n *Node, store *eraStore) {
+		n.stopping.Store(true)
+		assert.NoError(t, store.RemoveMember(t.Context(), eraAddress))
+		store.goBack("5", 9)
+		store.with(func() { store.fleet.Members[eraAddress] = n.self() })
+		time.Sleep(frequentPollTimeout + 2*time.Second)
+		entry, _ := store.has()
+		assert.False(t, entry)
+	})
+}
+
+// Guards against a knee that counts as written although the store went back meanwhile.
+func TestKneeIsWrittenAgainWhenTheEraChangedMeanwhile(t *testing.T) {
+	runWithStore(t, func(n *Node, store *eraStore) {
+		writes := 0
+		n.storeKnee(eraKind, func() int {
+			writes++
+			if writes == 1 { // between here and the response
+				store.with(func() { store.state.Revision.Era++ })
+			}
+			return 12
+		})
+		assert.Equal(t, 2, writes)
+	})
+}
+
 // Guards against a node that does not notice a new era while its poll is lost, and against calls without end because of an era that
 // the store does not confirm.
 func TestEraOfAnotherNodeIsChecked(t *testing.T) {
@@ -267,6 +295,9 @@
 	})
 }
 
+// operatorsWriteWithin is the time after the store's return in which operators write again what it lost.
+const operatorsWriteWithin = time.Second
+
 // Guards against calls to the servers of a place whose row the store has lost, until operators have written it again.
 func TestEvacuationLastsUntilOperatorsHadTimeToWriteItAgain(t *testing.T) {
 	for _, again := range []bool{false, true} {
@@ -278,7 +309,7 @@
 				for n.eras.get() == 0 {
 					time.Sleep(time.Millisecond)
 				}
-				time.Sleep(settleTime - 10*time.Millisecond)
+				time.Sleep(operatorsWriteWithin - 10*time.Millisecond)
 				assert.False(t, n.server.Status().Ready)
 				if again {
 					store.with(func() { store.state.Evacuated, store.state.Revision.Row = []string{"north"}, 10 })
--- a/node/version/evacuation/evacuation_test.go
+++ b/node/version/evacuation/evacuation_test.go
@@ -100,8 +100,9 @@
 					}
 					adopts, outdated := holders[to].Receive(sent)
 					if outdated {
-						reply, _ := holders[to].Settled()
-						adopts, _ = holders[from].Receive(reply)
+						if reply, any := holders[to].Settled(); any {
+							adopts, _ = holders[from].Receive(reply)
+						}
 					}
 					if adopts {
 						adopted, changed = adopted+1, true
