--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -82,7 +82,8 @@
 }
 
 // write sends a frame. After a failed write it closes the connection and writes nothing more, so that the other node either
-// reads a frame whole or does not read it. The error is an *EncodeError when the frame cannot be sent at all.
+// reads a frame whole or does not read it. The error is an *EncodeError when the frame cannot be sent at all, and ErrClosed when nothing
+// of it was written.
 func (c *framedConn) write(f *linkpb.Frame) error {
 	if !c.rawHeaders.Load() && hasRawHeaders(f) {
 		return &EncodeError{Cause: errRawHeaders}
@@ -104,9 +105,12 @@
 		c.buffer = encoded
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.conn.Write(encoded); err != nil {
+	if written, err := c.conn.Write(encoded); err != nil {
 		c.err = fmt.Errorf("write frame: %w", err)
 		_ = c.conn.Close()
+		if written == 0 {
+			return ErrClosed
+		}
 		return c.err
 	}
 	return nil
--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -26,7 +26,8 @@
 // testMemory is the memory for the frames of a node, in bytes.
 const testMemory = 8 << 20
 
-// handler answers calls with their target. A call to /wait is answered after its context has ended.
+// handler answers calls with their target. A call to /wait is answered after its context has ended; one to /queue is refused then, and
+// one to /run takes a second.
 type handler struct {
 	version   atomic.Uint64
 	hello     chan *linkpb.Hello
@@ -40,6 +41,14 @@
 		<-ctx.Done()
 		close(h.cancelled)
 	}
+	switch call.Target {
+	case "/queue":
+		<-ctx.Done()
+		reply(&linkpb.Frame{Body: &linkpb.Frame_Refusal{Refusal: &linkpb.Refusal{Reason: linkpb.Refusal_REASON_CANCELLED}}})
+		return
+	case "/run":
+		time.Sleep(time.Second)
+	}
 	answer := &linkpb.Answer{Status: 200, Body: []byte(call.Target), Header: call.Header}
 	if call.Target == "/unencodable" {
 		answer.Header = []*linkpb.Header{{Name: "\xff"}}
@@ -150,6 +159,30 @@
 	<-h.cancelled
 }
 
+// Guards against a call that reached no server and whose caller is told that it may have run, and against callers that are held for
+// longer than the confirmation may take, or for a call that they may repeat.
+func TestCancelledCallIsConfirmedAfterItsDeadline(t *testing.T) {
+	_, _, client, _ := start(t)
+	do := func(call *linkpb.Call) (*link.Result, error, time.Duration) {
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		started := time.Now()
+		f, err := client.Do(ctx, call)
+		return f, err, time.Since(started)
+	}
+	f, err, _ := do(&linkpb.Call{Target: "/queue"})
+	require.NoError(t, err)
+	assert.Equal(t, linkpb.Refusal_REASON_CANCELLED, f.GetRefusal().GetReason())
+	_, err, took := do(&linkpb.Call{Target: "/run"})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.GreaterOrEqual(t, took, 30*time.Millisecond+link.ConfirmationTimeout)
+	assert.Less(t, took, time.Second)
+	_, err, took = do(&linkpb.Call{Target: "/run", Idempotent: true})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Less(t, took, link.ConfirmationTimeout)
+	assert.Zero(t, client.InProgress())
+}
+
 // Guards against a NotSentError for a call that was in progress when the link broke, since such a call may have run, and
 // against a call on a closed link that waits instead of failing.
 func TestBrokenLinkReportsWhetherCallWasSent(t *testing.T) {
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -13,6 +13,10 @@
 	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
+// ConfirmationTimeout is the time after its deadline for which a cancelled call waits for the other node to confirm that the call has
+// not started. It bounds the time for which a caller waits beyond the timeout of its route.
+const ConfirmationTimeout = 100 * time.Millisecond
+
 // Session sends calls to one node. It outlasts its link: a call that was in progress when the link broke can wait for its result,
 // which the other node sends on the next link. A Session is safe for concurrent use.
 type Session struct {
@@ -151,7 +155,8 @@
 
 // Do sends a call on the link and waits for the frame that ends it: an answer, a refusal or a broken frame. If the link breaks
 // meanwhile and wait returns true, Do waits for the next link of the session. The error is a *NotSentError when the call was
-// not sent. When ctx ends, a cancel frame is sent for the call.
+// not sent. When ctx ends, a cancel frame is sent for the call, and at the deadline of ctx Do waits for ConfirmationTimeout
+// until the other node confirms that a call which is not idempotent has not started.
 func (s *Session) Do(ctx context.Context, client *Client, message *linkpb.Call, wait func() bool) (*Result, error) {
 	stream := s.lastStream.Add(1)
 	c := s.register(stream, client)
@@ -164,7 +169,7 @@
 		if errors.Is(err, ErrClosed) || errors.As(err, &encodeErr) {
 			return nil, &NotSentError{Cause: err}
 		}
-		return s.awaitNextLink(ctx, stream, c, wait)
+		return s.awaitNextLink(ctx, stream, c, message, wait)
 	}
 	timer := time.NewTimer(suspectTimeout)
 	defer timer.Stop()
@@ -173,19 +178,42 @@
 		case f, ok := <-c.result:
 			return resultOrClosed(f, ok)
 		case <-client.done:
-			return s.awaitNextLink(ctx, stream, c, wait)
+			return s.awaitNextLink(ctx, stream, c, message, wait)
 		case <-timer.C:
 			client.probe()
 			timer.Reset(suspectTimeout)
 		case <-ctx.Done():
-			s.sendCancel(stream)
-			return nil, ctx.Err()
+			return s.cancel(ctx, stream, c, message)
 		}
 	}
 }
 
+// cancel cancels a call whose context has ended. If the call is not idempotent and its deadline has passed, it waits for the other node to
+// refuse the call, and returns the refusal. An answer is as late as none.
+func (s *Session) cancel(ctx context.Context, stream uint64, c *call, message *linkpb.Call) (*Result, error) {
+	s.sendCancel(stream)
+	if message.Idempotent || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil, ctx.Err()
+	}
+	timer := time.NewTimer(ConfirmationTimeout)
+	defer timer.Stop()
+	select {
+	case f, ok := <-c.result:
+		if ok && f.GetRefusal() != nil {
+			return f, nil
+		}
+		if ok {
+			f.Release()
+		}
+	case <-timer.C:
+	}
+	return nil, ctx.Err()
+}
+
 // awaitNextLink waits for the result of a call whose link has broken.
-func (s *Session) awaitNextLink(ctx context.Context, stream uint64, c *call, wait func() bool) (*Result, error) {
+func (s *Session) awaitNextLink(
+	ctx context.Context, stream uint64, c *call, message *linkpb.Call, wait func() bool,
+) (*Result, error) {
 	select {
 	case f, ok := <-c.result: // it arrived before the link broke
 		return resultOrClosed(f, ok)
@@ -199,8 +227,7 @@
 	case f, ok := <-c.result:
 		return resultOrClosed(f, ok)
 	case <-ctx.Done():
-		s.sendCancel(stream)
-		return nil, ctx.Err()
+		return s.cancel(ctx, stream, c, message)
 	}
 }
 
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -46,6 +46,9 @@
 	}
 	answered := false
 	defer func() { s.dispatcher.Done(job, answered) }()
+	if ctx.Err() != nil { // the caller may be told that the call has not run
+		return s.refusalOf(&dispatch.Refused{Reason: dispatch.Cancelled}), nil
+	}
 	client := s.clientFor(call.ServerId)
 	if client == nil {
 		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer}), nil
--- a/node/process/localserver/serve_test.go
+++ b/node/process/localserver/serve_test.go
@@ -207,3 +207,23 @@
 	assert.Zero(t, s.Load().InProgress)
 	assert.NotNil(t, serve("next", 2000).GetAnswer())
 }
+
+// Guards against a request that is sent although its call was cancelled before: the caller may be told that it has not run.
+func TestCancelledCallIsNotSent(t *testing.T) {
+	var requests atomic.Int64
+	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	defer backend.Close()
+	backendAddress := backend.Listener.Addr().String()
+	s := localserver.New(localserver.Config{
+		Address: func() string { return backendAddress }, HasService: func(string) bool { return true },
+		HealthPath: func(string) string { return "" }, Names: names, Memory: membudget.New(1 << 20), Now: time.Now, Boottime: boottime.Now,
+		AnnounceInterval: func() time.Duration { return announceInterval }, Changed: func(localserver.Status) {},
+	})
+	require.NoError(t, s.Announce(localserver.Announcement{ID: "i-1", Service: "quotes", Address: backendAddress, Slots: 1}))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	call := &linkpb.Call{Method: http.MethodPost, Target: "/", Host: "h", Id: "id-1", ServerId: "i-1", LeftMs: 2000, Stay: true}
+	s.Serve(ctx, call, func(f *linkpb.Frame) { assert.Equal(t, linkpb.Refusal_REASON_CANCELLED, f.GetRefusal().GetReason()) })
+	assert.Zero(t, requests.Load())
+	assert.Zero(t, s.Load().InProgress)
+}
--- /dev/null
+++ b/node/process/peers/local.go
@@ -0,0 +1,45 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/connection/link"
+)
+
+// serveLocally runs a call at the server beside this node. A call that is not idempotent is not aborted when ctx ends; like one at another
+// node, it is waited for until link.ConfirmationTimeout after the deadline, and continues without a caller.
+func (p *Set) serveLocally(ctx context.Context, call *linkpb.Call) (*link.Result, error) {
+	if call.Idempotent {
+		return p.serveAndWait(ctx, call), nil
+	}
+	result := make(chan *link.Result, 1)
+	go func() { result <- p.serveAndWait(ctx, call) }()
+	select {
+	case r := <-result:
+		return r, nil
+	case <-ctx.Done():
+	}
+	timer := time.NewTimer(link.ConfirmationTimeout)
+	defer timer.Stop()
+	select {
+	case r := <-result:
+		return r, nil
+	case <-timer.C:
+		go func() { (<-result).Release() }()
+		return nil, ctx.Err()
+	}
+}
+
+// serveAndWait runs a call at the server beside this node. The server's part of the node releases the memory of the answer when it has
+// passed it on; the answer then takes it again for the caller.
+func (p *Set) serveAndWait(ctx context.Context, call *linkpb.Call) *link.Result {
+	var frame *linkpb.Frame
+	p.config.Serve(ctx, call, func(f *linkpb.Frame) { frame = f })
+	memory := p.config.Memory.Reserve()
+	if err := memory.Grow(int64(len(frame.GetAnswer().GetBody()))); err != nil {
+		frame = &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: err.Error()}}}
+	}
+	return link.NewResult(frame, memory)
+}
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -284,7 +284,7 @@
 	ctx context.Context, s *Server, client *link.Client, call *linkpb.Call, wait func() bool,
 ) (*link.Result, error) {
 	if s.address == "" {
-		return p.serveLocally(ctx, call), nil
+		return p.serveLocally(ctx, call)
 	}
 	if client == nil {
 		return nil, &link.NotSentError{Cause: link.ErrClosed}
@@ -292,18 +292,6 @@
 	return s.session.Do(ctx, client, call, wait)
 }
 
-// serveLocally runs a call at the server beside this node. The server's part of the node releases the memory of the answer when it has
-// passed it on; the answer then takes it again for the caller.
-func (p *Set) serveLocally(ctx context.Context, call *linkpb.Call) *link.Result {
-	var frame *linkpb.Frame
-	p.config.Serve(ctx, call, func(f *linkpb.Frame) { frame = f })
-	memory := p.config.Memory.Reserve()
-	if err := memory.Grow(int64(len(frame.GetAnswer().GetBody()))); err != nil {
-		frame = &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: err.Error()}}}
-	}
-	return link.NewResult(frame, memory)
-}
-
 // exclude excludes the server for noServerExclusion, until its node has reported whether it accepts calls.
 func (s *Server) exclude(id string) {
 	s.mu.Lock()
--- a/node/request/front/attempts.go
+++ b/node/request/front/attempts.go
@@ -22,7 +22,7 @@
 	if left <= 0 { // the host was suspended
 		return c.timedOut(server)
 	}
-	c.message.Stay = picked.Others == 0 || len(c.refused) >= maxRedirects
+	c.message.Stay = picked.Others == 0 || len(c.refused) >= maxRedirects || c.lateRefusals > 0
 	c.message.ReferMs = uint32(c.redirectThreshold(picked).Milliseconds())
 	c.message.LeftMs = uint32(max(left.Milliseconds(), 1))
 	c.message.ObjectiveMs = uint32(max(c.objective.Sub(now).Milliseconds(), 0))
@@ -45,7 +45,7 @@
 		return c.failAttempt(server, body.Broken.Cause, http.StatusBadGateway)
 	}
 	c.recordPossibleRun()
-	return c.refusal("unreadable frame", 0)
+	return c.refusal("unreadable frame")
 }
 
 // mustKeepAttempt reports whether an attempt whose link has broken should wait for its result, since no other attempt can be
@@ -80,7 +80,7 @@
 
 // handleRefusal handles a refusal, which means that the attempt has not run.
 func (c *call) handleRefusal(server *peers.Server, refusal *linkpb.Refusal) *result {
-	after := time.Duration(refusal.RetryAfterMs) * time.Millisecond
+	c.room.expect(time.Duration(refusal.RetryAfterMs) * time.Millisecond)
 	isRetry := c.attempts > 0
 	switch refusal.Reason {
 	case linkpb.Refusal_REASON_SERVER:
@@ -88,7 +88,7 @@
 		c.attempts++
 		c.excluded = append(c.excluded, server)
 		if c.attempts >= c.route.MaxAttempts {
-			return c.refusal("server refused", after)
+			return c.refusal("server refused")
 		}
 		c.log("attempt refused by the server", server)
 		return nil
@@ -97,8 +97,7 @@
 	case linkpb.Refusal_REASON_LATE:
 		c.refused = append(c.refused, server)
 		if c.message.Stay {
-			c.returnBudget(isRetry)
-			return c.refusal("no capacity in time", after)
+			c.lateRefusals++
 		}
 	default:
 		c.excluded = append(c.excluded, server)
@@ -122,7 +121,7 @@
 		c.returnBudget(c.attempts > 0)
 		c.excluded = append(c.excluded, server)
 		return nil
-	case ctx.Err() != nil:
+	case ctx.Err() != nil: // without a confirmation that it has not started
 		c.recordPossibleRun()
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) { // a caller that left early is no failure of the server
 			server.RecordResult(true, time.Now())
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -21,14 +21,11 @@
 const (
 	// maxRedirects is the number of redirections by busy servers after which a call waits at the next server.
 	maxRedirects = 3
+	// maxFurtherServers is the number of servers with room that are asked after a server has refused to queue the call.
+	maxFurtherServers = 2
 	// minRedirectDelay is the expected delay at a server above which a call is redirected to another server in the same
 	// place.
 	minRedirectDelay = 10 * time.Millisecond
-	// minRetryAfter is the lower bound of the Retry-After time of refused calls.
-	minRetryAfter = 40 * time.Millisecond
-	// retryAfterJitter is the largest share added at random to the Retry-After time, so that refused callers do not
-	// retry together.
-	retryAfterJitter = 0.5
 	// minTimeShareForRetry is the share of the route's average time that must be left before the deadline for another
 	// attempt.
 	minTimeShareForRetry = 0.8
@@ -57,6 +54,10 @@
 	attempts int
 	// failure is a server's answer with a failure status. It is sent to the caller when no other attempt is made.
 	failure *result
+	// lateRefusals is the number of servers that have refused to queue the call until they have room.
+	lateRefusals int
+	// room is when the servers that refused the call expect room.
+	room expectedRoom
 	// mayHaveRun is set when an attempt ended without confirmation that it has not run.
 	mayHaveRun bool
 }
@@ -108,10 +109,10 @@
 	for {
 		picked, err := c.pick()
 		if err != nil {
-			return c.refusal("no server", minRetryAfter)
+			return c.refusal(c.causeWithoutServer())
 		}
 		if c.attempts > 0 && !c.handler.config.Budget.Spend(c.service) {
-			return c.refusal("retry budget spent", minRetryAfter)
+			return c.refusal("retry budget spent")
 		}
 		if r := c.attempt(ctx, picked); r != nil {
 			return r
@@ -122,10 +123,27 @@
 	}
 }
 
+// pick chooses the server of the next attempt. Once a server has refused to queue the call, a few others are asked if their load reports
+// show room and enough time is left.
 func (c *call) pick() (peers.PickResult, error) {
+	if c.lateRefusals > 0 {
+		if c.lateRefusals > maxFurtherServers || !c.hasTimeForAttempt() {
+			return peers.PickResult{}, peers.ErrNoServer
+		}
+		c.handler.config.Counters.Count("asked_further")
+		return c.handler.config.Peers.PickWithRoom(c.service, c.choice(), c.excluded, c.refused)
+	}
 	return c.handler.config.Peers.Pick(c.service, c.choice(), c.excluded, c.refused)
 }
 
+// causeWithoutServer returns why a call is refused for which no server is left.
+func (c *call) causeWithoutServer() string {
+	if c.lateRefusals > 0 {
+		return "no capacity in time"
+	}
+	return "no server"
+}
+
 // choice returns the properties of the call for the choice of a server.
 func (c *call) choice() choice.Call {
 	average := c.handler.averages.get(c.route.Name)
@@ -153,21 +171,24 @@
 
 // refusal returns the result of a call without further attempts: the answer of a server that failed it, else 502 when an
 // earlier attempt may have run, else 503, since the call has not run and will not run.
-func (c *call) refusal(cause string, after time.Duration) *result {
+func (c *call) refusal(cause string) *result {
 	if c.failure != nil {
 		return c.failure
 	}
 	if c.mayHaveRun {
 		return &result{status: http.StatusBadGateway, cause: cause}
 	}
-	jitter := 1 + retryAfterJitter*rand.Float64()
 	return &result{
-		status: http.StatusServiceUnavailable, cause: cause,
-		retryAfter: time.Duration(float64(max(after, minRetryAfter)) * jitter),
+		status: http.StatusServiceUnavailable, cause: cause, retryAfter: c.room.retryAfter(time.Until(c.deadline), rand.Float64()),
 	}
 }
 
+// timedOut returns the result of a call at its deadline: 503 if each attempt is known not to have run.
 func (c *call) timedOut(server *peers.Server) *result {
+	if !c.mayHaveRun {
+		c.handler.config.Counters.Count("confirmed_not_started")
+		return c.refusal("not started by the deadline")
+	}
 	return &result{status: http.StatusGatewayTimeout, cause: "deadline", server: server}
 }
 
@@ -178,7 +199,7 @@
 	c.handler.config.Counters.Time("call", time.Since(c.arrived))
 	if r.answer == nil {
 		c.log("call failed", r.server, "status", r.status, "cause", r.cause, "attempts", c.attempts, "referrals", len(c.refused),
-			"tookMs", time.Since(c.arrived).Milliseconds())
+			"tookMs", time.Since(c.arrived).Milliseconds(), "retryAfterMs", r.retryAfter.Milliseconds())
 		c.handler.config.Counters.Count("failed." + strconv.Itoa(r.status))
 		return (&problem{status: r.status, retryAfter: r.retryAfter}).response(header)
 	}
