--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -77,8 +77,8 @@
 	Slowness int
 	// ServiceTime is the average time of a call.
 	ServiceTime time.Duration
-	// RateLimit is the number of requests per second that the server gets at most, or 0 when it names no limit. RateWait is
-	// the time until the limit allows another call.
+	// RateLimit is the number of requests per second that the server gets at most, since it names a limit or is treated as cold;
+	// 0 without a limit. RateWait is the time until the limit allows another call.
 	RateLimit float64
 	RateWait  time.Duration
 	// RateLimitUnknown is set until an answer has shown whether the server names a limit.
@@ -95,6 +95,9 @@
 	slots             int
 	knee              *kneeDetector
 	limiter           rateLimiter
+	cold              coldState
+	coldControl       ColdControl // zero if cold servers are not limited
+	coldRefused       int64
 	inProgress        int
 	waiting           []*Job
 	routeTimes        map[string]*ewma
@@ -154,6 +157,7 @@
 	d.minSlowness = recentMinimum{}
 	d.probeBackoffUntil = time.Time{}
 	d.limiter = rateLimiter{}
+	d.resetCold(d.now())
 }
 
 // Submit requests a slot. The function onDecision is called once, before Submit returns or later, with nil when the call
@@ -164,6 +168,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	j.onDecision, j.arrived = onDecision, now
+	d.configureCold(now)
 	if reason, wait := d.refusalReason(j, now); reason != 0 {
 		d.refuse(j, reason, wait)
 		return
@@ -217,10 +222,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
+	perSecond, rateWait := d.rateLimits(now)
 	return Load{
 		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.knee.limit,
 		Slowness: d.currentSlowness(now), ServiceTime: d.overallTime.value(),
-		RateLimit: d.limiter.perSecond(), RateWait: d.limiter.wait(len(d.waiting), now),
+		RateLimit: perSecond, RateWait: rateWait,
 		RateLimitUnknown: !d.limiter.known,
 	}
 }
@@ -237,6 +243,7 @@
 
 // dispatch refuses the calls that cannot be answered in time and starts others while slots are free.
 func (d *Dispatcher) dispatch(now time.Time) {
+	d.configureCold(now)
 	d.refuseOverdue(now)
 	for len(d.waiting) > 0 {
 		next := d.waiting[0]
@@ -245,7 +252,7 @@
 				next = w
 			}
 		}
-		if d.inProgress >= d.knee.limit || !d.mayStart(next, now) || !d.limiter.allow(now) {
+		if d.inProgress >= d.knee.limit || !d.mayStart(next, now) || !d.coldAllows(now) || !d.limiter.allow(now) {
 			return
 		}
 		d.remove(next)
@@ -265,6 +272,7 @@
 
 func (d *Dispatcher) start(j *Job, now time.Time) {
 	d.inProgress++
+	d.cold.started(now)
 	j.started, j.inProgress, j.slow = now, d.inProgress, d.slow(now)
 	if d.knee.canAdopt(d.inProgress, now) {
 		d.knee.adopt(d.peerKnee(d.slots), now)
@@ -274,6 +282,7 @@
 
 func (d *Dispatcher) refuse(j *Job, reason Reason, wait time.Duration) {
 	j.waiting = false
+	d.countColdRefusal(reason)
 	d.callbacks = append(d.callbacks, func() { j.onDecision(&Refused{Reason: reason, RetryAfter: wait}) })
 }
 
--- a/node/process/dispatch/order.go
+++ b/node/process/dispatch/order.go
@@ -50,7 +50,7 @@
 			ahead++
 		}
 	}
-	return max(d.slotWait(ahead), d.limiter.wait(ahead, now))
+	return max(d.slotWait(ahead), d.limiter.wait(ahead, now), d.cold.wait(ahead, now))
 }
 
 // slotWait returns the expected time until a slot is free for a call behind others that wait.
@@ -65,10 +65,11 @@
 // concurrency returns the number of calls in progress that the slots and the rate limit of the server allow.
 func (d *Dispatcher) concurrency() float64 {
 	slots := float64(d.knee.limit)
-	if !d.limiter.limited() {
+	perSecond, _ := d.rateLimits(d.now())
+	if perSecond == 0 {
 		return slots
 	}
-	return min(slots, d.limiter.perSecond()*d.overallTime.value().Seconds())
+	return min(slots, perSecond*d.overallTime.value().Seconds())
 }
 
 // missesObjective reports whether a call that starts at the given time would be answered after its objective.
--- a/node/process/dispatch/slowness.go
+++ b/node/process/dispatch/slowness.go
@@ -31,7 +31,7 @@
 	d.slowness, d.slownessAt = slowness, now
 	d.minSlowness.add(slowness, now)
 	if probed {
-		d.probing = false
+		d.endProbe(now)
 	}
 	d.dispatch(now)
 }
@@ -42,7 +42,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	d.probing = false
+	d.endProbe(now)
 	d.probeBackoffUntil = now.Add(probeBackoff)
 	d.dispatch(now)
 }
@@ -81,7 +81,7 @@
 		return !d.slow(now) || now.Sub(j.arrived) > maxSlowHold
 	case d.probing:
 		return false
-	case !d.limiter.allowHealthCheck(now):
+	case !d.allowHealthCheck(now):
 		return true
 	}
 	d.probing = true
@@ -92,7 +92,7 @@
 // usableSlownessAge returns the age up to which an observed slowness decides whether a call starts. A server that limits the rate of
 // requests is probed seldom, so that its answers must do.
 func (d *Dispatcher) usableSlownessAge() time.Duration {
-	if d.limiter.limited() {
+	if d.limiter.limited() || d.cold.limited(d.now()) {
 		return slownessTTL
 	}
 	return freshSlownessAge
--- a/node/process/localserver/announce.go
+++ b/node/process/localserver/announce.go
@@ -44,6 +44,12 @@
 	if err := s.validate(a); err != nil {
 		return err
 	}
+	applied := false
+	defer func() {
+		if applied {
+			s.observeAnnouncedCold(a.WarmUp)
+		}
+	}()
 	return s.updateState(func() error {
 		if s.departed.Includes(departures.Server{ID: a.ID, StartedAtMs: a.StartedAtMs}, s.config.Now()) {
 			return nil
@@ -60,7 +66,7 @@
 			return nil
 		}
 		s.current.Sequence, s.current.Slots, s.current.Service = a.Sequence, a.Slots, a.Service
-		s.announced = true
+		s.announced, applied = true, true
 		if a.Draining {
 			return s.fireEvent(eventDrained)
 		}
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -31,7 +31,12 @@
 	HasService func(service string) bool
 	// HealthPath returns the path of the health check of a service, or "" while it is unknown.
 	HealthPath func(service string) string
-	Names      protocol.Names
+	// ColdLimit returns the limit for the cold servers of a service. If it is nil, they are not limited and ColdChanged is not
+	// called.
+	ColdLimit func(service string) dispatch.ColdLimit
+	// ColdChanged is called without holding locks when the limit for a cold server begins or ends to apply.
+	ColdChanged func(dispatch.ColdChange)
+	Names       protocol.Names
 	// Memory bounds the bytes of the answers that are held.
 	Memory *membudget.Budget
 	Now    func() time.Time
@@ -111,6 +116,9 @@
 	}
 	s.dispatcher = dispatch.New(c.Now, s.probeSlowness)
 	s.sweeper = &sweeper{sweep: s.dispatcher.Sweep}
+	if c.ColdLimit != nil {
+		s.dispatcher.LimitCold(dispatch.ColdControl{Limit: s.coldLimit, Check: s.checkCold, Changed: s.coldChanged})
+	}
 	if c.PeerKnee != nil {
 		s.dispatcher.ShareKnee(c.PeerKnee, c.KneeChanged)
 	}
--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -82,7 +82,7 @@
 		return
 	}
 	go func() {
-		if slowness, ok := s.requestSlowness(client, path); ok {
+		if slowness, ok := s.requestSlowness(client, path, slownessTimeout); ok {
 			s.dispatcher.Observe(slowness, true)
 		} else {
 			s.dispatcher.ProbeFailed()
@@ -91,13 +91,14 @@
 }
 
 // requestSlowness returns the slowness in percent; ok is false if the server did not report it in time.
-func (s *Server) requestSlowness(client *exchange.Client, path string) (slowness int, ok bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), slownessTimeout)
+func (s *Server) requestSlowness(client *exchange.Client, path string, timeout time.Duration) (slowness int, ok bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	s.requests.Add(1)
 	sentAt := s.config.Now()
 	response, err := client.Do(ctx, &exchange.Request{Method: http.MethodGet, Target: path, Host: client.Address()})
 	if err != nil {
+		s.observeFailure(client, err)
 		return 0, false
 	}
 	defer response.Release()
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -56,6 +56,7 @@
 	sentAt := s.config.Now()
 	response, err := s.send(ctx, client, call, remaining)
 	if err != nil {
+		s.observeFailure(client, err)
 		return s.failureFrame(call.ServerId, err), nil
 	}
 	leaving := s.observe(serverAnswer{response: response, client: client, request: call.Id, sentAt: sentAt})
@@ -160,6 +161,7 @@
 		s.dispatcher.Observe(load.Slowness, false)
 	}
 	if r.Status == http.StatusMisdirectedRequest {
+		s.dispatcher.ServerLost()
 		s.markUnreachable(id)
 	}
 	if r.Header.Get(names.NotExecuted) != "" || r.Status == http.StatusMisdirectedRequest {
--- a/node/process/localserver/statement.go
+++ b/node/process/localserver/statement.go
@@ -63,6 +63,7 @@
 	if !ok {
 		return nil
 	}
+	s.observeAnsweredCold(a)
 	if statement.Limited || statement.Unreadable == "" {
 		s.dispatcher.ObserveRate(dispatch.RateStatement{
 			Limited: statement.Limited, PerSecond: statement.PerSecond, HealthCheck: a.request == healthCheck, SentAt: a.sentAt,
@@ -114,7 +115,7 @@
 
 // adoptRate applies the rate limit that the sender of a call has heard from the server, unless it is that of an earlier start.
 func (s *Server) adoptRate(call *linkpb.Call) {
-	if call.RateLimit <= 0 {
+	if call.RateLimit <= 0 || s.isColdLimit(call.RateLimit) {
 		return
 	}
 	s.mu.Lock()
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -72,10 +72,13 @@
 		HasService: n.knownService, HealthPath: n.healthPath,
 		AnnounceInterval: func() time.Duration { return n.config.Load().AnnounceInterval },
 		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
-		Stated:   n.serverStated,
+		Stated:    n.serverStated,
+		ColdLimit: n.coldLimit, ColdChanged: n.coldChanged,
 		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
 	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
+	n.metrics.Register("server.cold_limit", metrics.NewFunctionalGaugeFloat64(n.server.ColdLimit))
+	n.metrics.Register("server.cold_refusals", metrics.NewFunctionalGauge(n.server.ColdRefusals))
 	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
 	n.links = link.NewServer(n, memory)
 	n.peers = peers.New(ctx, peers.Config{
