--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -6,7 +6,8 @@
 // server may have a free slot, or when it cannot be answered in time. Calls start only while the host is not slow: a
 // neighbour on the host slows work down for short periods, and the time of a call depends on the slowness of the host at
 // its start. Slots are left free when the server has a lower throughput with all of them in use. A server that names a rate limit
-// gets no more calls, and few health checks.
+// gets no more calls, and few health checks. Where teams have shares, they divide the slots, and a call waits behind those of its rank
+// whose teams have used less.
 package dispatch
 
 import (
@@ -54,6 +55,10 @@
 	// Nested is set for a call that another server makes for a call in progress there. That one holds a slot and fails
 	// with it, so that nested calls go first and are refused only when they cannot be answered at all.
 	Nested bool
+	// Team is the team whose share of the slots the call uses; empty for calls without one. ParentRank is the rank of the call for which
+	// a nested call is made. They count only where teams have shares.
+	Team       string
+	ParentRank int
 	// NoRedirect keeps the call from being redirected to another server.
 	NoRedirect bool
 	// RedirectAbove is the expected delay above which the call is redirected to another server.
@@ -63,6 +68,8 @@
 	arrived    time.Time
 	waiting    bool
 	started    time.Time
+	// charged is the slot time that the team was charged at the start; 0 if none.
+	charged time.Duration
 	// inProgress is the number of calls in progress after the start of this one; slow is set when the host was slow then.
 	inProgress int
 	slow       bool
@@ -100,6 +107,8 @@
 	coldRefused       int64
 	inProgress        int
 	waiting           []*Job
+	shares            fairShares
+	fairEnabled       func() bool // nil if teams have no shares
 	routeTimes        map[string]*ewma
 	overallTime       ewma
 	slowness          int
@@ -198,8 +207,9 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	d.inProgress--
+	elapsed := now.Sub(j.started)
+	d.shares.finish(j, elapsed)
 	if answered {
-		elapsed := now.Sub(j.started)
 		d.routeTime(j.Route).add(elapsed)
 		d.overallTime.add(elapsed)
 		d.recordKneeSample(j, elapsed, now)
@@ -246,12 +256,7 @@
 	d.configureCold(now)
 	d.refuseOverdue(now)
 	for len(d.waiting) > 0 {
-		next := d.waiting[0]
-		for _, w := range d.waiting[1:] {
-			if d.precedes(w, next, now) {
-				next = w
-			}
-		}
+		next := d.first(now)
 		if d.inProgress >= d.knee.limit || !d.mayStart(next, now) || !d.coldAllows(now) || !d.limiter.allow(now) {
 			return
 		}
@@ -272,6 +277,9 @@
 
 func (d *Dispatcher) start(j *Job, now time.Time) {
 	d.inProgress++
+	if d.fair() {
+		d.shares.start(j, d.slotTime(j), d.waiting)
+	}
 	d.cold.started(now)
 	j.started, j.inProgress, j.slow = now, d.inProgress, d.slow(now)
 	if d.knee.canAdopt(d.inProgress, now) {
--- a/node/process/dispatch/order.go
+++ b/node/process/dispatch/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -31,7 +32,7 @@
 		return Busy, wait
 	}
 	if wait > 0 && !j.Nested && j.missesObjective(now.Add(wait), service) &&
-		d.waitingLate(now) >= int(lateBacklogShare*d.concurrency()) {
+		d.waitingLate(j, now) >= int(lateBacklogShare*d.concurrency()) {
 		return Late, wait
 	}
 	return 0, 0
@@ -44,13 +45,22 @@
 
 // expectedWait returns the expected time until a call may start.
 func (d *Dispatcher) expectedWait(j *Job, now time.Time) time.Duration {
+	ahead := d.countAhead(j, now)
+	return max(d.slotWait(ahead), d.limiter.wait(ahead, now), d.cold.wait(ahead, now))
+}
+
+// countAhead returns the number of waiting calls that start before a call.
+func (d *Dispatcher) countAhead(j *Job, now time.Time) int {
+	if d.fair() {
+		return len(d.fairlyAhead(j, now))
+	}
 	ahead := 0
 	for _, w := range d.waiting {
 		if d.precedes(w, j, now) {
 			ahead++
 		}
 	}
-	return max(d.slotWait(ahead), d.limiter.wait(ahead, now), d.cold.wait(ahead, now))
+	return ahead
 }
 
 // slotWait returns the expected time until a slot is free for a call behind others that wait.
@@ -77,10 +87,15 @@
 	return start.Add(service).After(j.Objective)
 }
 
-// waitingLate returns the number of waiting calls that miss their objective.
-func (d *Dispatcher) waitingLate(now time.Time) int {
+// waitingLate returns the number of waiting calls that miss their objective and may keep a call from waiting: all, or those that start
+// before it where teams have shares.
+func (d *Dispatcher) waitingLate(j *Job, now time.Time) int {
+	waiting := d.waiting
+	if d.fair() {
+		waiting = d.fairlyAhead(j, now)
+	}
 	n := 0
-	for _, w := range d.waiting {
+	for _, w := range waiting {
 		if w.missesObjective(now, d.routeTime(w.Route).value()) {
 			n++
 		}
@@ -103,6 +118,29 @@
 	return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Objective.Compare(b.Objective))
 }
 
+// first returns the waiting call that is started next. There must be one.
+func (d *Dispatcher) first(now time.Time) *Job {
+	if d.fair() {
+		return d.fairOrder(d.waiting, now)[0]
+	}
+	first := d.waiting[0]
+	for _, w := range d.waiting[1:] {
+		if d.precedes(w, first, now) {
+			first = w
+		}
+	}
+	return first
+}
+
+// sortWaiting returns the waiting calls in the order of their start.
+func (d *Dispatcher) sortWaiting(now time.Time) []*Job {
+	if d.fair() {
+		return d.fairOrder(d.waiting, now)
+	}
+	slices.SortStableFunc(d.waiting, func(a, b *Job) int { return d.compare(a, b, now) })
+	return d.waiting
+}
+
 // firstIf returns the result of a comparison whose first operand comes first if the condition holds, and last otherwise.
 func firstIf(first bool) int {
 	if first {
--- a/node/process/dispatch/ratelimit.go
+++ b/node/process/dispatch/ratelimit.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -155,8 +154,7 @@
 
 // reconsiderWaiting decides again, in the order of their start, which of the waiting calls should wait here.
 func (d *Dispatcher) reconsiderWaiting(now time.Time) {
-	waiting := d.waiting
-	slices.SortStableFunc(waiting, func(a, b *Job) int { return d.compare(a, b, now) })
+	waiting := d.sortWaiting(now)
 	d.waiting = nil
 	for _, j := range waiting {
 		if reason, wait := d.refusalReason(j, now); reason != 0 {
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -45,6 +45,8 @@
 	// AnnounceInterval returns the interval of a server's announcements. With 0, a server that was found by a health check
 	// is used without an announcement.
 	AnnounceInterval func() time.Duration
+	// FairShares reports whether teams have shares of the slots. If it is nil, they have none.
+	FairShares func() bool
 	// Changed is called without holding locks after the state of the server changed.
 	Changed func(Status)
 	// Stated is called without holding locks when the statement in an answer differs from the one before. The source is the
@@ -115,6 +117,9 @@
 		inProgress: newCallSet(),
 	}
 	s.dispatcher = dispatch.New(c.Now, s.probeSlowness)
+	if c.FairShares != nil {
+		s.dispatcher.UseFairShares(c.FairShares)
+	}
 	s.sweeper = &sweeper{sweep: s.dispatcher.Sweep}
 	if c.ColdLimit != nil {
 		s.dispatcher.LimitCold(dispatch.ColdControl{Limit: s.coldLimit, Check: s.checkCold, Changed: s.coldChanged})
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -36,6 +36,7 @@
 	now, arrived := s.config.Now(), s.config.Boottime()
 	job := &dispatch.Job{
 		Route: call.Route, Rank: int(call.Rank), Nested: call.Nested, NoRedirect: call.Stay,
+		Team: call.Team, ParentRank: int(call.ParentRank),
 		RedirectAbove: time.Duration(call.ReferMs) * time.Millisecond,
 		Objective:     now.Add(time.Duration(call.ObjectiveMs) * time.Millisecond),
 		Deadline:      now.Add(time.Duration(call.LeftMs) * time.Millisecond),
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -74,7 +74,8 @@
 		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
 		Stated:    n.serverStated,
 		ColdLimit: n.coldLimit, ColdChanged: n.coldChanged,
-		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
+		FairShares: n.fairShares,
+		PeerKnee:   n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
 	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
 	n.metrics.Register("server.cold_limit", metrics.NewFunctionalGaugeFloat64(n.server.ColdLimit))
