--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -163,21 +163,21 @@
 // longer than the confirmation may take, or for a call that they may repeat.
 func TestCancelledCallIsConfirmedAfterItsDeadline(t *testing.T) {
 	_, _, client, _ := start(t)
-	do := func(call *linkpb.Call) (*link.Result, error, time.Duration) {
+	do := func(call *linkpb.Call) (*link.Result, time.Duration, error) {
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
 		defer cancel()
 		started := time.Now()
 		f, err := client.Do(ctx, call)
-		return f, err, time.Since(started)
+		return f, time.Since(started), err
 	}
-	f, err, _ := do(&linkpb.Call{Target: "/queue"})
+	f, _, err := do(&linkpb.Call{Target: "/queue"})
 	require.NoError(t, err)
 	assert.Equal(t, linkpb.Refusal_REASON_CANCELLED, f.GetRefusal().GetReason())
-	_, err, took := do(&linkpb.Call{Target: "/run"})
+	_, took, err := do(&linkpb.Call{Target: "/run"})
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 	assert.GreaterOrEqual(t, took, 30*time.Millisecond+link.ConfirmationTimeout)
 	assert.Less(t, took, time.Second)
-	_, err, took = do(&linkpb.Call{Target: "/run", Idempotent: true})
+	_, took, err = do(&linkpb.Call{Target: "/run", Idempotent: true})
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 	assert.Less(t, took, link.ConfirmationTimeout)
 	assert.Zero(t, client.InProgress())
--- a/node/process/localserver/callset.go
+++ b/node/process/localserver/callset.go
@@ -31,6 +31,13 @@
 type callSetEntry struct {
 	count  int
 	parent Parent
+	nested nestedCalls
+}
+
+// nestedCalls says what became of the nested calls of a call.
+type nestedCalls struct {
+	// made is set when a nested call has ended, and refused when one was refused for lack of capacity.
+	made, refused bool
 }
 
 func newCallSet() callSet { return callSet{calls: map[string]callSetEntry{}} }
@@ -38,18 +45,31 @@
 func (c *callSet) add(call *linkpb.Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.calls[call.Id] = callSetEntry{count: c.calls[call.Id].count + 1, parent: parentOf(call)}
+	entry := c.calls[call.Id]
+	c.calls[call.Id] = callSetEntry{count: entry.count + 1, parent: parentOf(call), nested: entry.nested}
+}
+
+// recordNested records a nested call of a call in progress.
+func (c *callSet) recordNested(id string, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if entry, ok := c.calls[id]; ok {
+		entry.nested = nestedCalls{made: true, refused: entry.nested.refused || refused}
+		c.calls[id] = entry
+	}
 }
 
-func (c *callSet) remove(id string) {
+// remove removes a call that has ended, and returns what became of its nested calls.
+func (c *callSet) remove(id string) nestedCalls {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	entry := c.calls[id]
 	if entry.count--; entry.count <= 0 {
 		delete(c.calls, id)
-		return
+		return entry.nested
 	}
 	c.calls[id] = entry
+	return entry.nested
 }
 
 func (c *callSet) get(id string) (Parent, bool) {
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -16,6 +16,7 @@
 	"github.com/radishstand/radishstand/node/connection/exchange"
 	"github.com/radishstand/radishstand/node/connection/protocol"
 	"github.com/radishstand/radishstand/node/internal/membudget"
+	"github.com/radishstand/radishstand/node/process/backpressure"
 	"github.com/radishstand/radishstand/node/process/departures"
 	"github.com/radishstand/radishstand/node/process/dispatch"
 )
@@ -47,6 +48,11 @@
 	AnnounceInterval func() time.Duration
 	// FairShares reports whether teams have shares of the slots. If it is nil, they have none.
 	FairShares func() bool
+	// BackPressure reports whether calls are refused whose nested calls would be refused. If it is nil, they are not.
+	BackPressure func() bool
+	// BackPressureChanged is called without holding locks when calls of a route begin to be refused for that, and when all are admitted
+	// again. It may be nil.
+	BackPressureChanged func(route string, s backpressure.Share)
 	// Changed is called without holding locks after the state of the server changed.
 	Changed func(Status)
 	// Stated is called without holding locks when the statement in an answer differs from the one before. The source is the
@@ -86,6 +92,7 @@
 type Server struct {
 	config       Config
 	dispatcher   *dispatch.Dispatcher
+	backPressure *backpressure.Controller
 	probeLimiter *rate.Limiter
 	sweeper      *sweeper
 	inProgress   callSet
@@ -114,7 +121,7 @@
 func New(c Config) *Server {
 	s := &Server{
 		config: c, state: newStateMachine(stateAbsent), probeLimiter: rate.NewLimiter(probesPerSecond, probeBurst),
-		inProgress: newCallSet(),
+		inProgress: newCallSet(), backPressure: backpressure.New(c.Now, c.BackPressureChanged),
 	}
 	s.dispatcher = dispatch.New(c.Now, s.probeSlowness)
 	if c.FairShares != nil {
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -42,6 +42,9 @@
 		Deadline:      now.Add(time.Duration(call.LeftMs) * time.Millisecond),
 	}
 	s.adoptRate(call)
+	if refusal := s.refuseForDependency(call); refusal != nil {
+		return refusal, nil
+	}
 	if err := s.admit(ctx, job); err != nil {
 		return s.refusalOf(err), nil
 	}
@@ -55,7 +58,7 @@
 		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer}), nil
 	}
 	s.inProgress.add(call)
-	defer s.inProgress.remove(call.Id)
+	defer func() { s.endInProgress(call, answered) }()
 	remaining := time.Duration(call.LeftMs)*time.Millisecond - (s.config.Boottime() - arrived)
 	sentAt := s.config.Now()
 	response, err := s.send(ctx, client, call, remaining)
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -74,12 +74,15 @@
 		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
 		Stated:    n.serverStated,
 		ColdLimit: n.coldLimit, ColdChanged: n.coldChanged,
-		FairShares: n.fairShares,
-		PeerKnee:   n.sharedKnee, KneeChanged: n.kneeChanged,
+		FairShares: n.fairShares, BackPressure: n.backPressure,
+		BackPressureChanged: n.backPressureChanged,
+		PeerKnee:            n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
 	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
 	n.metrics.Register("server.cold_limit", metrics.NewFunctionalGaugeFloat64(n.server.ColdLimit))
 	n.metrics.Register("server.cold_refusals", metrics.NewFunctionalGauge(n.server.ColdRefusals))
+	n.metrics.Register("backpressure.refused", metrics.NewFunctionalGauge(n.refusedByBackPressure))
+	n.metrics.Register("backpressure.admitted", metrics.NewFunctionalGaugeFloat64(n.leastAdmitted))
 	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
 	n.links = link.NewServer(n, memory)
 	n.peers = peers.New(ctx, peers.Config{
@@ -91,8 +94,9 @@
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
 		Service: func() string { return n.config.Load().Service }, Parent: n.server.Parent,
-		Freshness: freshnessOf{n},
-		Memory:    memory, Log: log, Counters: counters{n.metrics},
+		NestedEnded: n.server.NestedEnded,
+		Freshness:   freshnessOf{n},
+		Memory:      memory, Log: log, Counters: counters{n.metrics},
 	})
 	return n
 }
--- a/node/request/front/attempts.go
+++ b/node/request/front/attempts.go
@@ -99,6 +99,9 @@
 		if c.message.Stay {
 			c.lateRefusals++
 		}
+	case linkpb.Refusal_REASON_DEPENDENCY:
+		c.returnBudget(isRetry)
+		return c.refusedForDependency(time.Duration(refusal.RetryAfterMs) * time.Millisecond)
 	default:
 		c.excluded = append(c.excluded, server)
 	}
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -113,6 +113,9 @@
 
 // run makes attempts until one ends the call, the retry budget is spent, no server is left or ctx ends.
 func (c *call) run(ctx context.Context) *result {
+	if r := c.rememberedRefusal(); r != nil {
+		return r
+	}
 	c.handler.config.Budget.Earn(c.service)
 	for {
 		picked, err := c.pick()
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -58,6 +58,9 @@
 	Service func() string
 	// Parent returns the call with an ID that is in progress at the backend server at this host.
 	Parent func(id string) (localserver.Parent, bool)
+	// NestedEnded is told when a call ends that the backend server at this host made for a call in progress there, and whether it was
+	// refused for lack of capacity. It may be nil.
+	NestedEnded func(parent string, refused bool)
 	// Freshness shows whether a key that is not known here may still be valid, and whether one that is known may have been revoked.
 	Freshness Freshness
 	// Memory bounds the bytes of the bodies that are held.
@@ -70,6 +73,8 @@
 type Handler struct {
 	config   Config
 	averages *routeAverages
+	// dependencies holds the routes whose calls have just been refused since their nested calls would be.
+	dependencies dependencies
 	// stoppedAt is the Unix time of the signal to stop in nanoseconds; 0 before it.
 	stoppedAt atomic.Int64
 }
@@ -110,6 +115,7 @@
 		h.config.Counters.Count("caller.left")
 		return nil
 	}
+	c.reportNested(result)
 	return c.finish(result)
 }
 
