--- a/.ci/checks/model.sh
+++ b/.ci/checks/model.sh
@@ -110,8 +110,20 @@
   return "$failed"
 }
 
+# quota checks that the share of a quota that a node lends is never with two owners.
+quota() {
+  local mutant
+  run quota quota holds
+  run quota-longer quota holds -DSENDS=4 -DEND=5
+  for mutant in RELEND_AT_ONCE LOAN_FROM_ARRIVAL CLOCK_AHEAD NO_SEQUENCE RELEASE_UNANSWERED NO_UPTIME FOREIGN_CLOCK \
+    REACH_RELEASED REACH_EXPIRED REACH_REJECTED; do
+    run "quota-$mutant" quota fails "-D$mutant"
+  done
+  return "$failed"
+}
+
 pids=()
-for group in ledger refusals evidence settings; do
+for group in ledger refusals evidence settings quota; do
   "$group" &
   pids+=($!)
 done
