--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -39,8 +39,15 @@
 	Version func(uint64)
 	// Routing is called with the routing document that answers RequestRouting.
 	Routing func([]byte)
+	// Dial opens the connection to the node at an address; nil for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// QuotaReply is called with each reply to a request about quotas; nil if none are sent.
+	QuotaReply func(*linkpb.QuotaReply)
 	// LocalVersion returns the number of the current routing version of this node.
 	LocalVersion func() uint64
+	// Proof is called with each proof that a routing version was the newest one at a time of the boot clock.
+	Proof       func(version uint64, at time.Duration)
+	Evacuations EvacuationExchange
 }
 
 // Client is a link to another node. It is safe for concurrent use.
@@ -52,12 +59,18 @@
 	lastReceived atomic.Int64
 	pingSent     atomic.Int64
 	done         chan struct{}
+	asked        questions
 }
 
 // dial opens a link to the node of a session and sends hello.
 func dial(ctx context.Context, session *Session) (*Client, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setSocketOptions, KeepAliveConfig: keepAlive}
-	conn, err := dialer.DialContext(ctx, "tcp4", session.address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	open := session.events.Dial
+	if open == nil {
+		open = dialTCP
+	}
+	conn, err := open(ctx, session.address)
 	if err != nil {
 		return nil, err
 	}
@@ -71,6 +84,12 @@
 	return c, nil
 }
 
+// dialTCP opens a TCP connection.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: setSocketOptions, KeepAliveConfig: keepAlive}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
 // sentMs returns the time for Frame.SentMs.
 func sentMs() uint64 { return uint64(boottime.Now().Milliseconds()) }
 
@@ -106,10 +125,20 @@
 		return
 	}
 	if c.pingSent.CompareAndSwap(0, now.UnixNano()) {
+		c.ping()
+	}
+}
+
+// ping sends a ping.
+func (c *Client) ping() {
+	if c.asked.push(boottime.Now()) {
 		c.conn.writeOrClose(&linkpb.Frame{Body: &linkpb.Frame_Ping{Ping: &linkpb.Ping{}}})
 	}
 }
 
+// Ask asks the other node for its proof of freshness. The answer is passed to Events.Proof.
+func (c *Client) Ask() { c.ping() }
+
 func (c *Client) receive() {
 	defer close(c.done)
 	defer c.conn.close()
@@ -140,6 +169,18 @@
 		c.events.State(body.State)
 	case *linkpb.Frame_Routing:
 		c.events.Routing(body.Routing.Document)
+	case *linkpb.Frame_Pong:
+		if asked, ok := c.asked.pop(); ok {
+			c.events.handleProof(f.Frame, asked)
+		}
+	case *linkpb.Frame_Evacuations:
+		if reply := c.events.Evacuations.receive(c.session.address, body.Evacuations); reply != nil {
+			c.conn.writeOrClose(reply)
+		}
+	case *linkpb.Frame_QuotaReply:
+		if c.events.QuotaReply != nil {
+			c.events.QuotaReply(body.QuotaReply)
+		}
 	case *linkpb.Frame_Answer, *linkpb.Frame_Refusal, *linkpb.Frame_Broken:
 		c.session.deliver(f)
 		return
--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -30,6 +30,7 @@
 // one to /run takes a second.
 type handler struct {
 	version   atomic.Uint64
+	proofAge  atomic.Uint32
 	hello     chan *linkpb.Hello
 	cancelled chan struct{}
 	// observed holds the version number that each address has sent last.
@@ -63,6 +64,7 @@
 func (h *handler) Routing() []byte           { return []byte("document") }
 func (h *handler) LocalVersion() uint64      { return h.version.Load() }
 
+func (h *handler) ProofAge(uint64) uint32                       { return h.proofAge.Load() }
 func (h *handler) ObserveVersion(address string, number uint64) { h.observed.Store(address, number) }
 
 // events collects what a client receives outside its calls.
@@ -337,13 +339,17 @@
 	require.Eventually(t, func() bool { return serverMemory.Held() == 0 }, time.Second, time.Millisecond)
 
 	large := strings.Repeat("x", bodySize)
+	// The server releases the memory of a call after it has sent the result, so a call that follows at once could find none there.
+	serverIsFree := func() bool { return serverMemory.Held() == 0 }
 	first, err := do(t.Context(), &linkpb.Call{Target: large})
 	require.NoError(t, err)
 	assert.Len(t, first.GetAnswer().GetBody(), bodySize)
+	require.Eventually(t, serverIsFree, time.Second, time.Millisecond)
 	second, err := do(t.Context(), &linkpb.Call{Target: large})
 	require.NoError(t, err)
 	assert.NotNil(t, second.GetBroken(), "the first answer is held")
 	first.Release()
+	require.Eventually(t, serverIsFree, time.Second, time.Millisecond)
 	third, err := do(t.Context(), &linkpb.Call{Target: large})
 	require.NoError(t, err)
 	assert.Len(t, third.GetAnswer().GetBody(), bodySize)
--- a/node/process/localserver/cold.go
+++ b/node/process/localserver/cold.go
@@ -15,6 +15,9 @@
 const (
 	// lateCheckTimeout is the timeout of a health check that shows whether the server is cold. Calls wait for slownessTimeout only.
 	lateCheckTimeout = 250 * time.Millisecond
+	// checkGrace is the last part of slownessTimeout. It begins with a timer of its own, so that a process that was throttled reads the
+	// answer that has arrived meanwhile before the health check fails.
+	checkGrace = 2 * time.Millisecond
 	// maxColdMs bounds the time for which a server may state that it stays cold.
 	maxColdMs = int64(24 * time.Hour / time.Millisecond)
 )
@@ -36,11 +39,13 @@
 }
 
 // coldChanged keeps the time for which the server is expected to stay cold, and reports the change. It looks at the queue again at
-// the end of that time.
+// the end of that time. The warm-up that a server of a service without the limit has announced is kept.
 func (s *Server) coldChanged(c dispatch.ColdChange) {
-	s.mu.Lock()
-	s.warmUpEnd = s.config.Now().Add(c.Left)
-	s.mu.Unlock()
+	if c.PerSecond > 0 {
+		s.mu.Lock()
+		s.warmUpEnd = s.config.Now().Add(c.Left)
+		s.mu.Unlock()
+	}
 	if c.Cold {
 		time.AfterFunc(c.Left, func() { s.dispatcher.Sweep() })
 	}
@@ -111,7 +116,8 @@
 		return
 	}
 	var once sync.Once
-	timer := time.AfterFunc(slownessTimeout, func() { once.Do(s.dispatcher.ProbeFailed) })
+	fail := func() { once.Do(s.dispatcher.ProbeFailed) }
+	timer := time.AfterFunc(slownessTimeout-checkGrace, func() { time.AfterFunc(checkGrace, fail) })
 	go func() {
 		defer timer.Stop()
 		slowness, ok := s.requestSlowness(client, path, lateCheckTimeout)
@@ -128,6 +134,10 @@
 	s.dispatcher.ProbeFailed()
 }
 
+// DoubtWarm records that the server may have turned cold unnoticed, as while nothing was sent to it. The source is one of those of
+// package dispatch.
+func (s *Server) DoubtWarm(source string) { s.dispatcher.DoubtWarm(source) }
+
 // ColdLimit returns the number of requests per second to which the server is limited because it is treated as cold, or 0.
 func (s *Server) ColdLimit() float64 { return s.dispatcher.ColdLimit() }
 
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -48,6 +48,8 @@
 	lostAt time.Time
 	// excludedUntil is the end of the exclusion of a server that accepts no calls.
 	excludedUntil time.Time
+	// proofAt is the time of the youngest proof of freshness that the node has passed on, by the boot clock.
+	proofAt time.Duration
 }
 
 // setState records a new state of the server's node. The load and failures of another server are reset.
@@ -181,9 +183,11 @@
 	s.recordLeaving(state.Leaving, now)
 	reachedStore := s.reachesStore()
 	s.setState(state, now)
-	if s.reachesStore() != reachedStore {
+	reachesStore := s.reachesStore()
+	if reachesStore != reachedStore {
 		p.config.PollersChanged()
 	}
+	p.observeStore(s, state, reachedStore, reachesStore)
 	p.logState(s.address, state)
 	if leaving := s.unannouncedLeaving(now); leaving != nil {
 		p.config.Log.Info("peer uses a server that leaves", "peer", s.address, "server", leaving.ServerId)
@@ -198,6 +202,10 @@
 		Routing:      func(document []byte) { p.config.Routing(s.address, document) },
 		LocalVersion: p.config.LocalVersion,
 		Version:      func(number uint64) { p.observeVersion(s, number) },
+		Proof:        func(version uint64, at time.Duration) { p.observeProof(s, version, at) },
+		Evacuations:  p.config.Evacuations,
+		Dial:         p.config.Dial,
+		QuotaReply:   func(r *linkpb.QuotaReply) { p.handleQuotaReply(s.address, r) },
 	}, p.config.Memory)
 }
 
