--- a/node/request/front/dependency.go
+++ b/node/request/front/dependency.go
@@ -80,12 +80,13 @@
 	return c.refusal(causeDependency)
 }
 
-// reportNested tells the server's part of the node how a call ended that the server made for another one.
+// reportNested tells the server's part of the node how a call ended that the server made for another one. Only a call that no server
+// was given counts as refused: servers that refuse by themselves do so at any load, and fewer calls would not help.
 func (c *call) reportNested(r *result) {
 	if !c.message.Nested || c.handler.config.NestedEnded == nil {
 		return
 	}
 	if parent, ok := c.handler.config.Names.ParentID(c.message.Id); ok {
-		c.handler.config.NestedEnded(parent, r.status == http.StatusServiceUnavailable)
+		c.handler.config.NestedEnded(parent, r.status == http.StatusServiceUnavailable && c.attempts == 0)
 	}
 }
