--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -27,11 +27,19 @@
 	Routing() []byte
 	// LocalVersion returns the number of the current routing version, or 0.
 	LocalVersion() uint64
+	// ProofAge returns the age of this node's proof that a routing version was the newest one, as in Frame.proof_age_ms.
+	ProofAge(version uint64) uint32
 	// ObserveVersion is called with the routing version number of each frame that has one, and the address of the node that
 	// sent it.
 	ObserveVersion(address string, number uint64)
 }
 
+// QuotaHandler is implemented by handlers that own quotas.
+type QuotaHandler interface {
+	// HandleQuota returns the reply to a request of the node at an address. It must not block.
+	HandleQuota(address string, r *linkpb.QuotaRequest) *linkpb.QuotaReply
+}
+
 // Server accepts links from other nodes. It is safe for concurrent use.
 type Server struct {
 	handler Handler
@@ -236,6 +244,8 @@
 		}
 	case *linkpb.Frame_Ping:
 		l.send(&linkpb.Frame{Body: &linkpb.Frame_Pong{Pong: &linkpb.Pong{}}})
+	case *linkpb.Frame_QuotaRequest:
+		l.handleQuota(body.QuotaRequest)
 	case *linkpb.Frame_RoutingRequest:
 		if document := l.server.handler.Routing(); document != nil {
 			l.send(&linkpb.Frame{Body: &linkpb.Frame_Routing{Routing: &linkpb.Routing{Document: document}}})
@@ -246,6 +256,13 @@
 	}
 }
 
+// handleQuota replies to a request about quotas of a node that has introduced itself.
+func (l *serverLink) handleQuota(r *linkpb.QuotaRequest) {
+	if handler, ok := l.server.handler.(QuotaHandler); ok && l.address != "" {
+		l.send(&linkpb.Frame{Body: &linkpb.Frame_QuotaReply{QuotaReply: handler.HandleQuota(l.address, r)}})
+	}
+}
+
 func (l *serverLink) handleHello(hello *linkpb.Hello) {
 	if hello.Session != 0 && l.id == 0 {
 		l.known = l.server.openSession(hello.Session, l)
@@ -277,5 +294,10 @@
 // withVersion returns a frame with the current routing version. The frame itself is not changed, since a retained result may be sent
 // on two links.
 func (l *serverLink) withVersion(f *linkpb.Frame) *linkpb.Frame {
-	return &linkpb.Frame{Stream: f.Stream, Version: l.server.handler.LocalVersion(), Body: f.Body}
+	version := l.server.handler.LocalVersion()
+	stamped := &linkpb.Frame{Stream: f.Stream, Version: version, Body: f.Body}
+	if answersQuestion(f) {
+		stamped.ProofAgeMs = l.server.handler.ProofAge(version)
+	}
+	return stamped
 }
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -42,8 +43,14 @@
 	LocalVersion func() uint64
 	// Routing handles the document of a routing version from the node at an address.
 	Routing func(peer string, document []byte)
+	// Dial opens the connection to the node at an address; nil for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// QuotaReply handles a reply about quotas of the node at an address; nil if no requests are sent.
+	QuotaReply func(peer string, r *linkpb.QuotaReply)
 	// PollersChanged is called when the result of InSubset may have changed. It must not block.
 	PollersChanged func()
+	// Proof handles a proof from another node that a routing version was the newest one at a time of the boot clock.
+	Proof func(version uint64, at time.Duration)
 	// Evacuations exchanges the set of evacuated places with other nodes.
 	Evacuations link.EvacuationExchange
 	// StoreEra is called with the era of the store that the node at an address reports. It must not block. It may be nil.
@@ -59,6 +66,8 @@
 	ctx      context.Context
 	local    *Server
 	versions versionSources
+	// newestVersion is the highest routing version number that any node has reported.
+	newestVersion atomic.Uint64
 	// evacuated holds the evacuated places; nil if there has been none.
 	evacuated atomic.Pointer[map[string]bool]
 
--- a/node/process/sidecar/routing.go
+++ b/node/process/sidecar/routing.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/radishstand/radishstand/node/internal/boottime"
 )
 
 const (
@@ -38,6 +40,8 @@
 	state OperatorState
 	// sentAt is the time before the request was sent.
 	sentAt time.Time
+	// began is that time by the boot clock.
+	began time.Duration
 	// direct is set when the rows were read, and not the feed of changes.
 	direct bool
 }
@@ -80,6 +84,8 @@
 			continue
 		}
 		last = &read.state
+		n.freshness.SetEra(last.Revision.Era)
+		n.freshness.read(last.Document, read.began, read.direct)
 		n.applyRead(read)
 		if last.Document != nil {
 			last.Document = nil // the routing version holds it
@@ -120,7 +126,7 @@
 		wait = min(wait, max(time.Until(n.eras.settles(last.Revision.Era)), time.Millisecond))
 	}
 	n.poll.setWait(wait)
-	sentAt := time.Now()
+	sentAt, began := time.Now(), boottime.Now()
 	state, err := n.store.AwaitRouting(ctx, *last, wait)
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errPollEnded) {
@@ -128,7 +134,7 @@
 		}
 		return nil, err
 	}
-	return &operatorsRead{state: state, sentAt: sentAt}, nil
+	return &operatorsRead{state: state, sentAt: sentAt, began: began}, nil
 }
 
 // evacuationsDue reports whether the evacuated places must be read again and operators have had the time to write them in an era.
@@ -143,7 +149,7 @@
 	}
 	succeeded := n.eras.beginRead()
 	n.lastRead = time.Now()
-	read := &operatorsRead{sentAt: n.lastRead, direct: true}
+	read := &operatorsRead{sentAt: n.lastRead, began: boottime.Now(), direct: true}
 	var err error
 	if read.state, err = n.store.Routing(ctx); err != nil {
 		return nil, err
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -47,12 +48,15 @@
 	// identity is that of the backend server.
 	identity identity
 	poll     routingPoll
-	eras     eras
+	// freshness holds the proofs that the current routing version is the newest one.
+	freshness *freshnessLease
+	eras      eras
 	// lastRead is the time of the latest read of the whole operators' state. It is used by watchRouting only.
 	lastRead    time.Time
 	evacuations evacuations
 	evacuated   metrics.Gauge   // number of evacuated places
 	eraChanges  metrics.Counter // how often the store came back from an older copy
+	quotas      quotas
 	// pollersChanged receives when this node may have become one of the frequent pollers.
 	pollersChanged chan struct{}
 	callers        atomic.Pointer[ingress.Server] // nil before the node listens
@@ -72,32 +76,48 @@
 	n := &Node{ctx: ctx, adapter: adapter, store: adapter.Store(), log: log, routing: &routing.Holder{}, metrics: metrics.NewRegistry()}
 	n.pollersChanged = make(chan struct{}, 1)
 	n.config.Store(&c)
+	n.freshness = &freshnessLease{node: n}
+	if c.RevokeWithin > 0 {
+		n.freshness.registerMetrics(n.metrics)
+	}
 	memory := membudget.New(bodyBytes(c.MemoryBytes))
 	n.server = localserver.New(localserver.Config{
 		Address:    func() string { return n.config.Load().ServerAddress },
 		HasService: n.knownService, HealthPath: n.healthPath,
 		AnnounceInterval: func() time.Duration { return n.config.Load().AnnounceInterval },
 		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
-		Stated:   n.serverStated,
+		Stated:    n.serverStated,
+		ColdLimit: n.coldLimit, ColdChanged: n.coldChanged,
 		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
 	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
+	n.metrics.Register("server.cold_limit", metrics.NewFunctionalGaugeFloat64(n.server.ColdLimit))
+	n.metrics.Register("server.cold_refusals", metrics.NewFunctionalGauge(n.server.ColdRefusals))
 	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
 	n.evacuated = metrics.NewRegisteredGauge("evacuated.places", n.metrics)
 	n.eraChanges = metrics.NewRegisteredCounter("store.era_changes", n.metrics)
 	evacuations := link.EvacuationExchange{Current: n.currentEvacuations, Received: n.receiveEvacuations}
 	n.links = link.NewServer(n, memory)
 	n.links.ExchangeEvacuations(evacuations)
+	var dial func(ctx context.Context, address string) (net.Conn, error)
+	if dialer, ok := adapter.(PeerDialer); ok {
+		dial = dialer.DialPeer
+	}
 	n.peers = peers.New(ctx, peers.Config{
+		Dial:  dial,
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
 		LocalVersion: n.routing.Number, Memory: memory, Log: log,
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
+		Proof:       n.freshness.addProof,
 		Evacuations: evacuations, StoreEra: n.peerReportedEra,
+		QuotaReply: func(peer string, r *linkpb.QuotaReply) { n.quotas.borrower.HandleReply(peer, r) },
 	})
+	n.quotas.init(n)
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
-		Service: func() string { return n.config.Load().Service }, Serves: n.server.Serves,
+		Service: func() string { return n.config.Load().Service }, Parent: n.server.Parent,
+		Freshness: n.freshness, Quota: n.quotas.borrower,
 		Memory: memory, Log: log, Counters: counters{n.metrics},
 	})
 	return n
@@ -123,6 +143,7 @@
 	old := n.config.Swap(&c)
 	if *old != c {
 		n.log.Info("configuration reloaded", "service", c.Service, "serverAddress", c.ServerAddress)
+		n.freshness.start(n.ctx)
 		n.reloadEvacuations()
 	}
 }
@@ -195,6 +216,7 @@
 	if applied {
 		n.log.Info("routing version applied", "version", v.Number, "source", source, "poll", n.poll.String())
 		n.applyLimits()
+		n.quotas.start(n)
 	}
 	return applied
 }
@@ -215,7 +237,7 @@
 		Ready: status.Ready && !n.stoppedServing.Load(), ColdMs: uint32(status.WarmUpLeft.Milliseconds()), Load: n.server.Load(),
 		Knee: uint32(n.server.Knee()), StartedMs: uint64(max(status.StartedAtMs, 0)),
 		Leaving: status.Leaving(), StoreFailing: n.storeFailing.Load(), StoreEra: n.eras.get(),
-		LinkKbps: uint32(max(c.LinkBitsPerSecond/1000, 0)), CpuMillis: uint32(max(c.CPUShare*1000, 0)),
+		LinkKbps: uint32(max(c.LinkBitsPerSecond/1000, 0)), CpuMillis: uint32(n.cpuMillis()),
 	}
 }
 
@@ -245,6 +267,9 @@
 // LocalVersion returns the number of the current routing version, or 0.
 func (n *Node) LocalVersion() uint64 { return n.routing.Number() }
 
+// ProofAge returns the age of the proof that a routing version is the newest one, as it is passed on to other nodes.
+func (n *Node) ProofAge(version uint64) uint32 { return n.freshness.proofAge(version) }
+
 // ObserveVersion handles the routing version number of a node that opened a link.
 func (n *Node) ObserveVersion(address string, number uint64) { n.peers.ObserveVersion(address, number) }
 
