--- a/node/process/quota/bucket.go
+++ b/node/process/quota/bucket.go
@@ -26,6 +26,9 @@
 	sum float64
 	// earliest is no later than the end of any loan.
 	earliest time.Duration
+	// lowered is set while a lower quota is not in force yet, and loweredAt is when it was first seen.
+	lowered   bool
+	loweredAt time.Duration
 }
 
 func newBucket(q routing.Quota, now time.Duration) *bucket {
@@ -50,6 +53,7 @@
 	if now >= b.earliest {
 		b.expire(now)
 	}
+	q = b.inForce(q, now)
 	rate := min(b.quota.PerSecond, q.PerSecond)
 	b.quota = q
 	b.tokens += b.fraction() * rate * max(now-b.at, 0).Seconds()
@@ -57,6 +61,23 @@
 	b.tokens = min(b.tokens, b.capacity())
 }
 
+// inForce returns the quota that applies now that the current version has the given one. A lower one applies lowerQuotaDelay after it
+// was first seen, so that requests within the former quota are not refused while the version is being distributed.
+func (b *bucket) inForce(q routing.Quota, now time.Duration) routing.Quota {
+	if q.PerSecond >= b.quota.PerSecond && q.Burst >= b.quota.Burst {
+		b.lowered = false
+		return q
+	}
+	if !b.lowered {
+		b.lowered, b.loweredAt = true, now
+	}
+	if now-b.loweredAt < lowerQuotaDelay {
+		return routing.Quota{PerSecond: max(q.PerSecond, b.quota.PerSecond), Burst: max(q.Burst, b.quota.Burst)}
+	}
+	b.lowered = false
+	return q
+}
+
 // expire removes the loans that have ended.
 func (b *bucket) expire(now time.Duration) {
 	b.sum, b.earliest = 0, math.MaxInt64
--- a/node/process/quota/quota.go
+++ b/node/process/quota/quota.go
@@ -31,8 +31,11 @@
 	// ownerTimeout is the time without an answer after which a node is not chosen as an owner. A single slow answer must not move
 	// the share: the other owner has too small a part of the quota to grant calls of a small team.
 	ownerTimeout = 2 * answerTimeout
+	// lowerQuotaDelay is the time from which a lower quota applies at an owner that has seen it. It is shorter than the window of 5 s after
+	// which it must be in force, since versions take up to a second to arrive.
+	lowerQuotaDelay = 4 * time.Second
 	// minUptime is the time after the start before a process lends. The loans of the process before it have ended by then.
-	minUptime = 2 * time.Second
+	minUptime = loanTime + loanMargin
 	// membersWindow is the time for which the largest number of members counts.
 	membersWindow = 60 * time.Second
 	// ownerCount is the number of nodes among which the owners of the teams are chosen. Each adds a renewal per node and renewLatest.
