--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -85,11 +85,15 @@
 		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
 		Stated:    n.serverStated,
 		ColdLimit: n.coldLimit, ColdChanged: n.coldChanged,
-		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
+		FairShares: n.fairShares, BackPressure: n.backPressure,
+		BackPressureChanged: n.backPressureChanged,
+		PeerKnee:            n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
 	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
 	n.metrics.Register("server.cold_limit", metrics.NewFunctionalGaugeFloat64(n.server.ColdLimit))
 	n.metrics.Register("server.cold_refusals", metrics.NewFunctionalGauge(n.server.ColdRefusals))
+	n.metrics.Register("backpressure.refused", metrics.NewFunctionalGauge(n.refusedByBackPressure))
+	n.metrics.Register("backpressure.admitted", metrics.NewFunctionalGaugeFloat64(n.leastAdmitted))
 	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
 	n.evacuated = metrics.NewRegisteredGauge("evacuated.places", n.metrics)
 	n.eraChanges = metrics.NewRegisteredCounter("store.era_changes", n.metrics)
@@ -114,7 +118,8 @@
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
 		Service: func() string { return n.config.Load().Service }, Parent: n.server.Parent,
-		Freshness: n.freshness, Quota: n.quotas.borrower,
+		NestedEnded: n.server.NestedEnded,
+		Freshness:   n.freshness, Quota: n.quotas.borrower,
 		Memory: memory, Log: log, Counters: counters{n.metrics},
 	})
 	return n
