--- a/node/process/dispatch/fairshares_test.go
+++ b/node/process/dispatch/fairshares_test.go
@@ -244,3 +244,26 @@
 		}
 	})
 }
+
+// BenchmarkFairOrder measures the decision about a call that arrives while as many wait as at an overloaded server.
+func BenchmarkFairOrder(b *testing.B) {
+	const waiting, teams = 36, 78
+	clock := virtualtime.New()
+	d := dispatch.New(clock.Now, nil)
+	d.UseFairShares(func() bool { return true })
+	d.Open(1)
+	submit := func(i int) *dispatch.Job {
+		j := &dispatch.Job{
+			Route: "r", Team: fmt.Sprint(i % teams), Rank: i % 3, NoRedirect: true,
+			Objective: clock.Now().Add(time.Hour + time.Duration(i)), Deadline: clock.Now().Add(2 * time.Hour),
+		}
+		d.Submit(j, func(error) {})
+		return j
+	}
+	for i := range waiting {
+		submit(i)
+	}
+	for b.Loop() {
+		d.Cancel(submit(waiting))
+	}
+}
