--- a/node/process/quota/lending.go
+++ b/node/process/quota/lending.go
@@ -58,12 +58,12 @@
 
 // updateOwners applies the links and returns the addresses of the nodes among which owners are chosen.
 func (b *Borrower) updateOwners(v View, now time.Duration) []string {
-	// Replies may wait unread after a suspension.
-	resumed := now-b.lastTick > answerTimeout
+	// While this process did not run, replies waited unread: on a host that is suspended, or busy with other work.
+	missed := max(now-b.lastTick-TickInterval, 0)
 	for _, o := range b.owners {
 		o.linked = o.address == b.config.Self
-		if resumed && o.unansweredSince != 0 {
-			o.unansweredSince = now
+		if o.unansweredSince != 0 {
+			o.unansweredSince = min(o.unansweredSince+missed, now)
 		}
 	}
 	eligible := append(make([]Node, 0, len(v.Linked)+1), Node{Address: b.config.Self, CPUMillis: v.CPUMillis})
