--- a/node/process/sidecar/evacuations.go
+++ b/node/process/sidecar/evacuations.go
@@ -90,8 +90,11 @@
 	return &linkpb.Evacuations{Era: set.Revision.Era, Revision: set.Revision.Row, Places: set.Places}
 }
 
-// dumpEvacuations writes the evacuated places as text, unless no place has ever been evacuated.
+// dumpEvacuations writes the evacuated places as text, unless no place has ever been evacuated. A place that is listed gets no calls any
+// more.
 func (n *Node) dumpEvacuations(w io.Writer) {
+	n.evacuations.applying.Lock()
+	defer n.evacuations.applying.Unlock()
 	if set, any := n.evacuations.holder.Settled(); any || n.evacuations.holder.NeedsRead() {
 		fmt.Fprintf(w, "evacuated %q, sent to others %q of revision %d of era %d\n",
 			n.evacuations.holder.InForce(), set.Places, set.Revision.Row, set.Revision.Era)
