--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -36,22 +36,29 @@
 	now, arrived := s.config.Now(), s.config.Boottime()
 	job := &dispatch.Job{
 		Route: call.Route, Rank: int(call.Rank), Nested: call.Nested, NoRedirect: call.Stay,
+		Team: call.Team, ParentRank: int(call.ParentRank),
 		RedirectAbove: time.Duration(call.ReferMs) * time.Millisecond,
 		Objective:     now.Add(time.Duration(call.ObjectiveMs) * time.Millisecond),
 		Deadline:      now.Add(time.Duration(call.LeftMs) * time.Millisecond),
 	}
 	s.adoptRate(call)
+	if refusal := s.refuseForDependency(call); refusal != nil {
+		return refusal, nil
+	}
 	if err := s.admit(ctx, job); err != nil {
 		return s.refusalOf(err), nil
 	}
 	answered := false
 	defer func() { s.dispatcher.Done(job, answered) }()
+	if ctx.Err() != nil { // the caller may be told that the call has not run
+		return s.refusalOf(&dispatch.Refused{Reason: dispatch.Cancelled}), nil
+	}
 	client := s.clientFor(call.ServerId)
 	if client == nil {
 		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer}), nil
 	}
 	s.inProgress.add(call)
-	defer s.inProgress.remove(call.Id)
+	defer func() { s.endInProgress(call, answered) }()
 	remaining := time.Duration(call.LeftMs)*time.Millisecond - (s.config.Boottime() - arrived)
 	sentAt := s.config.Now()
 	response, err := s.send(ctx, client, call, remaining)
