--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -171,6 +171,7 @@
 		c.events.Routing(body.Routing.Document)
 	case *linkpb.Frame_Pong:
 		if asked, ok := c.asked.pop(); ok {
+			c.session.roundTrip.observe(boottime.Now() - asked)
 			c.events.handleProof(f.Frame, asked)
 		}
 	case *linkpb.Frame_Evacuations:
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -28,6 +28,7 @@
 	// resumes is set when the other node keeps the calls of a broken link.
 	resumes    atomic.Bool
 	lastStream atomic.Uint64
+	roundTrip  roundTrip
 
 	mu     sync.Mutex
 	client *Client // nil while there is no link
--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -35,6 +35,8 @@
 type Candidate struct {
 	// SamePlace is set for servers in the caller's place.
 	SamePlace bool
+	// Place is the place of the server; empty if unknown.
+	Place string
 	// RoundTrip is the round-trip time between this node and the node of the server.
 	RoundTrip time.Duration
 	// InProgress, Queued and Limit are those of the last report; SentSinceReport is the number of calls sent after it.
@@ -69,6 +71,10 @@
 	RouteTime time.Duration
 	// RouteBytes is the average size of a call on the route and its answer.
 	RouteBytes int
+	// Service, Route and Rank identify the calls that leave the place in the same proportion; used by Leaver only.
+	Service string
+	Route   string
+	Rank    uint32
 }
 
 // TransferPenalty returns the additional delay that is accepted to keep the call in its place. It grows with the size of
@@ -120,13 +126,23 @@
 	return minFailureShare
 }
 
-// estimate returns the expected time until the answer of a call. Failures beyond those of the best server count as time,
-// so that a server that fails quickly does not look fast.
+// estimate returns the expected time until the answer of a call, varied by the jitter.
 func (c *Candidate) estimate(call Call, failures float64) time.Duration {
-	service := c.ServiceTime
-	if service == 0 {
-		service = defaultServiceTime
+	return c.expected(call, failures) + time.Duration(jitter*float64(c.service())*rand.Float64())
+}
+
+// service returns the average time of a call at the server, also while it is not known.
+func (c *Candidate) service() time.Duration {
+	if c.ServiceTime == 0 {
+		return defaultServiceTime
 	}
+	return c.ServiceTime
+}
+
+// expected returns the expected time until the answer of a call. Failures beyond those of the best server count as time,
+// so that a server that fails quickly does not look fast.
+func (c *Candidate) expected(call Call, failures float64) time.Duration {
+	service := c.service()
 	work := call.RouteTime
 	if work == 0 {
 		work = service
@@ -143,7 +159,6 @@
 	total += c.slowDelay()
 	total += float64(min(c.WarmUpLeft, work))
 	total += failures * failureWeight * float64(max(call.ObjectiveLeft, work))
-	total += jitter * float64(service) * rand.Float64()
 	return time.Duration(total)
 }
 
--- /dev/null
+++ b/node/process/choice/leaver.go
@@ -0,0 +1,167 @@
+package choice
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// startGain is the time that a call must gain by leaving before more calls leave. Fewer leave when they gain nothing, so that the share
+	// does not follow the noise of the estimates.
+	startGain = 10 * time.Millisecond
+	// riseTime and fallTime are the times in which a share changes by 1 at full pressure. Both exceed the usual age of load reports,
+	// so that a change shows in the reports before the next one is decided.
+	riseTime = 1500 * time.Millisecond
+	fallTime = 2 * time.Second
+	// maxStep is the largest change of a share by one call, also after a long time without calls.
+	maxStep = 0.1
+	// maxLeaving is the largest share of calls that leave while a server in the place is usable; the others show when it has room.
+	maxLeaving = 0.95
+	// minLeaving is the share below which no call leaves.
+	minLeaving = 0.01
+	// refusedFactor lowers the share of a place whose server has just refused a call.
+	refusedFactor = 0.7
+	// idleTime is the time constant with which the share of calls decays of which none has come.
+	idleTime = 5 * time.Second
+	// minRedirect is the expected wait above which a server redirects a call that other servers may take earlier.
+	minRedirect = 10 * time.Millisecond
+)
+
+// LeaverConfig configures a Leaver.
+type LeaverConfig struct {
+	// Now returns the current time.
+	Now func() time.Time
+	// Random returns a random number in [0, 1).
+	Random func() float64
+	// Changed is called when calls of a service begin or stop to leave for a place, with the share of the calls that did so. It may be nil
+	// and must not call the Leaver.
+	Changed func(service, place string, leaving bool, share float64)
+}
+
+// Leaver decides which calls of an entry node leave its place. Calls with the same service, route and rank form a class, of which a share
+// leaves for each other place. It is safe for concurrent use.
+type Leaver struct {
+	config LeaverConfig
+
+	mu       sync.Mutex
+	services map[string]*leavingService
+}
+
+// NewLeaver returns a Leaver with which all calls stay.
+func NewLeaver(c LeaverConfig) *Leaver {
+	return &Leaver{config: c, services: map[string]*leavingService{}}
+}
+
+// Decision is the server for an attempt.
+type Decision struct {
+	// Index is that of the candidate; -1 without candidates.
+	Index int
+	// Redirect is the expected wait above which the server should redirect the call.
+	Redirect time.Duration
+	// Stay is set when no other server would take the call earlier.
+	Stay bool
+}
+
+// Pick returns the candidate for an attempt of a call.
+func (l *Leaver) Pick(candidates []Candidate, call Call) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Now()
+	service := l.service(call.Service)
+	service.demand.add(call.Rank, now)
+	view := newFleetView(candidates, call)
+	home := view.home
+	if home == nil {
+		return l.pickAway(view)
+	}
+	expected := home.expected(service.demand.ahead(call.Rank))
+	class := service.class(classKey{call.Route, call.Rank})
+	class.update(view, call, expected, now)
+	l.reportChanges(call.Service, service)
+	if place := class.draw(view, call, expected, l.config.Random()); place != nil {
+		return Decision{Index: place.draw(l.config.Random), Redirect: minRedirect}
+	}
+	return l.stay(view, call)
+}
+
+// stay returns the best server of the place. Its calls are redirected to other servers of the place, or, when that pays, to another one.
+func (l *Leaver) stay(view *fleetView, call Call) Decision {
+	d := Decision{Index: view.home.best, Redirect: minRedirect}
+	if len(view.home.usable) > 1 {
+		return d
+	}
+	away := view.cheapest(call)
+	if away == nil {
+		d.Stay = true
+		return d
+	}
+	d.Redirect = max(away.cost(call)-view.home.idle, 0) + minRedirect
+	return d
+}
+
+// pickAway returns a server of another place for a call that no server of this one takes now. If no other place has room, the call waits in
+// its own place, where there is a server.
+func (l *Leaver) pickAway(view *fleetView) Decision {
+	if place := view.drawRoom(l.config.Random()); place != nil {
+		return Decision{Index: place.draw(l.config.Random), Redirect: minRedirect}
+	}
+	if view.refusedHome >= 0 {
+		return Decision{Index: view.refusedHome, Stay: true}
+	}
+	return Decision{Index: view.any(l.config.Random), Redirect: minRedirect}
+}
+
+// Shares returns the share of a service's recent calls that left for each other place.
+func (l *Leaver) Shares(service string) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.services[service]; s != nil {
+		return s.shares(l.config.Now())
+	}
+	return nil
+}
+
+func (l *Leaver) service(name string) *leavingService {
+	s := l.services[name]
+	if s == nil {
+		s = &leavingService{classes: map[classKey]*leavingClass{}, leaving: map[string]bool{}}
+		l.services[name] = s
+	}
+	return s
+}
+
+// reportChanges reports the places for which calls of a service begin or stop to leave.
+func (l *Leaver) reportChanges(name string, s *leavingService) {
+	shares := s.shares(l.config.Now())
+	for place, share := range shares {
+		l.reportChange(name, s, place, share)
+	}
+	for place := range s.leaving {
+		if _, known := shares[place]; !known {
+			l.reportChange(name, s, place, 0)
+		}
+	}
+}
+
+// reportChange reports a place for which calls begin or stop to leave. The two levels differ so that a share near one of them is reported
+// once.
+func (l *Leaver) reportChange(name string, s *leavingService, place string, share float64) {
+	leaving := s.leaving[place]
+	switch {
+	case !leaving && share >= 2*minLeaving:
+		s.leaving[place] = true
+	case leaving && share < minLeaving/2:
+		delete(s.leaving, place)
+	default:
+		return
+	}
+	if l.config.Changed != nil {
+		l.config.Changed(name, place, !leaving, share)
+	}
+}
+
+// decayed returns a value after a time of exponential decay.
+func decayed(value float64, since, constant time.Duration) float64 {
+	return value * math.Exp(-float64(max(since, 0))/float64(constant))
+}
--- /dev/null
+++ b/node/process/choice/leaving_class.go
@@ -0,0 +1,170 @@
+package choice
+
+import (
+	"math"
+	"time"
+)
+
+// demandTime is the time constant of the moving average of the demand by rank.
+const demandTime = 10 * time.Second
+
+// leavingService is the state of the calls of one service. A class is added for each route and rank of the configuration that is used.
+type leavingService struct {
+	demand  rankDemand
+	classes map[classKey]*leavingClass
+	// leaving holds the places for which calls have been reported to leave.
+	leaving map[string]bool
+}
+
+type classKey struct {
+	route string
+	rank  uint32
+}
+
+func (s *leavingService) class(key classKey) *leavingClass {
+	c := s.classes[key]
+	if c == nil {
+		c = &leavingClass{shares: map[string]float64{}}
+		s.classes[key] = c
+	}
+	return c
+}
+
+// shares returns the share of the service's calls that leave for each place, which is that of its classes weighted by their calls.
+func (s *leavingService) shares(now time.Time) map[string]float64 {
+	total, sum := 0.0, map[string]float64{}
+	for _, c := range s.classes {
+		weight := decayed(c.calls, now.Sub(c.updated), demandTime)
+		total += weight
+		for place, share := range c.shares {
+			sum[place] += weight * decayed(share, now.Sub(c.updated), idleTime)
+		}
+	}
+	for place := range sum {
+		sum[place] /= max(total, math.SmallestNonzeroFloat64)
+	}
+	return sum
+}
+
+// rankDemand is the recent demand by rank.
+type rankDemand struct {
+	byRank  map[uint32]float64
+	updated time.Time
+}
+
+func (d *rankDemand) add(rank uint32, now time.Time) {
+	if d.byRank == nil {
+		d.byRank = map[uint32]float64{}
+	}
+	for r, calls := range d.byRank {
+		d.byRank[r] = decayed(calls, now.Sub(d.updated), demandTime)
+	}
+	d.byRank[rank]++
+	d.updated = now
+}
+
+// ahead returns the share of the calls that a queue starts no later than one of a rank: those that are at least as valuable.
+func (d *rankDemand) ahead(rank uint32) float64 {
+	total, before := 0.0, 0.0
+	for r, calls := range d.byRank {
+		total += calls
+		if r <= rank {
+			before += calls
+		}
+	}
+	return before / max(total, 1)
+}
+
+// leavingClass holds the shares of the calls with the same service, route and rank that leave for each other place.
+type leavingClass struct {
+	shares  map[string]float64
+	calls   float64
+	updated time.Time
+}
+
+// update changes the shares by what the load reports show at the time of a call.
+func (c *leavingClass) update(view *fleetView, call Call, home time.Duration, now time.Time) {
+	elapsed := now.Sub(c.updated)
+	if c.updated.IsZero() {
+		elapsed = 0
+	}
+	c.calls = decayed(c.calls, elapsed, demandTime) + 1
+	c.updated = now
+	for place, share := range c.shares {
+		c.shares[place] = c.next(view, view.place(place), call, home, decayed(share, elapsed, idleTime), elapsed)
+		if c.shares[place] < minLeaving/10 {
+			delete(c.shares, place)
+		}
+	}
+	c.rise(view, call, home, elapsed)
+}
+
+// next returns the share of a place after a fall: when home has room again, when leaving costs more than it saves, or when the place is short
+// of room itself.
+func (c *leavingClass) next(view *fleetView, place *placeView, call Call, home time.Duration, share float64, elapsed time.Duration) float64 {
+	switch {
+	case place == nil:
+		return 0
+	case place.refused:
+		share *= refusedFactor
+	}
+	pressure := 0.0
+	if place.room == 0 {
+		pressure = 1
+	}
+	if loss := place.cost(call) - home; loss > 0 {
+		pressure = max(pressure, float64(loss)/float64(max(view.home.idle, 1)))
+	}
+	pressure = max(pressure, view.home.freeShare()/fullFreeShare)
+	return max(share-step(pressure, elapsed, fallTime), 0)
+}
+
+// rise raises the shares while home has no room and other places with room are earlier by more than the price of the bytes. The increase
+// is divided by their room.
+func (c *leavingClass) rise(view *fleetView, call Call, home time.Duration, elapsed time.Duration) {
+	if view.home.room > 0 {
+		return
+	}
+	room, gain := 0.0, time.Duration(0)
+	for _, p := range view.away {
+		if p.gains(call, home) {
+			room += p.room
+			gain = max(gain, home-p.cost(call))
+		}
+	}
+	total := 0.0
+	for _, share := range c.shares {
+		total += share
+	}
+	pressure := float64(gain) / float64(max(view.home.idle, 1))
+	added := min(step(pressure, elapsed, riseTime), max(maxLeaving-total, 0))
+	for _, p := range view.away {
+		if p.gains(call, home) && added > 0 {
+			c.shares[p.name] += added * p.room / room
+		}
+	}
+}
+
+// step returns the change of a share under a pressure, over the time since the last call of its class.
+func step(pressure float64, elapsed, full time.Duration) float64 {
+	return min(min(max(pressure, 0), 1)*float64(elapsed)/float64(full), maxStep)
+}
+
+// draw returns the place for which a call leaves, or nil if it stays. Calls leave at random in the proportion of the shares, so that the
+// entry nodes of a place, which see the same reports, do not move together. A call does not leave for a place that has no room or where it
+// would be late while home is in time.
+func (c *leavingClass) draw(view *fleetView, call Call, home time.Duration, random float64) *placeView {
+	for _, p := range view.away {
+		share := c.shares[p.name]
+		if random >= share {
+			random -= share
+			continue
+		}
+		late := p.least > call.ObjectiveLeft && home <= call.ObjectiveLeft
+		if share < minLeaving || p.room == 0 || late {
+			return nil
+		}
+		return p
+	}
+	return nil
+}
--- /dev/null
+++ b/node/process/choice/placeview.go
@@ -0,0 +1,224 @@
+package choice
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// roomLevel is the part of a server's limit up to which other places use it. The rest is for the callers of its own place.
+	roomLevel = 0.85
+	// fullFreeShare is the free part of the limits at home at which calls stop leaving at the full rate.
+	fullFreeShare = 0.25
+	// maxPrice is the largest price of the bytes of a call, as a part of the time to its objective.
+	maxPrice = 0.5
+	// reportLife is the time constant with which the load of an old report counts less, so that a server that gets no calls because of it
+	// is tried again.
+	reportLife = 4 * time.Second
+)
+
+// fleetView is what the candidates of a call show by place.
+type fleetView struct {
+	candidates []Candidate
+	// home is the view of the caller's place; nil if no server there takes the call now.
+	home *placeView
+	// away holds the other places with a usable server, by name.
+	away []*placeView
+	// refusedHome is a server of the caller's place that has refused the call; -1 if there is none.
+	refusedHome int
+}
+
+// placeView is what the candidates of a call show for one place.
+type placeView struct {
+	name string
+	// best is the candidate with the least expected time; usable holds all that respond and have not refused the call.
+	best   int
+	usable []int
+	// least is the expected time there, and idle what it would be without other calls.
+	least time.Duration
+	idle  time.Duration
+	// room is the number of further calls that the servers can start at once for other places; rooms holds that of each usable server.
+	room  float64
+	rooms []float64
+	// limits is the sum of the limits of the usable servers.
+	limits int
+	// refused is set when a server of the place has refused the call.
+	refused bool
+}
+
+func newFleetView(candidates []Candidate, call Call) *fleetView {
+	v := &fleetView{candidates: candidates, refusedHome: -1}
+	places := map[string]*placeView{}
+	leastFailures := minFailures(candidates)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Suspect {
+			continue
+		}
+		name := c.Place
+		if c.SamePlace {
+			name = "" // the caller's place
+		}
+		p := places[name]
+		if p == nil {
+			p = &placeView{name: name, best: -1}
+			places[name] = p
+		}
+		switch {
+		case c.Refused && c.SamePlace:
+			v.refusedHome = i
+		case c.Refused:
+			p.refused = true
+		default:
+			p.add(i, c.aged(), call, c.Failures-leastFailures)
+		}
+	}
+	for name, p := range places {
+		switch {
+		case len(p.usable) == 0:
+		case name == "":
+			v.home = p
+		default:
+			v.away = append(v.away, p)
+		}
+	}
+	slices.SortFunc(v.away, func(a, b *placeView) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return v
+}
+
+// aged returns the candidate with the load that is expected now, after the time since its report.
+func (c *Candidate) aged() *Candidate {
+	aged := *c
+	left := math.Exp(-float64(max(c.ReportAge, 0)) / float64(reportLife))
+	aged.InProgress = int(math.Round(float64(c.InProgress) * left))
+	aged.Queued = int(math.Round(float64(c.Queued) * left))
+	return &aged
+}
+
+// add adds a candidate to the view of its place.
+func (p *placeView) add(i int, c *Candidate, call Call, failures float64) {
+	expected := c.expected(call, failures)
+	p.usable = append(p.usable, i)
+	room := c.freeForOthers()
+	p.rooms = append(p.rooms, room)
+	p.room += room
+	p.limits += max(c.Limit, 1)
+	if p.best >= 0 && p.least <= expected {
+		return
+	}
+	idle := *c
+	idle.InProgress, idle.Queued, idle.SentSinceReport = 0, 0, 0
+	p.best, p.least, p.idle = i, expected, idle.expected(call, failures)
+}
+
+// freeForOthers returns the number of calls of other places that the server can start at once.
+func (c *Candidate) freeForOthers() float64 {
+	if c.rateWait() > 0 || c.WarmUpLeft > 0 || c.slowDelay() > float64(c.service())/2 {
+		return 0
+	}
+	return max(roomLevel*float64(c.Limit)-float64(c.InProgress+c.Queued+c.SentSinceReport), 0)
+}
+
+// expected returns the expected time of a call at the place, whose queues start calls of the given share of the demand before it.
+func (p *placeView) expected(ahead float64) time.Duration {
+	return p.idle + time.Duration(float64(p.least-p.idle)*ahead)
+}
+
+// freeShare returns the part of the servers' limits that is free for other places.
+func (p *placeView) freeShare() float64 { return p.room / float64(max(p.limits, 1)) }
+
+// cost returns the expected time of a call that leaves for the place, with the price of its bytes.
+func (p *placeView) cost(call Call) time.Duration { return p.least + call.leavingPrice() }
+
+// leavingPrice is the transfer penalty of a call. It is bounded, so that calls of any size leave rather than miss their objective.
+func (c Call) leavingPrice() time.Duration {
+	return min(c.TransferPenalty(), max(time.Duration(maxPrice*float64(c.ObjectiveLeft)), 0))
+}
+
+// gains reports whether a call gains enough by leaving for the place, which must have room.
+func (p *placeView) gains(call Call, home time.Duration) bool {
+	return p.room > 0 && p.cost(call)+startGain < home
+}
+
+// draw returns the better one of two servers drawn by their room, so that nodes with the same reports choose different ones.
+func (p *placeView) draw(random func() float64) int {
+	first, second := drawIndex(p.rooms, random()), drawIndex(p.rooms, random())
+	if p.rooms[second] > p.rooms[first] {
+		first = second
+	}
+	return p.usable[first]
+}
+
+// drawIndex returns an index drawn in proportion to the weights, whose sum is positive.
+func drawIndex(weights []float64, random float64) int {
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	left := random * total
+	for i, w := range weights {
+		if left -= w; left < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// place returns the view of another place, or nil.
+func (v *fleetView) place(name string) *placeView {
+	for _, p := range v.away {
+		if p.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// cheapest returns the other place with room at which a call costs least, or nil.
+func (v *fleetView) cheapest(call Call) *placeView {
+	var least *placeView
+	for _, p := range v.away {
+		if p.room > 0 && (least == nil || p.cost(call) < least.cost(call)) {
+			least = p
+		}
+	}
+	return least
+}
+
+// drawRoom returns another place drawn by its room, or nil if none has room.
+func (v *fleetView) drawRoom(random float64) *placeView {
+	weights, total := make([]float64, 0, len(v.away)), 0.0
+	for _, p := range v.away {
+		weights = append(weights, p.room)
+		total += p.room
+	}
+	if total == 0 {
+		return nil
+	}
+	return v.away[drawIndex(weights, random)]
+}
+
+// any returns a candidate where no place has room: one of the best two, or one that does not respond or has refused the call if there is no
+// other.
+func (v *fleetView) any(random func() float64) int {
+	var best []int
+	for _, p := range v.away {
+		best = append(best, p.best)
+	}
+	if len(best) > 0 {
+		return best[int(random()*float64(len(best)))]
+	}
+	least := -1
+	for i := range v.candidates {
+		if least < 0 || v.candidates[i].better(0, &v.candidates[least], 0) {
+			least = i
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/node/process/peers/leaving.go
@@ -0,0 +1,80 @@
+package peers
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/connection/link"
+	"github.com/radishstand/radishstand/node/process/choice"
+)
+
+// Leaving decides which calls of this node leave its place.
+type Leaving struct {
+	Leaver *choice.Leaver
+	// Active reports whether the Leaver decides; otherwise the choice among all servers with a fixed transfer penalty does.
+	Active func() bool
+	// Sent is told of a call that was sent to another place, with the bytes of the call and its answer.
+	Sent func(service, place string, bytes int)
+}
+
+// active reports whether the Leaver decides.
+func (l *Leaving) active() bool { return l != nil && l.Active() }
+
+// pickLeaving chooses a server with the Leaver. The round trips to other places are those that pings have measured.
+func (p *Set) pickLeaving(usable []*Server, candidates []choice.Candidate, call choice.Call) PickResult {
+	for i, s := range usable {
+		if measured := s.measuredRoundTrip(); measured > 0 && !candidates[i].SamePlace {
+			candidates[i].RoundTrip = measured
+		}
+	}
+	decision := p.config.Leaving.Leaver.Pick(candidates, call)
+	picked := resultOf(usable, candidates, decision.Index)
+	picked.Redirect = decision.Redirect
+	if decision.Stay {
+		picked.Others, picked.OthersInPlace = 0, 0
+	}
+	return picked
+}
+
+// LeavingShare returns the share of a service's recent calls that leave for another place.
+func (p *Set) LeavingShare(service, place string) float64 {
+	if !p.config.Leaving.active() {
+		return 0
+	}
+	return p.config.Leaving.Leaver.Shares(service)[place]
+}
+
+// countLeaving counts a call that was sent to another place and its answer.
+func (p *Set) countLeaving(s *Server, call *linkpb.Call, f *link.Result, err error) {
+	var notSent *link.NotSentError
+	if !p.config.Leaving.active() || s.address == "" || errors.As(err, &notSent) {
+		return
+	}
+	service, place := s.serviceAndPlace()
+	if place == "" || place == p.config.Hello.Place {
+		return
+	}
+	bytes := proto.Size(call)
+	if f != nil {
+		bytes += proto.Size(f.Frame)
+	}
+	p.config.Leaving.Sent(service, place, bytes)
+}
+
+// serviceAndPlace returns the service and the place of the server; empty while they are unknown.
+func (s *Server) serviceAndPlace() (service, place string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.GetService(), s.state.GetPlace()
+}
+
+// measuredRoundTrip returns the round-trip time to the server's node; 0 if it is unknown.
+func (s *Server) measuredRoundTrip() time.Duration {
+	if s.session == nil {
+		return 0
+	}
+	return s.session.RoundTrip()
+}
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -85,7 +85,7 @@
 		return choice.Candidate{}, false
 	}
 	c := choice.Candidate{
-		SamePlace: s.state.Place == place, SentSinceReport: s.sentSinceReport, Limit: int(s.state.Slots),
+		SamePlace: s.state.Place == place, Place: s.state.Place, SentSinceReport: s.sentSinceReport, Limit: int(s.state.Slots),
 		WarmUpLeft: max(time.Duration(s.state.ColdMs)*time.Millisecond-now.Sub(s.stateAt), 0),
 		Failures:   s.failures * math.Exp(-float64(now.Sub(s.failedAt))/float64(failureDecay)),
 		Suspect:    s.client != nil && s.client.Suspect(),
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -55,6 +55,8 @@
 	Evacuations link.EvacuationExchange
 	// StoreEra is called with the era of the store that the node at an address reports. It must not block. It may be nil.
 	StoreEra func(peer string, era uint64)
+	// Leaving decides which calls leave this place; nil if the choice among all servers does.
+	Leaving *Leaving
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
 	Log    Log
@@ -242,6 +244,8 @@
 	// OthersInPlace and Others are the numbers of other servers that have not refused the call, in this place and in all.
 	OthersInPlace int
 	Others        int
+	// Redirect is the expected wait above which the server should redirect the call; 0 if the number of others decides.
+	Redirect time.Duration
 }
 
 // Pick chooses a server of a service. Servers in exclude are never chosen; those in refused come last.
@@ -262,7 +266,20 @@
 	if len(usable) == 0 {
 		return PickResult{}, ErrNoServer
 	}
-	i := choice.Pick(candidates, call)
+	if p.config.Leaving.active() {
+		call.Service = service
+		return p.pickLeaving(usable, candidates, call), nil
+	}
+	return pickLeast(usable, candidates, call), nil
+}
+
+// pickLeast chooses the server with the least expected time.
+func pickLeast(usable []*Server, candidates []choice.Candidate, call choice.Call) PickResult {
+	return resultOf(usable, candidates, choice.Pick(candidates, call))
+}
+
+// resultOf returns the result for the candidate with an index.
+func resultOf(usable []*Server, candidates []choice.Candidate, i int) PickResult {
 	picked := PickResult{Server: usable[i]}
 	for j, c := range candidates {
 		if j == i || c.Refused {
@@ -273,7 +290,7 @@
 			picked.OthersInPlace++
 		}
 	}
-	return picked, nil
+	return picked
 }
 
 // Send sends a call to a server and returns the frame that ends it. If the link breaks and wait returns true, the call waits for
@@ -282,6 +299,7 @@
 func (p *Set) Send(ctx context.Context, s *Server, call *linkpb.Call, wait func() bool) (*link.Result, error) {
 	client := s.beginSend(call)
 	f, err := p.transmit(ctx, s, client, call, wait)
+	p.countLeaving(s, call, f, err)
 	if err != nil {
 		return nil, err
 	}
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -111,6 +111,7 @@
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
 		Proof:       n.freshness.addProof,
 		Evacuations: evacuations, StoreEra: n.peerReportedEra,
+		Leaving:    n.newLeaving(),
 		QuotaReply: func(peer string, r *linkpb.QuotaReply) { n.quotas.borrower.HandleReply(peer, r) },
 	})
 	n.quotas.init(n)
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -159,11 +159,14 @@
 // choice returns the properties of the call for the choice of a server.
 func (c *call) choice() choice.Call {
 	average := c.handler.averages.get(c.route.Name)
-	return choice.Call{ObjectiveLeft: time.Until(c.objective), RouteTime: average.time, RouteBytes: average.bytes}
+	return choice.Call{ObjectiveLeft: time.Until(c.objective), RouteTime: average.time, RouteBytes: average.bytes, Route: c.route.Name, Rank: c.message.Rank}
 }
 
 // redirectThreshold returns the expected delay above which a server should redirect the call to another one.
 func (c *call) redirectThreshold(p peers.PickResult) time.Duration {
+	if p.Redirect > 0 {
+		return p.Redirect
+	}
 	if p.OthersInPlace > 0 {
 		return minRedirectDelay
 	}
