--- a/node/process/choice/leaver.go
+++ b/node/process/choice/leaver.go
@@ -13,17 +13,25 @@
 	// riseTime and fallTime are the times in which a share changes by 1 at full pressure. Both exceed the usual age of load reports,
 	// so that a change shows in the reports before the next one is decided.
 	riseTime = 1500 * time.Millisecond
-	fallTime = 2 * time.Second
+	fallTime = 4 * time.Second
 	// maxStep is the largest change of a share by one call, also after a long time without calls.
 	maxStep = 0.1
+	// redirectedStep is the increase of the share by a call that the servers at home have redirected: they know their queues best.
+	redirectedStep = 0.04
 	// maxLeaving is the largest share of calls that leave while a server in the place is usable; the others show when it has room.
 	maxLeaving = 0.95
 	// minLeaving is the share below which no call leaves.
 	minLeaving = 0.01
+	// reportedShare is the share from which calls of a service are reported to leave, until it has been below minLeaving for reportDelay.
+	reportedShare = 0.05
+	reportDelay   = 5 * time.Second
 	// refusedFactor lowers the share of a place whose server has just refused a call.
 	refusedFactor = 0.7
 	// idleTime is the time constant with which the share of calls decays of which none has come.
-	idleTime = 5 * time.Second
+	idleTime = 30 * time.Second
+	// maxRefusals is the number of refusals by servers in other places after which a call waits in its own place. The reports of others
+	// there are probably old, too.
+	maxRefusals = 3
 	// minRedirect is the expected wait above which a server redirects a call that other servers may take earlier.
 	minRedirect = 10 * time.Millisecond
 )
@@ -73,6 +81,10 @@
 	view := newFleetView(candidates, call)
 	home := view.home
 	if home == nil {
+		if view.refusedHome >= 0 {
+			service.class(classKey{call.Route, call.Rank}).raise(view, redirectedStep)
+			l.reportChanges(call.Service, service)
+		}
 		return l.pickAway(view)
 	}
 	expected := home.expected(service.demand.ahead(call.Rank))
@@ -103,7 +115,8 @@
 // pickAway returns a server of another place for a call that no server of this one takes now. If no other place has room, the call waits in
 // its own place, where there is a server.
 func (l *Leaver) pickAway(view *fleetView) Decision {
-	if place := view.drawRoom(l.config.Random()); place != nil {
+	place := view.drawRoom(l.config.Random())
+	if place != nil && (view.refusedHome < 0 || view.refusals < maxRefusals) {
 		return Decision{Index: place.draw(l.config.Random), Redirect: minRedirect}
 	}
 	if view.refusedHome >= 0 {
@@ -125,7 +138,7 @@
 func (l *Leaver) service(name string) *leavingService {
 	s := l.services[name]
 	if s == nil {
-		s = &leavingService{classes: map[classKey]*leavingClass{}, leaving: map[string]bool{}}
+		s = &leavingService{classes: map[classKey]*leavingClass{}, leaving: map[string]time.Time{}}
 		l.services[name] = s
 	}
 	return s
@@ -133,31 +146,28 @@
 
 // reportChanges reports the places for which calls of a service begin or stop to leave.
 func (l *Leaver) reportChanges(name string, s *leavingService) {
-	shares := s.shares(l.config.Now())
+	now := l.config.Now()
+	shares := s.shares(now)
 	for place, share := range shares {
-		l.reportChange(name, s, place, share)
+		_, leaving := s.leaving[place]
+		if share >= reportedShare || leaving && share >= minLeaving {
+			s.leaving[place] = now
+		}
+		if share >= reportedShare && !leaving {
+			l.report(name, place, true, share)
+		}
 	}
-	for place := range s.leaving {
-		if _, known := shares[place]; !known {
-			l.reportChange(name, s, place, 0)
+	for place, last := range s.leaving {
+		if now.Sub(last) >= reportDelay {
+			delete(s.leaving, place)
+			l.report(name, place, false, shares[place])
 		}
 	}
 }
 
-// reportChange reports a place for which calls begin or stop to leave. The two levels differ so that a share near one of them is reported
-// once.
-func (l *Leaver) reportChange(name string, s *leavingService, place string, share float64) {
-	leaving := s.leaving[place]
-	switch {
-	case !leaving && share >= 2*minLeaving:
-		s.leaving[place] = true
-	case leaving && share < minLeaving/2:
-		delete(s.leaving, place)
-	default:
-		return
-	}
+func (l *Leaver) report(service, place string, leaving bool, share float64) {
 	if l.config.Changed != nil {
-		l.config.Changed(name, place, !leaving, share)
+		l.config.Changed(service, place, leaving, share)
 	}
 }
 
--- a/node/process/choice/leaving_class.go
+++ b/node/process/choice/leaving_class.go
@@ -12,8 +12,8 @@
 type leavingService struct {
 	demand  rankDemand
 	classes map[classKey]*leavingClass
-	// leaving holds the places for which calls have been reported to leave.
-	leaving map[string]bool
+	// leaving holds the places for which calls have been reported to leave, with the time at which their share was last above minLeaving.
+	leaving map[string]time.Time
 }
 
 type classKey struct {
@@ -125,21 +125,30 @@
 	if view.home.room > 0 {
 		return
 	}
-	room, gain := 0.0, time.Duration(0)
+	gain := time.Duration(0)
 	for _, p := range view.away {
 		if p.gains(call, home) {
-			room += p.room
 			gain = max(gain, home-p.cost(call))
 		}
 	}
-	total := 0.0
+	c.raise(view, step(float64(gain)/float64(max(view.home.idle, 1)), elapsed, riseTime))
+}
+
+// raise adds to the shares, divided by the room of the other places.
+func (c *leavingClass) raise(view *fleetView, added float64) {
+	total, room := 0.0, 0.0
 	for _, share := range c.shares {
 		total += share
 	}
-	pressure := float64(gain) / float64(max(view.home.idle, 1))
-	added := min(step(pressure, elapsed, riseTime), max(maxLeaving-total, 0))
 	for _, p := range view.away {
-		if p.gains(call, home) && added > 0 {
+		room += p.room
+	}
+	added = min(added, maxLeaving-total)
+	if added <= 0 || room == 0 {
+		return
+	}
+	for _, p := range view.away {
+		if p.room > 0 {
 			c.shares[p.name] += added * p.room / room
 		}
 	}
--- a/node/process/choice/leaving_world_test.go
+++ b/node/process/choice/leaving_world_test.go
@@ -253,6 +253,10 @@
 		s.nextCold = w.now + time.Second/worldColdRate
 		c := s.queue[0]
 		s.queue = s.queue[1:]
+		if w.now-c.arrived > worldTimeout {
+			w.reply(c, func() { w.end(c, false) })
+			continue
+		}
 		s.inProgress++
 		work := float64(s.work(w.now)) * (0.5 + 0.5*w.random.ExpFloat64())
 		w.after(time.Duration(work), func() {
@@ -315,6 +319,7 @@
 	}
 	r := &w.result
 	took := w.now - c.arrived
+	answered = answered && took <= worldTimeout
 	inTime := answered && took <= worldObjective
 	r.calls++
 	if c.rank == 0 {
--- a/node/process/choice/placeview.go
+++ b/node/process/choice/placeview.go
@@ -9,10 +9,16 @@
 const (
 	// roomLevel is the part of a server's limit up to which other places use it. The rest is for the callers of its own place.
 	roomLevel = 0.85
+	// lateMark is the part of the time to the objective from which a call counts as late at home. Late calls also use the part of the
+	// limits above roomLevel, since a free slot there is not needed now.
+	lateMark = 0.8
 	// fullFreeShare is the free part of the limits at home at which calls stop leaving at the full rate.
 	fullFreeShare = 0.25
-	// maxPrice is the largest price of the bytes of a call, as a part of the time to its objective.
-	maxPrice = 0.5
+	// maxPrice is the largest price of the bytes of a call, as a part of the time to its objective. The rest is for its work, which may
+	// take longer than usual.
+	maxPrice = 0.3
+	// slowRatio is the ratio of the average times of calls at two servers from which one of them counts as slow.
+	slowRatio = 1.5
 	// reportLife is the time constant with which the load of an old report counts less, so that a server that gets no calls because of it
 	// is tried again.
 	reportLife = 4 * time.Second
@@ -27,6 +33,8 @@
 	away []*placeView
 	// refusedHome is a server of the caller's place that has refused the call; -1 if there is none.
 	refusedHome int
+	// refusals is the number of servers in other places that have refused the call.
+	refusals int
 }
 
 // placeView is what the candidates of a call show for one place.
@@ -50,7 +58,8 @@
 func newFleetView(candidates []Candidate, call Call) *fleetView {
 	v := &fleetView{candidates: candidates, refusedHome: -1}
 	places := map[string]*placeView{}
-	leastFailures := minFailures(candidates)
+	leastFailures, leastService := minFailures(candidates), minService(candidates)
+	level := roomLevelOf(candidates, call)
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Suspect {
@@ -70,8 +79,9 @@
 			v.refusedHome = i
 		case c.Refused:
 			p.refused = true
+			v.refusals++
 		default:
-			p.add(i, c.aged(), call, c.Failures-leastFailures)
+			p.add(i, c.aged(), call, c.Failures-leastFailures, c.slower(leastService), level)
 		}
 	}
 	for name, p := range places {
@@ -102,10 +112,13 @@
 }
 
 // add adds a candidate to the view of its place.
-func (p *placeView) add(i int, c *Candidate, call Call, failures float64) {
-	expected := c.expected(call, failures)
+func (p *placeView) add(i int, c *Candidate, call Call, failures float64, slower time.Duration, level float64) {
+	expected := c.expected(call, failures) + slower
 	p.usable = append(p.usable, i)
-	room := c.freeForOthers()
+	room := 0.0
+	if slower == 0 {
+		room = c.freeForOthers(level)
+	}
 	p.rooms = append(p.rooms, room)
 	p.room += room
 	p.limits += max(c.Limit, 1)
@@ -114,15 +127,46 @@
 	}
 	idle := *c
 	idle.InProgress, idle.Queued, idle.SentSinceReport = 0, 0, 0
-	p.best, p.least, p.idle = i, expected, idle.expected(call, failures)
+	p.best, p.least, p.idle = i, expected, idle.expected(call, failures)+slower
+}
+
+// minService returns the least known time of a call at a server; 0 if none is known.
+func minService(candidates []Candidate) time.Duration {
+	least := time.Duration(0)
+	for i := range candidates {
+		if s := candidates[i].ServiceTime; s > 0 && (least == 0 || s < least) {
+			least = s
+		}
+	}
+	return least
+}
+
+// slower returns the time that calls take longer at the server than at the fastest one. The average time of the route does not show it,
+// since it is that of all servers. Small differences are those of the calls that the servers got.
+func (c *Candidate) slower(least time.Duration) time.Duration {
+	if c.WarmUpLeft > 0 || float64(c.ServiceTime) < slowRatio*float64(least) {
+		return 0
+	}
+	return c.ServiceTime - least
+}
+
+// roomLevelOf returns the part of a server's limit up to which a call uses it in another place.
+func roomLevelOf(candidates []Candidate, call Call) float64 {
+	for i := range candidates {
+		c := &candidates[i]
+		if c.SamePlace && !c.Suspect && float64(c.aged().expected(call, 0)) <= lateMark*float64(call.ObjectiveLeft) {
+			return roomLevel
+		}
+	}
+	return 1
 }
 
-// freeForOthers returns the number of calls of other places that the server can start at once.
-func (c *Candidate) freeForOthers() float64 {
+// freeForOthers returns the number of calls that the server can start at once within the given part of its limit.
+func (c *Candidate) freeForOthers(level float64) float64 {
 	if c.rateWait() > 0 || c.WarmUpLeft > 0 || c.slowDelay() > float64(c.service())/2 {
 		return 0
 	}
-	return max(roomLevel*float64(c.Limit)-float64(c.InProgress+c.Queued+c.SentSinceReport), 0)
+	return max(level*float64(c.Limit)-float64(c.InProgress+c.Queued+c.SentSinceReport), 0)
 }
 
 // expected returns the expected time of a call at the place, whose queues start calls of the given share of the demand before it.
