--- a/node/process/choice/placeview.go
+++ b/node/process/choice/placeview.go
@@ -9,8 +9,8 @@
 const (
 	// roomLevel is the part of a server's limit up to which other places use it. The rest is for the callers of its own place.
 	roomLevel = 0.85
-	// lateMark is the part of the time to the objective from which a call counts as late at home. Late calls also use the part of the
-	// limits above roomLevel, since a free slot there is not needed now.
+	// lateMark is the part of the time to the objective from which a call counts as late at home. Late calls whose bytes cost little also
+	// use the part of the limits above roomLevel, since a free slot there is not needed now.
 	lateMark = 0.8
 	// fullFreeShare is the free part of the limits at home at which calls stop leaving at the full rate.
 	fullFreeShare = 0.25
@@ -152,6 +152,9 @@
 
 // roomLevelOf returns the part of a server's limit up to which a call uses it in another place.
 func roomLevelOf(candidates []Candidate, call Call) float64 {
+	if call.leavingPrice() < call.TransferPenalty() {
+		return roomLevel
+	}
 	for i := range candidates {
 		c := &candidates[i]
 		if c.SamePlace && !c.Suspect && float64(c.aged().expected(call, 0)) <= lateMark*float64(call.ObjectiveLeft) {
