--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -112,6 +112,8 @@
 	fairEnabled       func() bool // nil if teams have no shares
 	routeTimes        map[string]*ewma
 	overallTime       ewma
+	endedAt           time.Time // the last end of a call
+	unansweredEnabled func() bool
 	slowness          int
 	slownessAt        time.Time
 	minSlowness       recentMinimum
@@ -214,7 +216,10 @@
 		d.routeTime(j.Route).add(elapsed)
 		d.overallTime.add(elapsed)
 		d.recordKneeSample(j, elapsed, now)
+	} else {
+		d.recordUnanswered(now.Sub(j.started))
 	}
+	d.endedAt = now
 	d.dispatch(now)
 }
 
@@ -236,7 +241,7 @@
 	perSecond, rateWait := d.rateLimits(now)
 	return Load{
 		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.knee.limit,
-		Slowness: d.currentSlowness(now), ServiceTime: d.overallTime.value(),
+		Slowness: d.currentSlowness(now), ServiceTime: d.reportedServiceTime(now),
 		RateLimit: perSecond, RateWait: rateWait,
 		RateLimitUnknown: !d.limiter.known,
 	}
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -85,7 +85,7 @@
 		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
 		Stated:    n.serverStated,
 		ColdLimit: n.coldLimit, ColdChanged: n.coldChanged,
-		FairShares: n.fairShares, BackPressure: n.backPressure,
+		FairShares: n.fairShares, UnevenServers: n.unevenServers, BackPressure: n.backPressure,
 		BackPressureChanged: n.backPressureChanged,
 		PeerKnee:            n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
