--- a/node/connection/link/chunk.go
+++ b/node/connection/link/chunk.go
@@ -219,12 +219,15 @@
 	return to
 }
 
-// writeEncoded writes an encoded frame with its length. The lock must be held.
+// writeEncoded writes an encoded frame with its length. The error is ErrClosed when nothing of it was written. The lock must be held.
 func (c *framedConn) writeEncoded(encoded []byte) error {
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.conn.Write(encoded); err != nil {
+	if written, err := c.conn.Write(encoded); err != nil {
 		c.err = fmt.Errorf("write frame: %w", err)
 		_ = c.conn.Close()
+		if written == 0 {
+			return ErrClosed
+		}
 		return c.err
 	}
 	return nil
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -94,7 +94,8 @@
 }
 
 // write sends a frame. After a failed write it closes the connection and writes nothing more, so that the other node either
-// reads a frame whole or does not read it. The error is an *EncodeError when the frame cannot be sent at all.
+// reads a frame whole or does not read it. The error is an *EncodeError when the frame cannot be sent at all, and ErrClosed when nothing
+// of it was written.
 func (c *framedConn) write(f *linkpb.Frame) error { return c.writeUnless(f, nil) }
 
 // writeUnless is like write. When stop returns true, it stops sending a frame that is sent in pieces; the error is then errStopped, and
--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -35,6 +35,8 @@
 type Candidate struct {
 	// SamePlace is set for servers in the caller's place.
 	SamePlace bool
+	// Place is the place of the server; empty if unknown.
+	Place string
 	// RoundTrip is the round-trip time between this node and the node of the server.
 	RoundTrip time.Duration
 	// InProgress, Queued and Limit are those of the last report; SentSinceReport is the number of calls sent after it.
@@ -67,6 +69,8 @@
 	Suspect bool
 	// Refused is set for servers that have refused this call; they are picked only when no other is left.
 	Refused bool
+	// Slowdown is the factor by which calls take longer at the server than at a typical one, set by MarkSlow; 0 and 1 mean not at all.
+	Slowdown float64
 }
 
 // Call holds the properties of a call that affect the choice.
@@ -79,6 +83,10 @@
 	RouteBytes int
 	// Transfer is what is known of the transfer of the answer; the zero value leaves it out of the choice.
 	Transfer Transfer
+	// Service, Route and Rank identify the calls that leave the place in the same proportion; used by Leaver only.
+	Service string
+	Route   string
+	Rank    uint32
 }
 
 // TransferPenalty returns the additional delay that is accepted to keep the call in its place. It grows with the size of
@@ -91,11 +99,11 @@
 func Pick(candidates []Candidate, call Call) int {
 	estimates := make([]time.Duration, len(candidates))
 	minFailureShare := minFailures(candidates)
-	slowest := slowestLink(candidates)
+	call.Transfer.slowest = slowestLink(candidates)
 	samePlace, best := -1, -1
 	for i := range candidates {
 		c := &candidates[i]
-		estimates[i] = c.estimate(call, c.Failures-minFailureShare) + c.transferTime(call.Transfer) + c.displacement(call.Transfer, slowest)
+		estimates[i] = c.estimate(call, c.Failures-minFailureShare)
 		if best < 0 || c.better(estimates[i], &candidates[best], estimates[best]) {
 			best = i
 		}
@@ -131,17 +139,30 @@
 	return minFailureShare
 }
 
-// estimate returns the expected time until the answer of a call. Failures beyond those of the best server count as time,
-// so that a server that fails quickly does not look fast.
+// estimate returns the expected time until the answer of a call, varied by the jitter.
 func (c *Candidate) estimate(call Call, failures float64) time.Duration {
-	service := c.ServiceTime
-	if service == 0 {
-		service = defaultServiceTime
+	return c.expected(call, failures) + time.Duration(jitter*float64(c.service())*rand.Float64())
+}
+
+// service returns the average time of a call at the server, also while it is not known.
+func (c *Candidate) service() time.Duration {
+	if c.ServiceTime == 0 {
+		return defaultServiceTime
 	}
+	return c.ServiceTime
+}
+
+// expected returns the expected time until the answer of a call. Failures beyond those of the best server count as time,
+// so that a server that fails quickly does not look fast.
+func (c *Candidate) expected(call Call, failures float64) time.Duration {
+	service := c.service()
 	work := call.RouteTime
 	if work == 0 {
 		work = service
 	}
+	if c.Slowdown > 1 {
+		work = time.Duration(float64(work) * c.Slowdown)
+	}
 	limit := max(c.Limit, 1)
 	busy := c.InProgress + c.Queued + c.SentSinceReport
 	total := float64(c.RoundTrip) + float64(work)
@@ -154,8 +175,7 @@
 	total += c.slowDelay()
 	total += float64(min(c.WarmUpLeft, work))
 	total += failures * failureWeight * float64(max(call.ObjectiveLeft, work))
-	total += jitter * float64(service) * rand.Float64()
-	return time.Duration(total)
+	return time.Duration(total) + c.transferTime(call.Transfer) + c.displacement(call.Transfer)
 }
 
 // rateWait returns the time until the server's rate limit allows a call behind those sent since the report.
--- a/node/process/choice/transfer.go
+++ b/node/process/choice/transfer.go
@@ -14,6 +14,9 @@
 	// LinkBytesPerSecond is the speed of the link of this host; 0 if unknown. EgressBytes is the number of bytes that wait for it.
 	LinkBytesPerSecond float64
 	EgressBytes        int
+
+	// slowest is the speed of the slowest link of a candidate's host.
+	slowest float64
 }
 
 // transferTime returns the expected time for which an answer waits for links and is sent on them. The answer passes the links of both
@@ -32,14 +35,14 @@
 
 // displacement returns the time that larger answers lose if the call takes a slot of the server: they go to the host with the slowest
 // link instead, the more probably the fuller the server is. It keeps hosts with fast links free for large answers.
-func (c *Candidate) displacement(t Transfer, slowest float64) time.Duration {
+func (c *Candidate) displacement(t Transfer) time.Duration {
 	larger := t.LargeBytes - t.AnswerBytes
-	if larger <= 0 || c.LinkBytesPerSecond <= slowest {
+	if larger <= 0 || c.LinkBytesPerSecond <= t.slowest {
 		return 0
 	}
 	busy := c.InProgress + c.Queued + c.SentSinceReport + 1
 	utilization := min(float64(busy)/float64(max(c.Limit, 1)), 1)
-	lost := linkTime(larger, slowest) - linkTime(larger, c.LinkBytesPerSecond)
+	lost := linkTime(larger, t.slowest) - linkTime(larger, c.LinkBytesPerSecond)
 	return time.Duration(utilization * float64(lost))
 }
 
--- a/node/process/choice/transfer_test.go
+++ b/node/process/choice/transfer_test.go
@@ -20,8 +20,8 @@
 	modelEntries     = 16
 	fastLink         = 200e6 / 8 // bytes per second
 	slowLink         = 10e6 / 8
-	downloadBytes    = 90_000
-	lookupBytes      = 500
+	largeBytes       = 90_000
+	smallBytes       = 500
 	downloadWork     = 150 * time.Millisecond
 	lookupWork       = 49 * time.Millisecond
 	downloadRate     = 64.0 // per second
@@ -37,6 +37,7 @@
 	events    eventQueue
 	servers   []*modelServer
 	transfers bool
+	pick      func([]choice.Candidate, choice.Call) int
 	times     map[bool][]time.Duration // by whether it is a download
 }
 
@@ -91,13 +92,13 @@
 
 // send chooses a server as the entry node of a call does.
 func (m *model) send(c *modelCall) {
-	work, bytes := lookupWork, lookupBytes
+	work, bytes := lookupWork, smallBytes
 	if c.download {
-		work, bytes = downloadWork, downloadBytes
+		work, bytes = downloadWork, largeBytes
 	}
 	call := choice.Call{ObjectiveLeft: 5 * work, RouteTime: work, RouteBytes: bytes}
 	if m.transfers {
-		call.Transfer = choice.Transfer{AnswerBytes: bytes, LargeBytes: downloadBytes}
+		call.Transfer = choice.Transfer{AnswerBytes: bytes, LargeBytes: largeBytes}
 	}
 	candidates := make([]choice.Candidate, 0, len(m.servers))
 	for _, s := range m.servers {
@@ -108,7 +109,7 @@
 			LinkBytesPerSecond: s.speed, EgressBytes: v.egress, BytesSinceReport: v.sentBytes,
 		})
 	}
-	s := m.servers[choice.Pick(candidates, call)]
+	s := m.servers[m.pick(candidates, call)]
 	s.views[c.entry].sent++
 	s.views[c.entry].sentBytes += bytes
 	c.left = bytes
@@ -170,8 +171,12 @@
 type quantiles struct{ median, p99 time.Duration }
 
 // play returns the times of downloads and lookups.
-func play(seed uint64, downloads float64, transfers bool) (download, lookup quantiles) {
-	m := &model{random: rand.New(rand.NewPCG(seed, 1)), transfers: transfers, times: map[bool][]time.Duration{}}
+func play(seed uint64, downloads float64, transfers, leaver bool) (download, lookup quantiles) {
+	m := &model{random: rand.New(rand.NewPCG(seed, 1)), transfers: transfers, times: map[bool][]time.Duration{}, pick: choice.Pick}
+	if leaver {
+		l := choice.NewLeaver(choice.LeaverConfig{Now: func() time.Time { return time.Unix(0, int64(m.now)) }, Random: m.random.Float64})
+		m.pick = func(candidates []choice.Candidate, call choice.Call) int { return l.Pick(candidates, call).Index }
+	}
 	for i := range modelServers {
 		speed := slowLink
 		if i < modelFastServers {
@@ -196,12 +201,13 @@
 // Guards against large answers that go to hosts with slow links while hosts with fast links are free or run small calls, and against
 // small calls that pay for it: each quantile must not exceed that of the choice without transfer times.
 func TestLargeAnswersComeFromHostsWithFastLinks(t *testing.T) {
-	for seed := range uint64(3) {
+	for run := range uint64(6) {
+		seed, leaver := run/2, run%2 == 1
 		for _, factor := range []float64{1, 1.5, 2} {
-			download, lookup := play(seed, factor*downloadRate, true)
-			oldDownload, oldLookup := play(seed, factor*downloadRate, false)
-			t.Logf("seed %d, %g times the downloads: download %v instead of %v, lookup %v instead of %v",
-				seed, factor, download, oldDownload, lookup, oldLookup)
+			download, lookup := play(seed, factor*downloadRate, true, leaver)
+			oldDownload, oldLookup := play(seed, factor*downloadRate, false, leaver)
+			t.Logf("seed %d, leaver %t, %g times the downloads: download %v instead of %v, lookup %v instead of %v",
+				seed, leaver, factor, download, oldDownload, lookup, oldLookup)
 			assert.Less(t, download.median, oldDownload.median)
 			assert.Less(t, download.p99, oldDownload.p99)
 			assert.LessOrEqual(t, lookup.median, oldLookup.median+lookupWork/10)
@@ -215,8 +221,8 @@
 	link := func(speed float64, egress int) choice.Candidate {
 		return server(func(c *choice.Candidate) { c.LinkBytesPerSecond, c.EgressBytes = speed, egress })
 	}
-	large := choice.Transfer{AnswerBytes: downloadBytes, LargeBytes: downloadBytes}
-	small := choice.Transfer{AnswerBytes: lookupBytes, LargeBytes: downloadBytes}
+	large := choice.Transfer{AnswerBytes: largeBytes, LargeBytes: largeBytes}
+	small := choice.Transfer{AnswerBytes: smallBytes, LargeBytes: largeBytes}
 	slowEntry := large
 	slowEntry.LinkBytesPerSecond = slowLink / 20
 	busy := func(speed float64) choice.Candidate {
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -57,6 +57,8 @@
 	StoreEra func(peer string, era uint64)
 	// Egress sends large frames in pieces; nil if they are sent whole.
 	Egress *link.Egress
+	// Leaving decides which calls leave this place; nil if the choice among all servers does.
+	Leaving *Leaving
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
 	Log    Log
@@ -244,6 +246,8 @@
 	// OthersInPlace and Others are the numbers of other servers that have not refused the call, in this place and in all.
 	OthersInPlace int
 	Others        int
+	// Redirect is the expected wait above which the server should redirect the call; 0 if the number of others decides.
+	Redirect time.Duration
 }
 
 // Pick chooses a server of a service. Servers in exclude are never chosen; those in refused come last.
@@ -264,7 +268,21 @@
 	if len(usable) == 0 {
 		return PickResult{}, ErrNoServer
 	}
-	i := choice.Pick(candidates, call)
+	if p.config.Leaving.active() {
+		call.Service = service
+		choice.MarkSlow(candidates)
+		return p.pickLeaving(usable, candidates, call), nil
+	}
+	return pickLeast(usable, candidates, call), nil
+}
+
+// pickLeast chooses the server with the least expected time.
+func pickLeast(usable []*Server, candidates []choice.Candidate, call choice.Call) PickResult {
+	return resultOf(usable, candidates, choice.Pick(candidates, call))
+}
+
+// resultOf returns the result for the candidate with an index.
+func resultOf(usable []*Server, candidates []choice.Candidate, i int) PickResult {
 	picked := PickResult{Server: usable[i]}
 	for j, c := range candidates {
 		if j == i || c.Refused {
@@ -275,7 +293,7 @@
 			picked.OthersInPlace++
 		}
 	}
-	return picked, nil
+	return picked
 }
 
 // Send sends a call to a server and returns the frame that ends it. If the link breaks and wait returns true, the call waits for
@@ -284,6 +302,7 @@
 func (p *Set) Send(ctx context.Context, s *Server, call *linkpb.Call, wait func() bool) (*link.Result, error) {
 	client := s.beginSend(call)
 	f, err := p.transmit(ctx, s, client, call, wait)
+	p.countLeaving(s, call, f, err)
 	if err != nil {
 		return nil, err
 	}
@@ -302,7 +321,7 @@
 	ctx context.Context, s *Server, client *link.Client, call *linkpb.Call, wait func() bool,
 ) (*link.Result, error) {
 	if s.address == "" {
-		return p.serveLocally(ctx, call), nil
+		return p.serveLocally(ctx, call)
 	}
 	if client == nil {
 		return nil, &link.NotSentError{Cause: link.ErrClosed}
@@ -310,18 +329,6 @@
 	return s.session.Do(ctx, client, call, wait)
 }
 
-// serveLocally runs a call at the server beside this node. The server's part of the node releases the memory of the answer when it has
-// passed it on; the answer then takes it again for the caller.
-func (p *Set) serveLocally(ctx context.Context, call *linkpb.Call) *link.Result {
-	var frame *linkpb.Frame
-	p.config.Serve(ctx, call, func(f *linkpb.Frame) { frame = f })
-	memory := p.config.Memory.Reserve()
-	if err := memory.Grow(int64(len(frame.GetAnswer().GetBody()))); err != nil {
-		frame = &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: err.Error()}}}
-	}
-	return link.NewResult(frame, memory)
-}
-
 // exclude excludes the server for noServerExclusion, until its node has reported whether it accepts calls.
 func (s *Server) exclude(id string) {
 	s.mu.Lock()
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -78,9 +78,6 @@
 	n.pollersChanged = make(chan struct{}, 1)
 	n.config.Store(&c)
 	n.freshness = &freshnessLease{node: n}
-	if c.RevokeWithin > 0 {
-		n.freshness.registerMetrics(n.metrics)
-	}
 	memory := membudget.New(bodyBytes(c.MemoryBytes))
 	n.server = localserver.New(localserver.Config{
 		Address:    func() string { return n.config.Load().ServerAddress },
@@ -89,11 +86,15 @@
 		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
 		Stated:    n.serverStated,
 		ColdLimit: n.coldLimit, ColdChanged: n.coldChanged,
-		PeerKnee: n.sharedKnee, KneeChanged: n.kneeChanged,
+		FairShares: n.fairShares, UnevenServers: n.unevenServers, BackPressure: n.backPressure,
+		BackPressureChanged: n.backPressureChanged,
+		PeerKnee:            n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
 	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
 	n.metrics.Register("server.cold_limit", metrics.NewFunctionalGaugeFloat64(n.server.ColdLimit))
 	n.metrics.Register("server.cold_refusals", metrics.NewFunctionalGauge(n.server.ColdRefusals))
+	n.metrics.Register("backpressure.refused", metrics.NewFunctionalGauge(n.refusedByBackPressure))
+	n.metrics.Register("backpressure.admitted", metrics.NewFunctionalGaugeFloat64(n.leastAdmitted))
 	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
 	n.evacuated = metrics.NewRegisteredGauge("evacuated.places", n.metrics)
 	n.eraChanges = metrics.NewRegisteredCounter("store.era_changes", n.metrics)
@@ -113,6 +114,7 @@
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
 		Proof:       n.freshness.addProof,
 		Evacuations: evacuations, StoreEra: n.peerReportedEra, Egress: n.egress,
+		Leaving:    n.newLeaving(),
 		QuotaReply: func(peer string, r *linkpb.QuotaReply) { n.quotas.borrower.HandleReply(peer, r) },
 	})
 	n.quotas.init(n)
@@ -120,7 +122,8 @@
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
 		Service: func() string { return n.config.Load().Service }, Parent: n.server.Parent,
-		Freshness: n.freshness, Quota: n.quotas.borrower,
+		NestedEnded: n.server.NestedEnded,
+		Freshness:   n.freshness, Quota: n.quotas.borrower,
 		Memory: memory, Log: log, Counters: counters{n.metrics},
 	})
 	return n
