--- a/node/connection/link/chunk.go
+++ b/node/connection/link/chunk.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"runtime"
 	"sync"
 	"time"
 
@@ -183,7 +184,7 @@
 func (c *framedConn) writePiece(l *largeFrame, from, length int, last bool) error {
 	c.pieces.turn <- struct{}{}
 	defer func() { <-c.pieces.turn }()
-	c.mu.Lock()
+	c.lockForPiece()
 	defer c.mu.Unlock()
 	if c.err != nil {
 		return ErrClosed
@@ -192,6 +193,27 @@
 	return c.writeEncoded(c.buffer)
 }
 
+// lockForWhole locks the connection for a frame that is sent whole.
+func (c *framedConn) lockForWhole() {
+	if c.mu.TryLock() {
+		return
+	}
+	c.wholeWaiting.Add(1)
+	c.mu.Lock()
+	c.wholeWaiting.Add(-1)
+}
+
+// lockForPiece locks the connection for a piece, after the frames that wait to be sent whole. A mutex alone could be locked again before
+// they wake up.
+func (c *framedConn) lockForPiece() {
+	c.mu.Lock()
+	for c.wholeWaiting.Load() > 0 {
+		c.mu.Unlock()
+		runtime.Gosched()
+		c.mu.Lock()
+	}
+}
+
 // appendPiece appends the frame with a piece, preceded by its length.
 func appendPiece(to []byte, l *largeFrame, from, length int, last bool) []byte {
 	var fields []byte
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -81,6 +81,9 @@
 	// alive is called with each frame and piece that is read.
 	alive func()
 
+	// wholeWaiting is the number of frames that wait to be sent whole. They precede the pieces of others.
+	wholeWaiting atomic.Int32
+
 	mu     sync.Mutex
 	buffer []byte
 	err    error
@@ -120,7 +123,7 @@
 
 // writeWhole sends a frame at once. It returns one that must be sent in pieces instead.
 func (c *framedConn) writeWhole(f *linkpb.Frame) (*largeFrame, error) {
-	c.mu.Lock()
+	c.lockForWhole()
 	defer c.mu.Unlock()
 	if c.err != nil { // nothing of this frame is written
 		return nil, ErrClosed
