--- a/node/connection/link/egress.go
+++ b/node/connection/link/egress.go
@@ -49,8 +49,31 @@
 // NewEgress returns an Egress.
 func NewEgress(c EgressConfig) *Egress { return &Egress{config: c} }
 
-// WaitingBytes returns the number of bytes of large frames that wait to be written on the links of this host.
-func (e *Egress) WaitingBytes() int64 { return max(e.waiting.Load(), 0) }
+// WaitingBytes returns the number of bytes of large frames, and of large answers to callers, that wait to be written at this host.
+func (e *Egress) WaitingBytes() int64 {
+	if e == nil {
+		return 0
+	}
+	return max(e.waiting.Load(), 0)
+}
+
+// BytesPerSecond returns the speed of the host's link; 0 if unknown.
+func (e *Egress) BytesPerSecond() float64 {
+	if e == nil {
+		return 0
+	}
+	return e.config.BitsPerSecond() / 8
+}
+
+// Hold counts bytes that are sent on another connection than a link among those that wait, until release is called. Small frames and
+// those of a configuration without downloads are not counted.
+func (e *Egress) Hold(bytes int) (release func()) {
+	if bytes <= chunkBytes || !e.sendsChunks() {
+		return func() {}
+	}
+	e.waiting.Add(int64(bytes))
+	return sync.OnceFunc(func() { e.waiting.Add(-int64(bytes)) })
+}
 
 // sendsChunks reports whether large frames are sent in pieces.
 func (e *Egress) sendsChunks() bool { return e != nil && e.config.Chunks() }
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -38,6 +38,8 @@
 	// ColdChanged is called without holding locks when the limit for a cold server begins or ends to apply.
 	ColdChanged func(dispatch.ColdChange)
 	Names       protocol.Names
+	// EgressBytes returns the number of bytes that wait to be sent on the link of the host; nil if it is not known.
+	EgressBytes func() int64
 	// Memory bounds the bytes of the answers that are held.
 	Memory *membudget.Budget
 	Now    func() time.Time
@@ -236,8 +238,13 @@
 // Load returns the load of the server.
 func (s *Server) Load() *linkpb.Load {
 	l := s.dispatcher.Load()
+	egress := uint64(0)
+	if s.config.EgressBytes != nil {
+		egress = uint64(s.config.EgressBytes())
+	}
 	return &linkpb.Load{
-		InProgress: uint32(max(l.InProgress, 0)), Queued: uint32(l.Queued), Limit: uint32(l.Limit),
+		EgressBytes: egress,
+		InProgress:  uint32(max(l.InProgress, 0)), Queued: uint32(l.Queued), Limit: uint32(l.Limit),
 		SlownessPercent: uint32(max(l.Slowness, 0)), ServiceMs: uint32(l.ServiceTime.Milliseconds()),
 		RateLimit: float32(l.RateLimit), RateWaitMs: uint32(l.RateWait.Milliseconds()),
 		RateLimitUnknown: l.RateLimitUnknown,
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -39,7 +39,9 @@
 	load            *linkpb.Load
 	loadAt          time.Time
 	sentSinceReport int
-	record          serverRecord
+	// bytesSinceReport is the expected size of the answers to the calls sent since the report.
+	bytesSinceReport int
+	record           serverRecord
 	// departed holds the servers at that node that have said to this node that they leave.
 	departed departures.List
 	failures float64
@@ -57,7 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state == nil || s.state.ServerId != state.ServerId {
-		s.load, s.sentSinceReport, s.failures = nil, 0, 0
+		s.load, s.sentSinceReport, s.bytesSinceReport, s.failures = nil, 0, 0, 0
 	}
 	s.state, s.stateAt = state, now
 	s.record.update(state)
@@ -91,6 +93,7 @@
 		Suspect:    s.client != nil && s.client.Suspect(),
 		RateLimit:  float64(s.record.rateLimit),
 	}
+	c.LinkBytesPerSecond, c.BytesSinceReport, c.Local = bytesPerSecond(s.state.LinkKbps), s.bytesSinceReport, s.address == ""
 	if !c.SamePlace {
 		c.RoundTrip = crossPlaceRoundTrip
 	}
@@ -98,11 +101,22 @@
 		c.InProgress, c.Queued, c.Limit = int(s.load.InProgress), int(s.load.Queued), int(s.load.Limit)
 		c.Slowness, c.ServiceTime = int(s.load.SlownessPercent), time.Duration(s.load.ServiceMs)*time.Millisecond
 		c.RateWait = time.Duration(s.load.RateWaitMs) * time.Millisecond
+		c.EgressBytes = int(s.load.EgressBytes)
 		c.ReportAge = now.Sub(s.loadAt)
 	}
 	return c, true
 }
 
+// bytesPerSecond converts a speed in kbit/s.
+func bytesPerSecond(kbps uint32) float64 { return float64(kbps) * 1000 / 8 }
+
+// ExpectAnswer counts the expected size of the answer to a call that is about to be sent to the server.
+func (s *Server) ExpectAnswer(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bytesSinceReport += bytes
+}
+
 // setLoad records the load report of an answer or refusal; nil has no effect.
 func (s *Server) setLoad(load *linkpb.Load, now time.Time) {
 	s.mu.Lock()
@@ -115,7 +129,7 @@
 	if load == nil {
 		return
 	}
-	s.load, s.loadAt, s.sentSinceReport = load, now, 0
+	s.load, s.loadAt, s.sentSinceReport, s.bytesSinceReport = load, now, 0, 0
 	s.record.observe(load)
 }
 
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -79,13 +79,15 @@
 	n.config.Store(&c)
 	n.freshness = &freshnessLease{node: n}
 	memory := membudget.New(bodyBytes(c.MemoryBytes))
+	n.egress = n.newEgress()
 	n.server = localserver.New(localserver.Config{
 		Address:    func() string { return n.config.Load().ServerAddress },
 		HasService: n.knownService, HealthPath: n.healthPath,
 		AnnounceInterval: func() time.Duration { return n.config.Load().AnnounceInterval },
 		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
-		Stated:    n.serverStated,
-		ColdLimit: n.coldLimit, ColdChanged: n.coldChanged,
+		Stated:      n.serverStated,
+		EgressBytes: n.egress.WaitingBytes,
+		ColdLimit:   n.coldLimit, ColdChanged: n.coldChanged,
 		FairShares: n.fairShares, UnevenServers: n.unevenServers, BackPressure: n.backPressure,
 		BackPressureChanged: n.backPressureChanged,
 		PeerKnee:            n.sharedKnee, KneeChanged: n.kneeChanged,
@@ -101,7 +103,6 @@
 	evacuations := link.EvacuationExchange{Current: n.currentEvacuations, Received: n.receiveEvacuations}
 	n.links = link.NewServer(n, memory)
 	n.links.ExchangeEvacuations(evacuations)
-	n.egress = n.newEgress()
 	n.links.SendThrough(n.egress)
 	var dial func(ctx context.Context, address string) (net.Conn, error)
 	if dialer, ok := adapter.(PeerDialer); ok {
@@ -120,6 +121,7 @@
 	n.quotas.init(n)
 	n.front = front.New(front.Config{
 		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
+		Egress:  n.egress,
 		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
 		Service: func() string { return n.config.Load().Service }, Parent: n.server.Parent,
 		NestedEnded: n.server.NestedEnded,
--- a/node/request/front/attempts.go
+++ b/node/request/front/attempts.go
@@ -26,6 +26,9 @@
 	c.message.ReferMs = uint32(c.redirectThreshold(picked).Milliseconds())
 	c.message.LeftMs = uint32(max(left.Milliseconds(), 1))
 	c.message.ObjectiveMs = uint32(max(c.objective.Sub(now).Milliseconds(), 0))
+	if c.hasDownloads {
+		server.ExpectAnswer(c.handler.averages.get(c.route.Name).answerBytes)
+	}
 	f, err := c.handler.config.Peers.Send(ctx, server, c.message, c.mustKeepAttempt)
 	if err != nil {
 		return c.handleSendError(ctx, server, err)
@@ -66,7 +69,11 @@
 	failed := answer.Status >= http.StatusInternalServerError
 	server.RecordResult(failed, time.Now())
 	if !failed {
-		c.handler.averages.add(c.route.Name, took, proto.Size(c.message)+proto.Size(answer))
+		answerBytes := proto.Size(answer)
+		c.handler.averages.add(c.route.Name, routeAverage{
+			time: took, bytes: proto.Size(c.message) + answerBytes, answerBytes: answerBytes,
+			service: c.service, download: c.route.Download,
+		})
 	}
 	final := &result{status: int(answer.Status), answer: answer, server: server}
 	if !failed || !c.mayRetry() {
--- a/node/request/front/averages.go
+++ b/node/request/front/averages.go
@@ -12,8 +12,12 @@
 type routeAverage struct {
 	// time is the duration of an answered attempt.
 	time time.Duration
-	// bytes is the size of a call and its answer together.
-	bytes int
+	// bytes is the size of a call and its answer together, and answerBytes that of the answer.
+	bytes       int
+	answerBytes int
+	// service has answered the route's last call. download is set for a route with large answers.
+	service  string
+	download bool
 }
 
 // routeAverages holds the averages by route. It is safe for concurrent use.
@@ -32,15 +36,31 @@
 }
 
 // add adds an answered attempt to the averages of its route.
-func (a *routeAverages) add(route string, took time.Duration, bytes int) {
+func (a *routeAverages) add(route string, latest routeAverage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	mean, known := a.routes[route]
 	if !known {
-		a.routes[route] = routeAverage{time: took, bytes: bytes}
+		a.routes[route] = latest
 		return
 	}
-	mean.time += time.Duration(averageWeight * float64(took-mean.time))
-	mean.bytes += int(averageWeight * float64(bytes-mean.bytes))
+	mean.time += time.Duration(averageWeight * float64(latest.time-mean.time))
+	mean.bytes += int(averageWeight * float64(latest.bytes-mean.bytes))
+	mean.answerBytes += int(averageWeight * float64(latest.answerBytes-mean.answerBytes))
+	mean.service, mean.download = latest.service, latest.download
 	a.routes[route] = mean
 }
+
+// largestAnswer returns the average size of an answer on the route with large answers of a service that has the largest ones; 0 if none has
+// been answered.
+func (a *routeAverages) largestAnswer(service string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	largest := 0
+	for _, mean := range a.routes {
+		if mean.download && mean.service == service {
+			largest = max(largest, mean.answerBytes)
+		}
+	}
+	return largest
+}
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -57,6 +57,8 @@
 	failure *result
 	// lateRefusals is the number of servers that have refused to queue the call until they have room.
 	lateRefusals int
+	// hasDownloads is set if transfer times count in the choice of a server.
+	hasDownloads bool
 	// room is when the servers that refused the call expect room.
 	room expectedRoom
 	// mayHaveRun is set when an attempt ended without confirmation that it has not run.
@@ -77,7 +79,7 @@
 	c := &call{
 		handler: h, memory: memory, team: a.team, route: a.route, service: a.route.Split.Next(), arrived: arrived.at,
 		objective: arrived.at.Add(a.route.Objective), deadline: arrived.at.Add(a.timeout),
-		timeout: a.timeout, arrivedBoot: arrived.boot,
+		timeout: a.timeout, arrivedBoot: arrived.boot, hasDownloads: a.version.HasDownloads(),
 		message: &linkpb.Call{
 			Method: r.Method, Target: a.target.Raw, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header), Body: body,
 			Rank: a.version.RankOf(a.route, a.team), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
@@ -159,7 +161,22 @@
 // choice returns the properties of the call for the choice of a server.
 func (c *call) choice() choice.Call {
 	average := c.handler.averages.get(c.route.Name)
-	return choice.Call{ObjectiveLeft: time.Until(c.objective), RouteTime: average.time, RouteBytes: average.bytes, Route: c.route.Name, Rank: c.message.Rank}
+	return choice.Call{
+		ObjectiveLeft: time.Until(c.objective), RouteTime: average.time, RouteBytes: average.bytes, Route: c.route.Name, Rank: c.message.Rank,
+		Transfer: c.transfer(average.answerBytes),
+	}
+}
+
+// transfer returns what is known of the transfer of an answer with the expected size; nothing if the routing has no downloads.
+func (c *call) transfer(answerBytes int) choice.Transfer {
+	if !c.hasDownloads {
+		return choice.Transfer{}
+	}
+	egress := c.handler.config.Egress
+	return choice.Transfer{
+		AnswerBytes: answerBytes, LargeBytes: c.handler.averages.largestAnswer(c.service),
+		LinkBytesPerSecond: egress.BytesPerSecond(), EgressBytes: int(egress.WaitingBytes()),
+	}
 }
 
 // redirectThreshold returns the expected delay above which a server should redirect the call to another one.
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -15,6 +15,7 @@
 	"unicode/utf8"
 
 	"github.com/radishstand/radishstand/node/connection/ingress"
+	"github.com/radishstand/radishstand/node/connection/link"
 	"github.com/radishstand/radishstand/node/connection/protocol"
 	"github.com/radishstand/radishstand/node/internal/boottime"
 	"github.com/radishstand/radishstand/node/internal/membudget"
@@ -65,6 +66,8 @@
 	Freshness Freshness
 	// Quota limits the requests of teams; nil if they are not limited.
 	Quota Quota
+	// Egress is what the links of this host have in common; nil if the transfer times of answers are not considered.
+	Egress *link.Egress
 	// Memory bounds the bytes of the bodies that are held.
 	Memory   *membudget.Budget
 	Log      Log
@@ -96,7 +99,11 @@
 		}
 	}()
 	if response = h.respond(r, memory); response != nil {
-		response.Release = memory.Release
+		sent := h.config.Egress.Hold(len(response.Body))
+		response.Release = func() {
+			sent()
+			memory.Release()
+		}
 	}
 	return response
 }
