--- a/node/connection/ingress/connection.go
+++ b/node/connection/ingress/connection.go
@@ -11,6 +11,8 @@
 	"runtime/debug"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -22,6 +24,9 @@
 	// lingerTime is the time for which a connection is read after its last response. Closing it with unread bytes would
 	// reset it, and the caller could lose the response.
 	lingerTime = 500 * time.Millisecond
+	// maxDeliveryTime bounds the time for which a connection stays open after its last response, while the caller's host has not
+	// acknowledged all of it.
+	maxDeliveryTime = 10 * time.Second
 )
 
 // interrupted is a read deadline in the past, which ends a pending read.
@@ -373,11 +378,40 @@
 	return c.closeSent && !c.broken
 }
 
-// linger announces the end of the connection and discards what the caller still sends.
+// linger announces the end of the connection and discards what the caller still sends, until the responses have arrived.
 func (c *connection) linger() {
 	_ = c.conn.CloseWrite()
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.reader, maxDiscardedBytes)
+	for started := time.Now(); time.Since(started) < maxDeliveryTime; {
+		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
+		_, err := io.CopyN(io.Discard, c.reader, maxDiscardedBytes)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.unacknowledged() == 0 || c.isBroken() {
+			return
+		}
+	}
+}
+
+func (c *connection) isBroken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
+// unacknowledged returns the number of written bytes that the caller's host has not acknowledged; 0 if it is unknown.
+func (c *connection) unacknowledged() int {
+	raw, err := c.conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	bytes := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			bytes = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return bytes
 }
 
 // interruptIdle closes the connection if it has no request in progress, otherwise after the last response.
--- a/node/connection/link/slowlink_test.go
+++ b/node/connection/link/slowlink_test.go
@@ -55,6 +55,9 @@
 	})
 }
 
+// answerWritten receives when a large answer was passed to the kernel.
+var answerWritten = make(chan struct{}, 100)
+
 // slowHandler answers a call to /large with a large body.
 type slowHandler struct{ handler }
 
@@ -64,10 +67,13 @@
 		body = []byte(strings.Repeat("x", largeBody))
 	}
 	reply(&linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: &linkpb.Answer{Status: 200, Body: body}}})
+	if len(body) == largeBody {
+		answerWritten <- struct{}{}
+	}
 }
 
 // startSlow returns a link on which the answers pass at the speed of a slow link.
-func startSlow(t *testing.T, egress *link.Egress) *linked {
+func startSlow(t *testing.T, egress *link.Egress) (*link.Server, *linked) {
 	t.Helper()
 	h := &slowHandler{handler{hello: make(chan *linkpb.Hello, 10)}}
 	server, listener := link.NewServer(h, membudget.New(8*testMemory)), listen(t)
@@ -93,7 +99,7 @@
 	require.NoError(t, err)
 	t.Cleanup(session.Close)
 	<-received
-	return &linked{Client: client, session: session}
+	return server, &linked{Client: client, session: session}
 }
 
 // throttle copies at the speed of a slow link.
@@ -153,7 +159,8 @@
 // Guards against small frames that wait behind large bodies on a slow link, and against a link that counts as dead while pieces arrive.
 func TestSmallFramesDoNotWaitBehindLargeOnesOnASlowLink(t *testing.T) {
 	log := &testLog{}
-	times, suspect := smallTimes(t, startSlow(t, newEgress(log)), 3)
+	_, l := startSlow(t, newEgress(log))
+	times, suspect := smallTimes(t, l, 3)
 	require.NotEmpty(t, times)
 	t.Logf("%d small calls: median %v, longest %v", len(times), times[len(times)/2], times[len(times)-1])
 	assert.Less(t, times[len(times)/2], maxSmallWait)
@@ -164,7 +171,7 @@
 // Guards against an answer that occupies a slow link although its caller no longer waits for it.
 func TestAnswerOfACancelledCallIsNotSentFurther(t *testing.T) {
 	egress := newEgress(&testLog{})
-	l := startSlow(t, egress)
+	_, l := startSlow(t, egress)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
@@ -181,3 +188,33 @@
 	assert.Len(t, f.GetAnswer().GetBody(), largeBody)
 	f.Release()
 }
+
+// Guards against a result that is lost because the process ends while it is in the kernel's buffers: the node of the caller has sent
+// something meanwhile, which makes the kernel drop them.
+func TestShutdownDeliversWhatWasSent(t *testing.T) {
+	for name, egress := range map[string]*link.Egress{"in pieces": newEgress(&testLog{}), "whole": nil} {
+		t.Run(name, func(t *testing.T) {
+			for len(answerWritten) > 0 {
+				<-answerWritten
+			}
+			server, l := startSlow(t, egress)
+			answered := make(chan int, 1)
+			go func() {
+				f, err := l.Do(context.Background(), &linkpb.Call{Target: "/large"})
+				if err != nil {
+					answered <- 0
+					return
+				}
+				answered <- len(f.GetAnswer().GetBody())
+				f.Release()
+			}()
+			<-answerWritten
+			l.Ask()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			assert.Zero(t, server.Shutdown(ctx))
+			server.Close()
+			assert.Equal(t, largeBody, <-answered)
+		})
+	}
+}
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/justinas/alice"
@@ -32,6 +33,12 @@
 	// exitMargin is the part of the grace period that is reserved for ending the process.
 	exitMargin       = 300 * time.Millisecond
 	stopPollInterval = 50 * time.Millisecond
+	// answerMargin is the part of the grace period, before exitMargin, that is reserved for the responses to requests which would not
+	// end in time. Confirming that such a request has not started takes up to link.ConfirmationTimeout.
+	answerMargin = 300 * time.Millisecond
+	// deliveryMargin is the part of it that is reserved for what is written and has not arrived.
+	deliveryMargin     = 100 * time.Millisecond
+	resultPollInterval = 10 * time.Millisecond
 )
 
 // Run serves until ctx ends, or until stop is closed and all requests are done or the grace period is over.
@@ -175,14 +182,30 @@
 	n.stoppedServing.Store(true)
 	n.broadcastState()
 	limit := n.config.Load().StopGrace - exitMargin
-	for time.Since(started) < limit && !n.idle(started) {
+	for time.Since(started) < limit-answerMargin && !n.idle(started) {
 		sleep(ctx, stopPollInterval)
 	}
 	shutdown, cancel := context.WithDeadline(ctx, started.Add(limit))
 	defer cancel()
-	n.callers.Load().Shutdown(shutdown)
+	ended, undelivered := n.finish(shutdown, started.Add(limit-deliveryMargin))
 	requests, _ := n.callers.Load().InProgress()
-	n.log.Info("stopped", "requests", requests, "calls", n.activeCalls.Load(), "afterMs", time.Since(started).Milliseconds())
+	n.log.Info("stopped", "requests", requests, "calls", n.activeCalls.Load(), "endedRequests", ended,
+		"undeliveredLinks", undelivered, "afterMs", time.Since(started).Milliseconds())
+}
+
+// finish ends the requests that are still in progress with a response of the node, waits for the last responses to callers and for the
+// last results of calls, and delivers both until ctx ends. Results of calls that are not there at lastResults are lost. It returns the
+// number of requests that it ended, and of links on which something may not have arrived.
+func (n *Node) finish(ctx context.Context, lastResults time.Time) (ended, undelivered int) {
+	ended = n.front.EndRequests()
+	var callers sync.WaitGroup
+	callers.Go(func() { n.callers.Load().Shutdown(ctx) })
+	for n.activeCalls.Load() > 0 && time.Now().Before(lastResults) {
+		sleep(ctx, resultPollInterval)
+	}
+	undelivered = n.links.Shutdown(ctx)
+	callers.Wait()
+	return ended, undelivered
 }
 
 // idle reports whether no requests or calls are in progress and callers are assumed to have left.
--- /dev/null
+++ b/node/request/front/drain_test.go
@@ -0,0 +1,28 @@
+package front
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against requests that end without a response because the process ends, and against ended requests that look as if their callers
+// had left, so that nobody confirms that they have not started.
+func TestEndedRequestsLookLateAndNotAbandoned(t *testing.T) {
+	o := newOpenRequests()
+	caller, leave := context.WithCancel(t.Context())
+	left, doneLeft := o.begin(caller, time.Now().Add(time.Hour))
+	ended, doneEnded := o.begin(t.Context(), time.Now().Add(time.Hour))
+	_, doneEarlier := o.begin(t.Context(), time.Now().Add(time.Hour))
+	doneEarlier()
+	leave()
+	assert.Equal(t, 2, o.end())
+	assert.ErrorIs(t, left.Err(), context.Canceled)
+	assert.ErrorIs(t, ended.Err(), context.DeadlineExceeded)
+	<-ended.Done()
+	doneLeft()
+	doneEnded()
+	assert.Zero(t, o.end())
+}
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -6,7 +6,6 @@
 package front
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -78,6 +77,7 @@
 type Handler struct {
 	config   Config
 	averages *routeAverages
+	open     *openRequests
 	// dependencies holds the routes whose calls have just been refused since their nested calls would be.
 	dependencies dependencies
 	// stoppedAt is the Unix time of the signal to stop in nanoseconds; 0 before it.
@@ -85,10 +85,9 @@
 }
 
 // New returns a Handler.
-func New(c Config) *Handler { return &Handler{config: c, averages: newRouteAverages()} }
-
-// StartDrain refuses new requests after rejectAfterStop.
-func (h *Handler) StartDrain() { h.stoppedAt.Store(time.Now().UnixNano()) }
+func New(c Config) *Handler {
+	return &Handler{config: c, averages: newRouteAverages(), open: newOpenRequests()}
+}
 
 // Handle returns the response to a request, or nil when the caller has left.
 func (h *Handler) Handle(r *http.Request) (response *ingress.Response) {
@@ -115,8 +114,8 @@
 	if problem != nil {
 		return h.refuse(r, problem)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
+	ctx, done := h.open.begin(r.Context(), c.deadline)
+	defer done()
 	token, problem := h.takeToken(ctx, c.team)
 	switch {
 	case problem == nil:
