--- a/node/connection/ingress/ingress_test.go
+++ b/node/connection/ingress/ingress_test.go
@@ -66,6 +66,9 @@
 		}
 	}
 	text := fmt.Sprintf("%s %s %d", r.Method, r.URL.Path, len(body))
+	if r.URL.Path == "/written" { // the buffers of the kernel have room for it
+		text = strings.Repeat("x", 1<<20)
+	}
 	if r.URL.Path == "/large" {
 		text = strings.Repeat("x", 64<<20)
 	}
@@ -268,6 +271,34 @@
 	assert.Equal(t, "GET /1 0", f.next(t))
 }
 
+// Guards against a stop that cuts off a response which is in the buffers of the kernel, because its caller reads it slowly.
+func TestShutdownWaitsForAResponseThatArrivesSlowly(t *testing.T) {
+	f := start(t)
+	require.NoError(t, f.conn.SetReadBuffer(256<<10))
+	f.send(t, "GET /hold/1", "GET /written")
+	receive(t, f.started)
+	f.server.Drain()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+		defer cancel()
+		f.server.Shutdown(ctx)
+	}()
+	f.release("/hold/1")
+	receive(t, f.started)
+	require.Eventually(t, func() bool { requests, _ := f.server.InProgress(); return requests == 0 }, waitLimit, time.Millisecond)
+	select {
+	case <-stopped:
+		t.Fatal("the server has stopped before the response has arrived")
+	case <-time.After(1500 * time.Millisecond):
+	}
+	assert.Equal(t, "GET /hold/1 0", f.next(t))
+	assert.Len(t, f.next(t), 1<<20+len(" close"))
+	require.NoError(t, f.conn.Close())
+	<-stopped
+}
+
 // Guards against idle connections that keep a stop from ending.
 func TestShutdownClosesIdleConnections(t *testing.T) {
 	f := start(t)
--- a/node/connection/link/chunk.go
+++ b/node/connection/link/chunk.go
@@ -151,7 +151,13 @@
 	c.boundOnce.Do(func() { c.egress.boundUnsent(c.conn) })
 	left := l.size()
 	c.egress.waiting.Add(int64(left))
-	defer func() { c.egress.waiting.Add(-int64(left)) }()
+	c.egress.frames.Add(1)
+	defer func() {
+		c.egress.waiting.Add(-int64(left))
+		if left > 0 {
+			c.egress.stopped.Add(1)
+		}
+	}()
 	c.pieces.begin(l.stream)
 	defer c.pieces.end(l.stream)
 	for left > 0 {
--- a/node/connection/link/drain.go
+++ b/node/connection/link/drain.go
@@ -42,5 +42,6 @@
 		return false
 	}
 	c.err = ErrClosed
+	c.ending.Store(true)
 	return conn.CloseWrite() == nil
 }
--- a/node/connection/link/egress.go
+++ b/node/connection/link/egress.go
@@ -42,6 +42,8 @@
 type Egress struct {
 	config  EgressConfig
 	waiting atomic.Int64
+	// frames is the number of frames of which pieces were sent, and stopped that of those that were not sent whole.
+	frames, stopped atomic.Int64
 	// logFailure logs the first socket option that fails, since the same option fails for each link.
 	logFailure sync.Once
 }
@@ -57,6 +59,10 @@
 	return max(e.waiting.Load(), 0)
 }
 
+// FramesInPieces returns the number of frames of which pieces were sent, and that of those which were not sent whole because nobody
+// waited for them any more or the link broke.
+func (e *Egress) FramesInPieces() (frames, stopped int64) { return e.frames.Load(), e.stopped.Load() }
+
 // BytesPerSecond returns the speed of the host's link; 0 if unknown.
 func (e *Egress) BytesPerSecond() float64 {
 	if e == nil {
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -81,6 +81,8 @@
 	// alive is called with each frame and piece that is read.
 	alive func()
 
+	// ending is set when nothing more is written.
+	ending atomic.Bool
 	// wholeWaiting is the number of frames that wait to be sent whole. They precede the pieces of others.
 	wholeWaiting atomic.Int32
 
@@ -147,9 +149,9 @@
 }
 
 // writeOrClose sends a frame of the link itself, which belongs to no call that could be told of an error. After any error the
-// connection is closed, which both nodes notice.
+// connection is closed, which both nodes notice, unless the node stops writing while the other one still reads.
 func (c *framedConn) writeOrClose(f *linkpb.Frame) {
-	if err := c.write(f); err != nil {
+	if err := c.write(f); err != nil && !c.ending.Load() {
 		c.close()
 	}
 }
--- a/node/connection/link/slowlink_test.go
+++ b/node/connection/link/slowlink_test.go
@@ -89,7 +89,10 @@
 		}
 		require.NoError(t, far.(*net.TCPConn).SetReadBuffer(proxyBufferBytes))
 		near, proxied := net.Pipe()
-		go func() { _, _ = io.Copy(far, proxied) }()
+		go func() {
+			_, _ = io.Copy(far, proxied)
+			_ = far.Close()
+		}()
 		go throttle(proxied, far)
 		t.Cleanup(func() { _, _ = proxied.Close(), far.Close() })
 		return near, nil
@@ -218,3 +221,19 @@
 		})
 	}
 }
+
+// Guards against a link that fails, or a log line for each link, where the deployment does not let the node set socket options.
+func TestFailedSocketOptionIsLoggedOnceAndIgnored(t *testing.T) {
+	listener, log := listen(t), &testLog{}
+	egress := newEgress(log)
+	for range 3 {
+		conn, err := net.Dial("tcp4", listener.Addr().String())
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+		link.BoundUnsent(egress, conn)
+	}
+	near, far := net.Pipe() // it has no socket
+	defer far.Close()
+	link.BoundUnsent(egress, near)
+	assert.Equal(t, 1, log.count())
+}
--- a/node/process/sidecar/egress.go
+++ b/node/process/sidecar/egress.go
@@ -14,6 +14,14 @@
 		Log:           n.log,
 	})
 	n.metrics.Register("links.waiting_bytes", metrics.NewFunctionalGauge(egress.WaitingBytes))
+	n.metrics.Register("links.frames_in_pieces", metrics.NewFunctionalGauge(func() int64 {
+		frames, _ := egress.FramesInPieces()
+		return frames
+	}))
+	n.metrics.Register("links.frames_stopped", metrics.NewFunctionalGauge(func() int64 {
+		_, stopped := egress.FramesInPieces()
+		return stopped
+	}))
 	return egress
 }
 
