--- a/.ci/checks/model.sh
+++ b/.ci/checks/model.sh
@@ -110,6 +110,13 @@
   return "$failed"
 }
 
+# freshness checks for how long a node takes a key that was revoked.
+freshness() {
+  local mutant
+  run freshness freshness holds
+  for mutant in PROOF_AT_END POLL_IS_DIRECT NO_TRANSIT NO_AGE LEASE_AT_START ANY_VERSION NO_ERA_WAIT \
+    REACH_PASSED REACH_OLD REACH_ERA; do
+    run "freshness-$mutant" freshness fails "-D$mutant"
 # quota checks that the share of a quota that a node lends is never with two owners.
 quota() {
   local mutant
@@ -123,6 +130,7 @@
 }
 
 pids=()
+for group in ledger refusals evidence settings freshness; do
 for group in ledger refusals evidence settings quota; do
   "$group" &
   pids+=($!)
--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -6,7 +6,8 @@
 // server may have a free slot, or when it cannot be answered in time. Calls start only while the host is not slow: a
 // neighbour on the host slows work down for short periods, and the time of a call depends on the slowness of the host at
 // its start. Slots are left free when the server has a lower throughput with all of them in use. A server that names a rate limit
-// gets no more calls, and few health checks.
+// gets no more calls, and few health checks. Where teams have shares, they divide the slots, and a call waits behind those of its rank
+// whose teams have used less.
 package dispatch
 
 import (
@@ -54,6 +55,10 @@
 	// Nested is set for a call that another server makes for a call in progress there. That one holds a slot and fails
 	// with it, so that nested calls go first and are refused only when they cannot be answered at all.
 	Nested bool
+	// Team is the team whose share of the slots the call uses; empty for calls without one. ParentRank is the rank of the call for which
+	// a nested call is made. They count only where teams have shares.
+	Team       string
+	ParentRank int
 	// NoRedirect keeps the call from being redirected to another server.
 	NoRedirect bool
 	// RedirectAbove is the expected delay above which the call is redirected to another server.
@@ -63,7 +68,10 @@
 	arrived    time.Time
 	waiting    bool
 	started    time.Time
-	// inProgress is the number of calls in progress after the start of this one; slow is set when the host was slow then.
+	// charged is the slot time that the team was charged at the start; 0 if none.
+	charged time.Duration
+	// inProgress is the number of calls in progress after the start of this one; slow is set when the host was slow or the server
+	// cold then.
 	inProgress int
 	slow       bool
 }
@@ -77,8 +85,8 @@
 	Slowness int
 	// ServiceTime is the average time of a call.
 	ServiceTime time.Duration
-	// RateLimit is the number of requests per second that the server gets at most, or 0 when it names no limit. RateWait is
-	// the time until the limit allows another call.
+	// RateLimit is the number of requests per second that the server gets at most, since it names a limit or is treated as cold;
+	// 0 without a limit. RateWait is the time until the limit allows another call.
 	RateLimit float64
 	RateWait  time.Duration
 	// RateLimitUnknown is set until an answer has shown whether the server names a limit.
@@ -95,8 +103,13 @@
 	slots             int
 	knee              *kneeDetector
 	limiter           rateLimiter
+	cold              coldState
+	coldControl       ColdControl // zero if cold servers are not limited
+	coldRefused       int64
 	inProgress        int
 	waiting           []*Job
+	shares            fairShares
+	fairEnabled       func() bool // nil if teams have no shares
 	routeTimes        map[string]*ewma
 	overallTime       ewma
 	slowness          int
@@ -154,6 +167,7 @@
 	d.minSlowness = recentMinimum{}
 	d.probeBackoffUntil = time.Time{}
 	d.limiter = rateLimiter{}
+	d.resetCold(d.now())
 }
 
 // Submit requests a slot. The function onDecision is called once, before Submit returns or later, with nil when the call
@@ -164,6 +178,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	j.onDecision, j.arrived = onDecision, now
+	d.configureCold(now)
 	if reason, wait := d.refusalReason(j, now); reason != 0 {
 		d.refuse(j, reason, wait)
 		return
@@ -193,8 +208,9 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	d.inProgress--
+	elapsed := now.Sub(j.started)
+	d.shares.finish(j, elapsed)
 	if answered {
-		elapsed := now.Sub(j.started)
 		d.routeTime(j.Route).add(elapsed)
 		d.overallTime.add(elapsed)
 		d.recordKneeSample(j, elapsed, now)
@@ -217,10 +233,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
+	perSecond, rateWait := d.rateLimits(now)
 	return Load{
 		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.knee.limit,
 		Slowness: d.currentSlowness(now), ServiceTime: d.overallTime.value(),
-		RateLimit: d.limiter.perSecond(), RateWait: d.limiter.wait(len(d.waiting), now),
+		RateLimit: perSecond, RateWait: rateWait,
 		RateLimitUnknown: !d.limiter.known,
 	}
 }
@@ -237,15 +254,11 @@
 
 // dispatch refuses the calls that cannot be answered in time and starts others while slots are free.
 func (d *Dispatcher) dispatch(now time.Time) {
+	d.configureCold(now)
 	d.refuseOverdue(now)
 	for len(d.waiting) > 0 {
-		next := d.waiting[0]
-		for _, w := range d.waiting[1:] {
-			if d.precedes(w, next, now) {
-				next = w
-			}
-		}
-		if d.inProgress >= d.knee.limit || !d.mayStart(next, now) || !d.limiter.allow(now) {
+		next := d.first(now)
+		if d.inProgress >= d.knee.limit || !d.mayStart(next, now) || !d.coldAllows(now) || !d.limiter.allow(now) {
 			return
 		}
 		d.remove(next)
@@ -265,7 +278,11 @@
 
 func (d *Dispatcher) start(j *Job, now time.Time) {
 	d.inProgress++
-	j.started, j.inProgress, j.slow = now, d.inProgress, d.slow(now)
+	if d.fair() {
+		d.shares.start(j, d.slotTime(j), d.waiting)
+	}
+	d.cold.started(now)
+	j.started, j.inProgress, j.slow = now, d.inProgress, d.slow(now) || d.cold.cold(now)
 	if d.knee.canAdopt(d.inProgress, now) {
 		d.knee.adopt(d.peerKnee(d.slots), now)
 	}
@@ -274,6 +291,7 @@
 
 func (d *Dispatcher) refuse(j *Job, reason Reason, wait time.Duration) {
 	j.waiting = false
+	d.countColdRefusal(reason)
 	d.callbacks = append(d.callbacks, func() { j.onDecision(&Refused{Reason: reason, RetryAfter: wait}) })
 }
 
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -16,6 +16,7 @@
 	"github.com/radishstand/radishstand/node/connection/exchange"
 	"github.com/radishstand/radishstand/node/connection/protocol"
 	"github.com/radishstand/radishstand/node/internal/membudget"
+	"github.com/radishstand/radishstand/node/process/backpressure"
 	"github.com/radishstand/radishstand/node/process/departures"
 	"github.com/radishstand/radishstand/node/process/dispatch"
 )
@@ -31,7 +32,12 @@
 	HasService func(service string) bool
 	// HealthPath returns the path of the health check of a service, or "" while it is unknown.
 	HealthPath func(service string) string
-	Names      protocol.Names
+	// ColdLimit returns the limit for the cold servers of a service. If it is nil, they are not limited and ColdChanged is not
+	// called.
+	ColdLimit func(service string) dispatch.ColdLimit
+	// ColdChanged is called without holding locks when the limit for a cold server begins or ends to apply.
+	ColdChanged func(dispatch.ColdChange)
+	Names       protocol.Names
 	// Memory bounds the bytes of the answers that are held.
 	Memory *membudget.Budget
 	Now    func() time.Time
@@ -40,6 +46,13 @@
 	// AnnounceInterval returns the interval of a server's announcements. With 0, a server that was found by a health check
 	// is used without an announcement.
 	AnnounceInterval func() time.Duration
+	// FairShares reports whether teams have shares of the slots. If it is nil, they have none.
+	FairShares func() bool
+	// BackPressure reports whether calls are refused whose nested calls would be refused. If it is nil, they are not.
+	BackPressure func() bool
+	// BackPressureChanged is called without holding locks when calls of a route begin to be refused for that, and when all are admitted
+	// again. It may be nil.
+	BackPressureChanged func(route string, s backpressure.Share)
 	// Changed is called without holding locks after the state of the server changed.
 	Changed func(Status)
 	// Stated is called without holding locks when the statement in an answer differs from the one before. The source is the
@@ -65,6 +78,8 @@
 	StartedAtMs int64
 	// Announced is set when the server has announced itself to this process.
 	Announced bool
+	// Evacuated is set while the place of the server is evacuated.
+	Evacuated bool
 }
 
 // Leaving returns the server if it drains or has left, and nil otherwise.
@@ -79,6 +94,7 @@
 type Server struct {
 	config       Config
 	dispatcher   *dispatch.Dispatcher
+	backPressure *backpressure.Controller
 	probeLimiter *rate.Limiter
 	sweeper      *sweeper
 	inProgress   callSet
@@ -101,16 +117,27 @@
 	announced bool
 	// unannouncedSince is when a health check found the current server; zero once the server has announced itself.
 	unannouncedSince time.Time
+	evacuated        bool
+	// afterEvacuation is called at the end of an evacuation, before calls are accepted, with transition held but not mu. It may be
+	// nil.
+	afterEvacuation func()
 }
 
 // New returns a Server in the absent state.
 func New(c Config) *Server {
 	s := &Server{
 		config: c, state: newStateMachine(stateAbsent), probeLimiter: rate.NewLimiter(probesPerSecond, probeBurst),
-		inProgress: newCallSet(),
+		inProgress: newCallSet(), backPressure: backpressure.New(c.Now, c.BackPressureChanged),
 	}
 	s.dispatcher = dispatch.New(c.Now, s.probeSlowness)
+	if c.FairShares != nil {
+		s.dispatcher.UseFairShares(c.FairShares)
+	}
 	s.sweeper = &sweeper{sweep: s.dispatcher.Sweep}
+	if c.ColdLimit != nil {
+		s.dispatcher.LimitCold(dispatch.ColdControl{Limit: s.coldLimit, Check: s.checkCold, Changed: s.coldChanged})
+		s.afterEvacuation = s.doubtAfterEvacuation
+	}
 	if c.PeerKnee != nil {
 		s.dispatcher.ShareKnee(c.PeerKnee, c.KneeChanged)
 	}
@@ -127,19 +154,30 @@
 	})
 }
 
-// NeedsProbe reports whether a health check may find a server to use: none is known, or the current one is unreachable.
+// NeedsProbe reports whether a health check may find a server to use: none is known, or the current one is unreachable. A server in an
+// evacuated place gets none.
 func (s *Server) NeedsProbe() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.current.ID == "" || s.state.Is(stateUnreachable)
+	return !s.evacuated && (s.current.ID == "" || s.state.Is(stateUnreachable))
 }
 
 // updateState runs an update of the state, opens or closes the dispatcher accordingly, and reports the change to
 // Config.Changed.
 func (s *Server) updateState(update func() error) error {
+	changed, err := s.applyUpdate(update)
+	if changed {
+		s.config.Changed(s.Status())
+	}
+	return err
+}
+
+// applyUpdate runs an update of the state, opens or closes the dispatcher accordingly, and reports whether the state has changed.
+func (s *Server) applyUpdate(update func() error) (changed bool, err error) {
 	s.transition.Lock()
+	defer s.transition.Unlock()
 	before, startsBefore := s.snapshot()
-	err := s.updateLocked(update)
+	err = s.updateLocked(update)
 	after, starts := s.snapshot()
 	replaced := starts != startsBefore
 	if before.Ready && (replaced || !after.Ready) {
@@ -148,15 +186,14 @@
 	if replaced {
 		s.dispatcher.Reset()
 	}
+	if before.Evacuated && !after.Evacuated && s.afterEvacuation != nil {
+		s.afterEvacuation()
+	}
 	if after.Ready && (replaced || !before.Ready || before.Slots != after.Slots) {
 		s.dispatcher.Open(after.Slots)
 	}
-	s.transition.Unlock()
 	before.WarmUpLeft, after.WarmUpLeft = 0, 0
-	if before != after {
-		s.config.Changed(s.Status())
-	}
-	return err
+	return before != after, err
 }
 
 func (s *Server) updateLocked(update func() error) error {
@@ -182,8 +219,8 @@
 func (s *Server) status() Status {
 	return Status{
 		ID: s.current.ID, Service: s.current.Service, Slots: s.current.Slots, State: s.state.Current(),
-		Ready: s.state.Is(stateReady), WarmUpLeft: max(s.warmUpEnd.Sub(s.config.Now()), 0), StartedAtMs: s.current.StartedAtMs,
-		Announced: s.announced,
+		Ready: s.state.Is(stateReady) && !s.evacuated, WarmUpLeft: max(s.warmUpEnd.Sub(s.config.Now()), 0), StartedAtMs: s.current.StartedAtMs,
+		Announced: s.announced, Evacuated: s.evacuated,
 	}
 }
 
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -36,26 +36,34 @@
 	now, arrived := s.config.Now(), s.config.Boottime()
 	job := &dispatch.Job{
 		Route: call.Route, Rank: int(call.Rank), Nested: call.Nested, NoRedirect: call.Stay,
+		Team: call.Team, ParentRank: int(call.ParentRank),
 		RedirectAbove: time.Duration(call.ReferMs) * time.Millisecond,
 		Objective:     now.Add(time.Duration(call.ObjectiveMs) * time.Millisecond),
 		Deadline:      now.Add(time.Duration(call.LeftMs) * time.Millisecond),
 	}
 	s.adoptRate(call)
+	if refusal := s.refuseForDependency(call); refusal != nil {
+		return refusal, nil
+	}
 	if err := s.admit(ctx, job); err != nil {
 		return s.refusalOf(err), nil
 	}
 	answered := false
 	defer func() { s.dispatcher.Done(job, answered) }()
+	if ctx.Err() != nil { // the caller may be told that the call has not run
+		return s.refusalOf(&dispatch.Refused{Reason: dispatch.Cancelled}), nil
+	}
 	client := s.clientFor(call.ServerId)
 	if client == nil {
 		return s.refusalOf(&dispatch.Refused{Reason: dispatch.NoServer}), nil
 	}
 	s.inProgress.add(call)
-	defer s.inProgress.remove(call.Id)
+	defer func() { s.endInProgress(call, answered) }()
 	remaining := time.Duration(call.LeftMs)*time.Millisecond - (s.config.Boottime() - arrived)
 	sentAt := s.config.Now()
 	response, err := s.send(ctx, client, call, remaining)
 	if err != nil {
+		s.observeFailure(client, err)
 		return s.failureFrame(call.ServerId, err), nil
 	}
 	leaving := s.observe(serverAnswer{response: response, client: client, request: call.Id, sentAt: sentAt})
@@ -104,7 +112,7 @@
 func (s *Server) clientFor(id string) *exchange.Client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.current.ID != id || !s.state.Is(stateReady) {
+	if s.current.ID != id || !s.state.Is(stateReady) || s.evacuated {
 		return nil
 	}
 	return s.client
@@ -166,6 +174,7 @@
 		s.dispatcher.Observe(load.Slowness, false)
 	}
 	if r.Status == http.StatusMisdirectedRequest {
+		s.dispatcher.ServerLost()
 		s.markUnreachable(id)
 	}
 	if r.Header.Get(names.NotExecuted) != "" || r.Status == http.StatusMisdirectedRequest {
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -51,6 +51,10 @@
 	PollersChanged func()
 	// Proof handles a proof from another node that a routing version was the newest one at a time of the boot clock.
 	Proof func(version uint64, at time.Duration)
+	// Evacuations exchanges the set of evacuated places with other nodes.
+	Evacuations link.EvacuationExchange
+	// StoreEra is called with the era of the store that the node at an address reports. It must not block. It may be nil.
+	StoreEra func(peer string, era uint64)
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
 	Log    Log
@@ -64,6 +68,8 @@
 	versions versionSources
 	// newestVersion is the highest routing version number that any node has reported.
 	newestVersion atomic.Uint64
+	// evacuated holds the evacuated places; nil if there has been none.
+	evacuated atomic.Pointer[map[string]bool]
 
 	mu    sync.RWMutex
 	peers map[string]*peer
@@ -193,11 +199,11 @@
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	var usable []*Server
-	if p.local.usable(service, now) {
+	if p.local.usable(service, now) && !p.isEvacuated(p.local) {
 		usable = append(usable, p.local)
 	}
 	for _, known := range p.peers {
-		if known.server.usable(service, now) {
+		if known.server.usable(service, now) && !p.isEvacuated(known.server) {
 			usable = append(usable, known.server)
 		}
 	}
@@ -294,7 +300,7 @@
 	ctx context.Context, s *Server, client *link.Client, call *linkpb.Call, wait func() bool,
 ) (*link.Result, error) {
 	if s.address == "" {
-		return p.serveLocally(ctx, call), nil
+		return p.serveLocally(ctx, call)
 	}
 	if client == nil {
 		return nil, &link.NotSentError{Cause: link.ErrClosed}
@@ -302,18 +308,6 @@
 	return s.session.Do(ctx, client, call, wait)
 }
 
-// serveLocally runs a call at the server beside this node. The server's part of the node releases the memory of the answer when it has
-// passed it on; the answer then takes it again for the caller.
-func (p *Set) serveLocally(ctx context.Context, call *linkpb.Call) *link.Result {
-	var frame *linkpb.Frame
-	p.config.Serve(ctx, call, func(f *linkpb.Frame) { frame = f })
-	memory := p.config.Memory.Reserve()
-	if err := memory.Grow(int64(len(frame.GetAnswer().GetBody()))); err != nil {
-		frame = &linkpb.Frame{Body: &linkpb.Frame_Broken{Broken: &linkpb.Broken{Cause: err.Error()}}}
-	}
-	return link.NewResult(frame, memory)
-}
-
 // exclude excludes the server for noServerExclusion, until its node has reported whether it accepts calls.
 func (s *Server) exclude(id string) {
 	s.mu.Lock()
--- a/node/process/sidecar/freshness.go
+++ b/node/process/sidecar/freshness.go
@@ -54,13 +54,13 @@
 	return boottime.Now() - at
 }
 
-// SetEra records the era of a response of the store. It must be called before the read of that response.
-func (f *freshnessLease) SetEra(era uint64) { f.lease.SetEra(era, boottime.Now()) }
+// setEra records the era of a response of the store. It must be called before the read of that response.
+func (f *freshnessLease) setEra(era uint64) { f.lease.SetEra(era, boottime.Now()) }
 
 // read records a successful read of the operators' configuration that began at a time of the boot clock. The document is nil if a poll
-// of the feed has brought none. A document that is rejected counts as if it had not been written: the version before it stays in
+// of the feed has brought none; setEra must have been called with the era. A document that is rejected counts as if it had not been written: the version before it stays in
 // force.
-func (f *freshnessLease) read(document []byte, began time.Duration, direct bool) {
+func (f *freshnessLease) read(document []byte, era uint64, began time.Duration, direct bool) {
 	if f.within() == 0 {
 		return
 	}
@@ -71,7 +71,7 @@
 	if f.isOutdated(max(version, f.latestVersion())) {
 		return
 	}
-	f.lease.Read(version, began, direct)
+	f.lease.Read(version, era, began, direct)
 }
 
 // isOutdated reports whether a newer version than the store's is known that this node does not have: the store has lost it.
@@ -129,6 +129,7 @@
 // start runs the loop that asks for proofs if the node is configured to fail closed and it does not run yet.
 func (f *freshnessLease) start(ctx context.Context) {
 	if f.within() > 0 && f.running.CompareAndSwap(false, true) {
+		f.registerMetrics(f.node.metrics)
 		go f.run(ctx)
 	}
 }
@@ -146,9 +147,9 @@
 		if step.Read && f.reading.CompareAndSwap(false, true) {
 			go f.readStore(ctx)
 		}
-		if step.Ask > 0 {
+		if step.Ask {
 			f.count("asked")
-			f.node.peers.AskForProof(step.First, step.Ask)
+			f.node.peers.AskForProof(step.First, step.Others)
 		}
 		held = f.logChange(held)
 		sleep(ctx, step.Wait)
@@ -174,21 +175,24 @@
 	defer f.reading.Store(false)
 	f.count("reads")
 	began := boottime.Now()
-	document, _, err := f.node.store.Routing(ctx)
+	state, err := f.node.store.Routing(ctx)
 	if err != nil {
 		f.node.logStoreFailure(ctx, "freshness", err)
 		return
 	}
 	f.node.logStoreRecovery("freshness")
-	if document != nil {
-		f.node.applyRouting(document, "store")
+	if state.Revision.Era < f.node.eras.get() {
+		return // a late response from before the store came back from an older copy
 	}
-	f.read(document, began, true)
+	if state.Document != nil {
+		f.node.applyRouting(state.Document, "store")
+	}
+	f.read(state.Document, state.Revision.Era, began, true)
 }
 
-// registerMetrics registers the gauges of the lease.
+// registerMetrics registers the gauge of the lease, unless it is there already.
 func (f *freshnessLease) registerMetrics(registry metrics.Registry) {
-	registry.Register("freshness.proof_age_ms", metrics.NewFunctionalGauge(func() int64 {
+	_ = registry.Register("freshness.proof_age_ms", metrics.NewFunctionalGauge(func() int64 {
 		if age := f.age(); age != math.MaxInt64 {
 			return age.Milliseconds()
 		}
