--- a/node/process/choice/leaver.go
+++ b/node/process/choice/leaver.go
@@ -25,6 +25,8 @@
 	// reportedShare is the share from which calls of a service are reported to leave, until it has been below minLeaving for reportDelay.
 	reportedShare = 0.05
 	reportDelay   = 5 * time.Second
+	// reportInterval is the least time between two checks for such changes.
+	reportInterval = 100 * time.Millisecond
 	// refusedFactor lowers the share of a place whose server has just refused a call.
 	refusedFactor = 0.7
 	// idleTime is the time constant with which the share of calls decays of which none has come.
@@ -147,6 +149,10 @@
 // reportChanges reports the places for which calls of a service begin or stop to leave.
 func (l *Leaver) reportChanges(name string, s *leavingService) {
 	now := l.config.Now()
+	if now.Sub(s.reported) < reportInterval {
+		return
+	}
+	s.reported = now
 	shares := s.shares(now)
 	for place, share := range shares {
 		_, leaving := s.leaving[place]
--- a/node/process/choice/leaving_class.go
+++ b/node/process/choice/leaving_class.go
@@ -14,6 +14,8 @@
 	classes map[classKey]*leavingClass
 	// leaving holds the places for which calls have been reported to leave, with the time at which their share was last above minLeaving.
 	leaving map[string]time.Time
+	// reported is when changes of these were looked for last.
+	reported time.Time
 }
 
 type classKey struct {
--- a/node/process/choice/placeview.go
+++ b/node/process/choice/placeview.go
@@ -81,7 +81,8 @@
 			p.refused = true
 			v.refusals++
 		default:
-			p.add(i, c.aged(), call, c.Failures-leastFailures, c.slower(leastService), level)
+			aged := c.aged()
+			p.add(i, &aged, call, c.Failures-leastFailures, c.slower(leastService), level)
 		}
 	}
 	for name, p := range places {
@@ -103,12 +104,12 @@
 }
 
 // aged returns the candidate with the load that is expected now, after the time since its report.
-func (c *Candidate) aged() *Candidate {
+func (c *Candidate) aged() Candidate {
 	aged := *c
 	left := math.Exp(-float64(max(c.ReportAge, 0)) / float64(reportLife))
 	aged.InProgress = int(math.Round(float64(c.InProgress) * left))
 	aged.Queued = int(math.Round(float64(c.Queued) * left))
-	return &aged
+	return aged
 }
 
 // add adds a candidate to the view of its place.
@@ -157,7 +158,11 @@
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		if c.SamePlace && !c.Suspect && float64(c.aged().expected(call, 0)) <= lateMark*float64(call.ObjectiveLeft) {
+		if !c.SamePlace || c.Suspect {
+			continue
+		}
+		aged := c.aged()
+		if float64(aged.expected(call, 0)) <= lateMark*float64(call.ObjectiveLeft) {
 			return roomLevel
 		}
 	}
