--- a/node/process/choice/leaver.go
+++ b/node/process/choice/leaver.go
@@ -15,7 +15,7 @@
 	riseTime = 1500 * time.Millisecond
 	fallTime = 4 * time.Second
 	// maxStep is the largest change of a share by one call, also after a long time without calls.
-	maxStep = 0.1
+	maxStep = 0.2
 	// redirectedStep is the increase of the share by a call that the servers at home have redirected: they know their queues best.
 	redirectedStep = 0.04
 	// maxLeaving is the largest share of calls that leave while a server in the place is usable; the others show when it has room.
--- a/node/process/choice/leaving_test.go
+++ b/node/process/choice/leaving_test.go
@@ -221,7 +221,7 @@
 			}
 		}
 		share := float64(left) / float64(len(nodes))
-		assert.LessOrEqual(t, share, lastShare+0.35, "round %d: a step of 0.1, and the spread of 29 draws", round)
+		assert.LessOrEqual(t, share, lastShare+0.35, "round %d: a step of 0.2, and the spread of 29 draws", round)
 		lastShare = share
 		now = now.Add(300 * time.Millisecond)
 	}
--- a/node/process/choice/placeview.go
+++ b/node/process/choice/placeview.go
@@ -17,8 +17,6 @@
 	// maxPrice is the largest price of the bytes of a call, as a part of the time to its objective. The rest is for its work, which may
 	// take longer than usual.
 	maxPrice = 0.3
-	// slowRatio is the ratio of the average times of calls at two servers from which one of them counts as slow.
-	slowRatio = 1.5
 	// reportLife is the time constant with which the load of an old report counts less, so that a server that gets no calls because of it
 	// is tried again.
 	reportLife = 4 * time.Second
@@ -117,7 +115,7 @@
 	expected := c.expected(call, failures) + slower
 	p.usable = append(p.usable, i)
 	room := 0.0
-	if slower == 0 {
+	if slower == 0 && c.Slowdown <= 1 {
 		room = c.freeForOthers(level)
 	}
 	p.rooms = append(p.rooms, room)
@@ -142,10 +140,10 @@
 	return least
 }
 
-// slower returns the time that calls take longer at the server than at the fastest one. The average time of the route does not show it,
-// since it is that of all servers. Small differences are those of the calls that the servers got.
+// slower returns the time that calls take longer at the server than at the fastest one, unless its slowdown says so already. MarkSlow
+// compares with the median, which is a slow server where a node knows few servers beside those of a slow place.
 func (c *Candidate) slower(least time.Duration) time.Duration {
-	if c.WarmUpLeft > 0 || float64(c.ServiceTime) < slowRatio*float64(least) {
+	if c.WarmUpLeft > 0 || c.Slowdown > 1 || float64(c.ServiceTime) < slowServerFactor*float64(least) {
 		return 0
 	}
 	return c.ServiceTime - least
