--- a/node/process/choice/leaver.go
+++ b/node/process/choice/leaver.go
@@ -15,7 +15,7 @@
 	riseTime = 1500 * time.Millisecond
 	fallTime = 4 * time.Second
 	// maxStep is the largest change of a share by one call, also after a long time without calls.
-	maxStep = 0.1
+	maxStep = 0.2
 	// redirectedStep is the increase of the share by a call that the servers at home have redirected: they know their queues best.
 	redirectedStep = 0.04
 	// maxLeaving is the largest share of calls that leave while a server in the place is usable; the others show when it has room.
@@ -25,6 +25,8 @@
 	// reportedShare is the share from which calls of a service are reported to leave, until it has been below minLeaving for reportDelay.
 	reportedShare = 0.05
 	reportDelay   = 5 * time.Second
+	// reportInterval is the least time between two checks for such changes.
+	reportInterval = 100 * time.Millisecond
 	// refusedFactor lowers the share of a place whose server has just refused a call.
 	refusedFactor = 0.7
 	// idleTime is the time constant with which the share of calls decays of which none has come.
@@ -147,6 +149,10 @@
 // reportChanges reports the places for which calls of a service begin or stop to leave.
 func (l *Leaver) reportChanges(name string, s *leavingService) {
 	now := l.config.Now()
+	if now.Sub(s.reported) < reportInterval {
+		return
+	}
+	s.reported = now
 	shares := s.shares(now)
 	for place, share := range shares {
 		_, leaving := s.leaving[place]
--- a/node/process/choice/placeview.go
+++ b/node/process/choice/placeview.go
@@ -17,8 +17,6 @@
 	// maxPrice is the largest price of the bytes of a call, as a part of the time to its objective. The rest is for its work, which may
 	// take longer than usual.
 	maxPrice = 0.3
-	// slowRatio is the ratio of the average times of calls at two servers from which one of them counts as slow.
-	slowRatio = 1.5
 	// reportLife is the time constant with which the load of an old report counts less, so that a server that gets no calls because of it
 	// is tried again.
 	reportLife = 4 * time.Second
@@ -81,7 +79,8 @@
 			p.refused = true
 			v.refusals++
 		default:
-			p.add(i, c.aged(), call, c.Failures-leastFailures, c.slower(leastService), level)
+			aged := c.aged()
+			p.add(i, &aged, call, c.Failures-leastFailures, c.slower(leastService), level)
 		}
 	}
 	for name, p := range places {
@@ -103,12 +102,12 @@
 }
 
 // aged returns the candidate with the load that is expected now, after the time since its report.
-func (c *Candidate) aged() *Candidate {
+func (c *Candidate) aged() Candidate {
 	aged := *c
 	left := math.Exp(-float64(max(c.ReportAge, 0)) / float64(reportLife))
 	aged.InProgress = int(math.Round(float64(c.InProgress) * left))
 	aged.Queued = int(math.Round(float64(c.Queued) * left))
-	return &aged
+	return aged
 }
 
 // add adds a candidate to the view of its place.
@@ -116,7 +115,7 @@
 	expected := c.expected(call, failures) + slower
 	p.usable = append(p.usable, i)
 	room := 0.0
-	if slower == 0 {
+	if slower == 0 && c.Slowdown <= 1 {
 		room = c.freeForOthers(level)
 	}
 	p.rooms = append(p.rooms, room)
@@ -141,10 +140,10 @@
 	return least
 }
 
-// slower returns the time that calls take longer at the server than at the fastest one. The average time of the route does not show it,
-// since it is that of all servers. Small differences are those of the calls that the servers got.
+// slower returns the time that calls take longer at the server than at the fastest one, unless its slowdown says so already. MarkSlow
+// compares with the median, which is a slow server where a node knows few servers beside those of a slow place.
 func (c *Candidate) slower(least time.Duration) time.Duration {
-	if c.WarmUpLeft > 0 || float64(c.ServiceTime) < slowRatio*float64(least) {
+	if c.WarmUpLeft > 0 || c.Slowdown > 1 || float64(c.ServiceTime) < slowServerFactor*float64(least) {
 		return 0
 	}
 	return c.ServiceTime - least
@@ -157,7 +156,11 @@
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		if c.SamePlace && !c.Suspect && float64(c.aged().expected(call, 0)) <= lateMark*float64(call.ObjectiveLeft) {
+		if !c.SamePlace || c.Suspect {
+			continue
+		}
+		aged := c.aged()
+		if float64(aged.expected(call, 0)) <= lateMark*float64(call.ObjectiveLeft) {
 			return roomLevel
 		}
 	}
