--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -55,6 +55,14 @@
 	RateWait  time.Duration
 	// WarmUpLeft is the remaining time for which the server stays slow after its start.
 	WarmUpLeft time.Duration
+	// LinkBytesPerSecond is the speed of the link of the server's host; 0 if unknown.
+	LinkBytesPerSecond float64
+	// EgressBytes is the number of bytes that waited for that link at the time of the report; BytesSinceReport is the expected size
+	// of the answers to the calls sent after it.
+	EgressBytes      int
+	BytesSinceReport int
+	// Local is set for the server at this host, whose answers do not pass a link on their way to this node.
+	Local bool
 	// Failures is the recent share of attempts at the server that failed.
 	Failures float64
 	// Suspect is set for servers whose node does not respond.
@@ -73,6 +81,8 @@
 	RouteTime time.Duration
 	// RouteBytes is the average size of a call on the route and its answer.
 	RouteBytes int
+	// Transfer is what is known of the transfer of the answer; the zero value leaves it out of the choice.
+	Transfer Transfer
 	// Service, Route and Rank identify the calls that leave the place in the same proportion; used by Leaver only.
 	Service string
 	Route   string
@@ -89,6 +99,7 @@
 func Pick(candidates []Candidate, call Call) int {
 	estimates := make([]time.Duration, len(candidates))
 	minFailureShare := minFailures(candidates)
+	call.Transfer.slowest = slowestLink(candidates)
 	samePlace, best := -1, -1
 	for i := range candidates {
 		c := &candidates[i]
@@ -164,7 +175,7 @@
 	total += c.slowDelay()
 	total += float64(min(c.WarmUpLeft, work))
 	total += failures * failureWeight * float64(max(call.ObjectiveLeft, work))
-	return time.Duration(total)
+	return time.Duration(total) + c.transferTime(call.Transfer) + c.displacement(call.Transfer)
 }
 
 // rateWait returns the time until the server's rate limit allows a call behind those sent since the report.
--- a/node/process/choice/placeview.go
+++ b/node/process/choice/placeview.go
@@ -55,6 +55,7 @@
 
 func newFleetView(candidates []Candidate, call Call) *fleetView {
 	v := &fleetView{candidates: candidates, refusedHome: -1}
+	call.Transfer.slowest = slowestLink(candidates)
 	places := map[string]*placeView{}
 	leastFailures, leastService := minFailures(candidates), minService(candidates)
 	level := roomLevelOf(candidates, call)
@@ -126,6 +127,7 @@
 	}
 	idle := *c
 	idle.InProgress, idle.Queued, idle.SentSinceReport = 0, 0, 0
+	idle.EgressBytes, idle.BytesSinceReport = 0, 0
 	p.best, p.least, p.idle = i, expected, idle.expected(call, failures)+slower
 }
 
