--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -69,8 +69,6 @@
 	Suspect bool
 	// Refused is set for servers that have refused this call; they are picked only when no other is left.
 	Refused bool
-	// Slowdown is the factor by which calls take longer at the server than at a typical one, set by MarkSlow; 0 and 1 mean not at all.
-	Slowdown float64
 }
 
 // Call holds the properties of a call that affect the choice.
@@ -160,9 +158,6 @@
 	if work == 0 {
 		work = service
 	}
-	if c.Slowdown > 1 {
-		work = time.Duration(float64(work) * c.Slowdown)
-	}
 	limit := max(c.Limit, 1)
 	busy := c.InProgress + c.Queued + c.SentSinceReport
 	total := float64(c.RoundTrip) + float64(work)
--- a/node/process/choice/leaving_world_test.go
+++ b/node/process/choice/leaving_world_test.go
@@ -187,7 +187,6 @@
 		k.candidate.Refused = slices.Contains(c.refusedBy, i)
 		candidates, servers = append(candidates, k.candidate), append(servers, i)
 	}
-	choice.MarkSlow(candidates)
 	d := w.policy(c.entry, candidates, choice.Call{
 		ObjectiveLeft: c.arrived + worldObjective - w.now, RouteTime: worldWork, RouteBytes: c.bytes, Service: "depot", Route: c.route, Rank: c.rank,
 	})
--- a/node/process/choice/placeview.go
+++ b/node/process/choice/placeview.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// slowServerFactor is the multiple of the least service time from which a server counts as slow. Noisy neighbours alone let the averages
+	// of equal servers differ by less.
+	slowServerFactor = 1.5
 	// roomLevel is the part of a server's limit up to which other places use it. The rest is for the callers of its own place.
 	roomLevel = 0.85
 	// lateMark is the part of the time to the objective from which a call counts as late at home. Late calls whose bytes cost little also
@@ -116,7 +119,7 @@
 	expected := c.expected(call, failures) + slower
 	p.usable = append(p.usable, i)
 	room := 0.0
-	if slower == 0 && c.Slowdown <= 1 {
+	if slower == 0 {
 		room = c.freeForOthers(level)
 	}
 	p.rooms = append(p.rooms, room)
@@ -142,10 +145,9 @@
 	return least
 }
 
-// slower returns the time that calls take longer at the server than at the fastest one, unless its slowdown says so already. MarkSlow
-// compares with the median, which is a slow server where a node knows few servers beside those of a slow place.
+// slower returns the time that calls take longer at the server than at the fastest one.
 func (c *Candidate) slower(least time.Duration) time.Duration {
-	if c.WarmUpLeft > 0 || c.Slowdown > 1 || float64(c.ServiceTime) < slowServerFactor*float64(least) {
+	if c.WarmUpLeft > 0 || float64(c.ServiceTime) < slowServerFactor*float64(least) {
 		return 0
 	}
 	return c.ServiceTime - least
--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -112,8 +112,6 @@
 	fairEnabled       func() bool // nil if teams have no shares
 	routeTimes        map[string]*ewma
 	overallTime       ewma
-	endedAt           time.Time // the last end of a call
-	unansweredEnabled func() bool
 	slowness          int
 	slownessAt        time.Time
 	minSlowness       recentMinimum
@@ -216,10 +214,7 @@
 		d.routeTime(j.Route).add(elapsed)
 		d.overallTime.add(elapsed)
 		d.recordKneeSample(j, elapsed, now)
-	} else {
-		d.recordUnanswered(now.Sub(j.started))
 	}
-	d.endedAt = now
 	d.dispatch(now)
 }
 
@@ -241,7 +236,7 @@
 	perSecond, rateWait := d.rateLimits(now)
 	return Load{
 		InProgress: d.inProgress, Queued: len(d.waiting), Limit: d.knee.limit,
-		Slowness: d.currentSlowness(now), ServiceTime: d.reportedServiceTime(now),
+		Slowness: d.currentSlowness(now), ServiceTime: d.overallTime.value(),
 		RateLimit: perSecond, RateWait: rateWait,
 		RateLimitUnknown: !d.limiter.known,
 	}
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -48,8 +48,6 @@
 	// AnnounceInterval returns the interval of a server's announcements. With 0, a server that was found by a health check
 	// is used without an announcement.
 	AnnounceInterval func() time.Duration
-	// UnevenServers reports whether the time of calls without an answer counts towards the reported service time. It may be nil.
-	UnevenServers func() bool
 	// FairShares reports whether teams have shares of the slots. If it is nil, they have none.
 	FairShares func() bool
 	// BackPressure reports whether calls are refused whose nested calls would be refused. If it is nil, they are not.
@@ -134,9 +132,6 @@
 		inProgress: newCallSet(), backPressure: backpressure.New(c.Now, c.BackPressureChanged),
 	}
 	s.dispatcher = dispatch.New(c.Now, s.probeSlowness)
-	if c.UnevenServers != nil {
-		s.dispatcher.RecordUnanswered(c.UnevenServers)
-	}
 	if c.FairShares != nil {
 		s.dispatcher.UseFairShares(c.FairShares)
 	}
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -270,7 +270,6 @@
 	}
 	if p.config.Leaving.active() {
 		call.Service = service
-		choice.MarkSlow(candidates)
 		return p.pickLeaving(usable, candidates, call), nil
 	}
 	return pickLeast(usable, candidates, call), nil
--- a/node/process/sidecar/fairshares.go
+++ b/node/process/sidecar/fairshares.go
@@ -8,12 +8,6 @@
 	return v != nil && v.HasTeams()
 }
 
-// unevenServers reports whether the choice of a server takes into account that some servers of a service are much slower than others.
-func (n *Node) unevenServers() bool {
-	v := n.routing.Current()
-	return v != nil && (v.HasTeams() || v.HasDownloads())
-}
-
 // backPressure reports whether calls are refused whose nested calls would be refused.
 func (n *Node) backPressure() bool {
 	v := n.routing.Current()
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -88,7 +88,7 @@
 		Stated:      n.serverStated,
 		EgressBytes: n.egress.WaitingBytes,
 		ColdLimit:   n.coldLimit, ColdChanged: n.coldChanged,
-		FairShares: n.fairShares, UnevenServers: n.unevenServers, BackPressure: n.backPressure,
+		FairShares: n.fairShares, BackPressure: n.backPressure,
 		BackPressureChanged: n.backPressureChanged,
 		PeerKnee:            n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
