--- a/ctl/cmd/radishctl/main.go
+++ b/ctl/cmd/radishctl/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/radishstand/radishstand/ctl/cli"
 	"github.com/radishstand/radishstand/ctl/demo"
+	"github.com/radishstand/radishstand/ctl/explain"
 	"github.com/radishstand/radishstand/ctl/load"
 	"github.com/radishstand/radishstand/ctl/settingscmd"
 	"github.com/radishstand/radishstand/ctl/show"
@@ -54,7 +55,7 @@
 func root(env *cli.Env) *ffcli.Command {
 	subcommands := []*ffcli.Command{settingscmd.Command(env)}
 	subcommands = append(subcommands, show.Commands(env)...)
-	subcommands = append(subcommands, load.Command(env), story.Command(env), demo.Command(env), trial.Platform(env), trial.Backend(env))
+	subcommands = append(subcommands, load.Command(env), story.Command(env), explain.Command(env), demo.Command(env), trial.Platform(env), trial.Backend(env))
 	command := cli.Command{
 		Name: "radishctl", Usage: "radishctl <subcommand> [options]", Flags: env.Flags("radishctl"), Subcommands: subcommands,
 		Long: "Operates a fleet of radishstand nodes through any one of them.\n\n" +
--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -96,14 +96,21 @@
 }
 
 // Pick returns the index of the candidate to use, or -1 without candidates.
-func Pick(candidates []Candidate, call Call) int {
+func Pick(candidates []Candidate, call Call) int { return pick(candidates, call, rand.Float64) }
+
+// Preview returns the index that Pick returns if the estimates are not varied.
+func Preview(candidates []Candidate, call Call) int {
+	return pick(candidates, call, func() float64 { return 0 })
+}
+
+func pick(candidates []Candidate, call Call, random func() float64) int {
 	estimates := make([]time.Duration, len(candidates))
 	minFailureShare := minFailures(candidates)
 	call.Transfer.slowest = slowestLink(candidates)
 	samePlace, best := -1, -1
 	for i := range candidates {
 		c := &candidates[i]
-		estimates[i] = c.estimate(call, c.Failures-minFailureShare)
+		estimates[i] = c.estimate(call, c.Failures-minFailureShare, random())
 		if best < 0 || c.better(estimates[i], &candidates[best], estimates[best]) {
 			best = i
 		}
@@ -140,8 +147,8 @@
 }
 
 // estimate returns the expected time until the answer of a call, varied by the jitter.
-func (c *Candidate) estimate(call Call, failures float64) time.Duration {
-	return c.expected(call, failures) + time.Duration(jitter*float64(c.service())*rand.Float64())
+func (c *Candidate) estimate(call Call, failures, random float64) time.Duration {
+	return c.expected(call, failures) + time.Duration(jitter*float64(c.service())*random)
 }
 
 // service returns the average time of a call at the server, also while it is not known.
@@ -155,6 +162,11 @@
 // expected returns the expected time until the answer of a call. Failures beyond those of the best server count as time,
 // so that a server that fails quickly does not look fast.
 func (c *Candidate) expected(call Call, failures float64) time.Duration {
+	return c.terms(call, failures).Total()
+}
+
+// terms returns the parts of the expected time.
+func (c *Candidate) terms(call Call, failures float64) Terms {
 	service := c.service()
 	work := call.RouteTime
 	if work == 0 {
@@ -165,17 +177,18 @@
 	}
 	limit := max(c.Limit, 1)
 	busy := c.InProgress + c.Queued + c.SentSinceReport
-	total := float64(c.RoundTrip) + float64(work)
 	wait := c.rateWait()
 	if excess := busy + 1 - limit; excess > 0 {
 		wait = max(wait, float64(excess)/float64(limit)*float64(service))
 	}
-	total += wait
-	total += utilizationWeight * float64(service) * min(float64(busy)/float64(limit), 1)
-	total += c.slowDelay()
-	total += float64(min(c.WarmUpLeft, work))
-	total += failures * failureWeight * float64(max(call.ObjectiveLeft, work))
-	return time.Duration(total) + c.transferTime(call.Transfer) + c.displacement(call.Transfer)
+	return Terms{
+		RoundTrip: c.RoundTrip, Work: work, Wait: time.Duration(wait),
+		Utilization: time.Duration(utilizationWeight * float64(service) * min(float64(busy)/float64(limit), 1)),
+		Slowness:    time.Duration(c.slowDelay()),
+		WarmUp:      min(c.WarmUpLeft, work),
+		Failures:    time.Duration(failures * failureWeight * float64(max(call.ObjectiveLeft, work))),
+		Transfer:    c.transferTime(call.Transfer), Displacement: c.displacement(call.Transfer),
+	}
 }
 
 // rateWait returns the time until the server's rate limit allows a call behind those sent since the report.
--- a/node/process/choice/leaver.go
+++ b/node/process/choice/leaver.go
@@ -77,24 +77,45 @@
 func (l *Leaver) Pick(candidates []Candidate, call Call) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.config.Now()
 	service := l.service(call.Service)
+	return l.decide(service, candidates, call, l.config.Random, func() { l.reportChanges(call.Service, service) })
+}
+
+// medianDraw is the random number with which Preview draws: a call leaves if more than half of those like it do.
+const medianDraw = 0.5
+
+// Preview returns what Pick would return if its random numbers were medianDraw, and the share of calls like this one that leave for each
+// other place. It changes nothing.
+func (l *Leaver) Preview(candidates []Candidate, call Call) (Decision, map[string]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	service := newLeavingService()
+	if known := l.services[call.Service]; known != nil {
+		service = known.clone()
+	}
+	d := l.decide(service, candidates, call, func() float64 { return medianDraw }, func() {})
+	return d, service.class(classKey{call.Route, call.Rank}).shares
+}
+
+// decide returns the decision about a call and counts it in the state of its service. changed is called when the shares have changed.
+func (l *Leaver) decide(service *leavingService, candidates []Candidate, call Call, random func() float64, changed func()) Decision {
+	now := l.config.Now()
 	service.demand.add(call.Rank, now)
 	view := newFleetView(candidates, call)
 	home := view.home
 	if home == nil {
 		if view.refusedHome >= 0 {
 			service.class(classKey{call.Route, call.Rank}).raise(view, redirectedStep)
-			l.reportChanges(call.Service, service)
+			changed()
 		}
-		return l.pickAway(view)
+		return l.pickAway(view, random)
 	}
 	expected := home.expected(service.demand.ahead(call.Rank))
 	class := service.class(classKey{call.Route, call.Rank})
 	class.update(view, call, expected, now)
-	l.reportChanges(call.Service, service)
-	if place := class.draw(view, call, expected, l.config.Random()); place != nil {
-		return Decision{Index: place.draw(l.config.Random), Redirect: minRedirect}
+	changed()
+	if place := class.draw(view, call, expected, random()); place != nil {
+		return Decision{Index: place.draw(random), Redirect: minRedirect}
 	}
 	return l.stay(view, call)
 }
@@ -116,15 +137,15 @@
 
 // pickAway returns a server of another place for a call that no server of this one takes now. If no other place has room, the call waits in
 // its own place, where there is a server.
-func (l *Leaver) pickAway(view *fleetView) Decision {
-	place := view.drawRoom(l.config.Random())
+func (l *Leaver) pickAway(view *fleetView, random func() float64) Decision {
+	place := view.drawRoom(random())
 	if place != nil && (view.refusedHome < 0 || view.refusals < maxRefusals) {
-		return Decision{Index: place.draw(l.config.Random), Redirect: minRedirect}
+		return Decision{Index: place.draw(random), Redirect: minRedirect}
 	}
 	if view.refusedHome >= 0 {
 		return Decision{Index: view.refusedHome, Stay: true}
 	}
-	return Decision{Index: view.any(l.config.Random), Redirect: minRedirect}
+	return Decision{Index: view.any(random), Redirect: minRedirect}
 }
 
 // Shares returns the share of a service's recent calls that left for each other place.
@@ -140,7 +161,7 @@
 func (l *Leaver) service(name string) *leavingService {
 	s := l.services[name]
 	if s == nil {
-		s = &leavingService{classes: map[classKey]*leavingClass{}, leaving: map[string]time.Time{}}
+		s = newLeavingService()
 		l.services[name] = s
 	}
 	return s
--- a/node/process/choice/leaving_class.go
+++ b/node/process/choice/leaving_class.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -23,6 +24,22 @@
 	rank  uint32
 }
 
+func newLeavingService() *leavingService {
+	return &leavingService{classes: map[classKey]*leavingClass{}, leaving: map[string]time.Time{}}
+}
+
+// clone returns a copy that shares nothing with the service.
+func (s *leavingService) clone() *leavingService {
+	c := newLeavingService()
+	c.reported = s.reported
+	c.demand = rankDemand{byRank: maps.Clone(s.demand.byRank), updated: s.demand.updated}
+	for key, class := range s.classes {
+		c.classes[key] = &leavingClass{shares: maps.Clone(class.shares), calls: class.calls, updated: class.updated}
+	}
+	maps.Copy(c.leaving, s.leaving)
+	return c
+}
+
 func (s *leavingService) class(key classKey) *leavingClass {
 	c := s.classes[key]
 	if c == nil {
--- a/node/process/choice/placeview.go
+++ b/node/process/choice/placeview.go
@@ -113,7 +113,7 @@
 
 // add adds a candidate to the view of its place.
 func (p *placeView) add(i int, c *Candidate, call Call, failures float64, slower time.Duration, level float64) {
-	expected := c.expected(call, failures) + slower
+	expected := c.slowerTerms(call, failures, slower).Total()
 	p.usable = append(p.usable, i)
 	room := 0.0
 	if slower == 0 && c.Slowdown <= 1 {
--- a/node/process/peers/leaving.go
+++ b/node/process/peers/leaving.go
@@ -23,14 +23,17 @@
 // active reports whether the Leaver decides.
 func (l *Leaving) active() bool { return l != nil && l.Active() }
 
-// pickLeaving chooses a server with the Leaver. The round trips to other places are those that pings have measured.
-func (p *Set) pickLeaving(usable []*Server, candidates []choice.Candidate, call choice.Call) PickResult {
+// useMeasuredRoundTrips sets the round trips to other places to those that pings have measured.
+func useMeasuredRoundTrips(usable []*Server, candidates []choice.Candidate) {
 	for i, s := range usable {
 		if measured := s.measuredRoundTrip(); measured > 0 && !candidates[i].SamePlace {
 			candidates[i].RoundTrip = measured
 		}
 	}
-	decision := p.config.Leaving.Leaver.Pick(candidates, call)
+}
+
+// resultOfLeaving returns the result for a decision of the Leaver.
+func resultOfLeaving(usable []*Server, candidates []choice.Candidate, decision choice.Decision) PickResult {
 	picked := resultOf(usable, candidates, decision.Index)
 	picked.Redirect = decision.Redirect
 	if decision.Stay {
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -75,8 +75,24 @@
 
 // usableLocked is like usable; s.mu must be held.
 func (s *Server) usableLocked(service string, now time.Time) bool {
-	return s.state != nil && s.state.Ready && s.state.Service == service && now.After(s.excludedUntil) &&
-		(s.client != nil || s.address == "") && !s.leaves(now)
+	return s.state.GetService() == service && s.unusable(now) == ""
+}
+
+// unusable returns why the server accepts no calls; empty if it accepts some. s.mu must be held.
+func (s *Server) unusable(now time.Time) string {
+	switch {
+	case s.client == nil && s.address != "":
+		return "no link to its node"
+	case s.state == nil:
+		return "its node has not stated its state"
+	case s.leaves(now):
+		return "leaving"
+	case !s.state.Ready:
+		return "not ready"
+	case !now.After(s.excludedUntil):
+		return "its node has just refused a call for it"
+	}
+	return ""
 }
 
 // candidate returns the server as a candidate for the choice, and false when it does not accept calls for a service.
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -252,6 +252,19 @@
 
 // Pick chooses a server of a service. Servers in exclude are never chosen; those in refused come last.
 func (p *Set) Pick(service string, call choice.Call, exclude, refused []*Server) (PickResult, error) {
+	usable, candidates := p.candidates(service, exclude, refused)
+	if len(usable) == 0 {
+		return PickResult{}, ErrNoServer
+	}
+	if p.config.Leaving.active() {
+		call.Service = service
+		return resultOfLeaving(usable, candidates, p.config.Leaving.Leaver.Pick(candidates, call)), nil
+	}
+	return pickLeast(usable, candidates, call), nil
+}
+
+// candidates returns the servers that may be chosen, as the choice sees them.
+func (p *Set) candidates(service string, exclude, refused []*Server) ([]*Server, []choice.Candidate) {
 	now := time.Now()
 	servers := slices.DeleteFunc(p.servers(service), func(s *Server) bool { return slices.Contains(exclude, s) })
 	candidates := make([]choice.Candidate, 0, len(servers))
@@ -265,15 +278,11 @@
 		usable = append(usable, s)
 		candidates = append(candidates, c)
 	}
-	if len(usable) == 0 {
-		return PickResult{}, ErrNoServer
-	}
 	if p.config.Leaving.active() {
-		call.Service = service
 		choice.MarkSlow(candidates)
-		return p.pickLeaving(usable, candidates, call), nil
+		useMeasuredRoundTrips(usable, candidates)
 	}
-	return pickLeast(usable, candidates, call), nil
+	return usable, candidates
 }
 
 // pickLeast chooses the server with the least expected time.
--- a/node/process/peers/room.go
+++ b/node/process/peers/room.go
@@ -10,6 +10,11 @@
 // PickWithRoom is like Pick, but chooses only servers that have not refused the call and whose last load report, with the calls sent
 // since, shows that a call could start at once.
 func (p *Set) PickWithRoom(service string, call choice.Call, exclude, refused []*Server) (PickResult, error) {
+	return p.Pick(service, call, p.withoutRoom(service, exclude, refused), nil)
+}
+
+// withoutRoom returns the servers that PickWithRoom does not choose.
+func (p *Set) withoutRoom(service string, exclude, refused []*Server) []*Server {
 	now := time.Now()
 	without := slices.Concat(exclude, refused)
 	for _, s := range p.servers(service) {
@@ -18,5 +23,5 @@
 			without = append(without, s)
 		}
 	}
-	return p.Pick(service, call, without, nil)
+	return without
 }
--- a/node/process/quota/borrower.go
+++ b/node/process/quota/borrower.go
@@ -160,16 +160,12 @@
 	defer b.mu.Unlock()
 	now := b.config.Now()
 	t := b.teams[name]
-	if t == nil || !t.limited || t.owner == "" {
+	switch b.outlook(t, now) {
+	case NoOwner, OwnerSilent:
 		return decision{err: ErrUnavailable}, nil
-	}
-	if token := t.held(now); token != nil {
-		return decision{token: token}, nil
-	}
-	if b.owners[t.owner].silentFor(now) >= answerTimeout {
-		return decision{err: ErrUnavailable}, nil
-	}
-	if now < t.emptyUntil {
+	case TokenHeld:
+		return decision{token: t.held(now)}, nil
+	case OwnerEmpty:
 		return decision{err: &ExceededError{Wait: t.emptyUntil - now}}, nil
 	}
 	w := &waiter{since: now, done: make(chan decision, 1)}
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -11,6 +11,7 @@
 	"github.com/justinas/alice"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/radishstand/radishstand/api/explain"
 	"github.com/radishstand/radishstand/node/connection/ingress"
 	"github.com/radishstand/radishstand/node/version/routing"
 )
@@ -83,6 +84,8 @@
 	diagnostics := http.NewServeMux()
 	diagnostics.HandleFunc("GET /metrics", n.writeMetrics)
 	diagnostics.HandleFunc("GET /dump", n.writeDump)
+	diagnostics.HandleFunc("GET "+explain.Path, n.explain)
+	diagnostics.HandleFunc("POST "+explain.Path, n.explain)
 	err = errors.Join(
 		n.serveCallers(l.Callers),
 		n.serveHTTP(l.Ready, http.HandlerFunc(n.ready)),
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -76,12 +76,19 @@
 }
 
 func (h *Handler) newCall(r *http.Request, a accepted, body []byte, memory *membudget.Reservation, arrived arrival) *call {
+	c := h.prepareCall(r, a, arrived)
+	c.service, c.memory, c.message.Body = a.route.Split.Next(), memory, body
+	return c
+}
+
+// prepareCall returns the call of a request without its service, its body and the memory for that.
+func (h *Handler) prepareCall(r *http.Request, a accepted, arrived arrival) *call {
 	c := &call{
-		handler: h, memory: memory, team: a.team, route: a.route, service: a.route.Split.Next(), arrived: arrived.at,
+		handler: h, team: a.team, route: a.route, arrived: arrived.at,
 		objective: arrived.at.Add(a.route.Objective), deadline: arrived.at.Add(a.timeout),
 		timeout: a.timeout, arrivedBoot: arrived.boot, hasDownloads: a.version.HasDownloads(),
 		message: &linkpb.Call{
-			Method: r.Method, Target: a.target.Raw, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header), Body: body,
+			Method: r.Method, Target: a.target.Raw, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header),
 			Rank: a.version.RankOf(a.route, a.team), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
 		},
 	}
@@ -141,7 +148,7 @@
 // show room and enough time is left.
 func (c *call) pick() (peers.PickResult, error) {
 	if c.lateRefusals > 0 {
-		if c.lateRefusals > maxFurtherServers || !c.hasTimeForAttempt() {
+		if !c.mayAskFurther() {
 			return peers.PickResult{}, peers.ErrNoServer
 		}
 		c.handler.config.Counters.Count("asked_further")
@@ -150,6 +157,11 @@
 	return c.handler.config.Peers.Pick(c.service, c.choice(), c.excluded, c.refused)
 }
 
+// mayAskFurther reports whether another server may be asked after servers have refused to queue the call.
+func (c *call) mayAskFurther() bool {
+	return c.lateRefusals <= maxFurtherServers && c.hasTimeForAttempt()
+}
+
 // causeWithoutServer returns why a call is refused for which no server is left.
 func (c *call) causeWithoutServer() string {
 	if c.lateRefusals > 0 {
--- a/node/request/front/dependency.go
+++ b/node/request/front/dependency.go
@@ -58,12 +58,9 @@
 }
 
 // rememberedRefusal returns the refusal of a call if a server's node has just refused another one of its route and team, and nil
-// otherwise. The calls that no node refuses are spared.
+// otherwise.
 func (c *call) rememberedRefusal() *result {
-	if c.message.Nested || c.message.Rank == 0 {
-		return nil
-	}
-	after, refused := c.handler.dependencies.refused(c.dependencyKey(), time.Now())
+	after, refused := c.rememberedDependency(time.Now())
 	if !refused {
 		return nil
 	}
@@ -72,6 +69,15 @@
 	return c.refusal(causeDependency)
 }
 
+// rememberedDependency returns the Retry-After time of a refusal that is remembered for the call. The calls that no node refuses are
+// spared.
+func (c *call) rememberedDependency(now time.Time) (time.Duration, bool) {
+	if c.message.Nested || c.message.Rank == 0 {
+		return 0, false
+	}
+	return c.handler.dependencies.refused(c.dependencyKey(), now)
+}
+
 // refusedForDependency returns the result of a call that a server's node has refused since its nested calls would be refused. Other
 // servers of the service would refuse it too.
 func (c *call) refusedForDependency(after time.Duration) *result {
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -176,6 +176,14 @@
 
 // acceptHead validates the head of a request and matches its route.
 func (h *Handler) acceptHead(r *http.Request, now time.Time) (accepted, *problem) {
+	return h.decideHead(r, now, h.authenticate)
+}
+
+// decideHead is like acceptHead, with the given decision about the team. When the request is not accepted, the result has what was
+// determined before.
+func (h *Handler) decideHead(
+	r *http.Request, now time.Time, team func(http.Header, *routing.Version, *routing.Route) (*routing.Team, *problem),
+) (accepted, *problem) {
 	var a accepted
 	if stopped := h.stoppedAt.Load(); stopped != 0 && now.Sub(time.Unix(0, stopped)) > rejectAfterStop {
 		return a, &problem{status: http.StatusServiceUnavailable, cause: "stopping", retryAfter: stoppingRetryAfter}
@@ -195,7 +203,7 @@
 		return a, &problem{status: http.StatusNotFound, cause: "no route"}
 	}
 	var failed *problem
-	if a.team, failed = h.authenticate(r.Header, a.version, a.route); failed != nil {
+	if a.team, failed = team(r.Header, a.version, a.route); failed != nil {
 		return a, failed
 	}
 	if !utf8.ValidString(a.id + a.target.Raw + r.Host) { // nodes could not send it to each other
--- a/node/request/front/quota_test.go
+++ b/node/request/front/quota_test.go
@@ -18,6 +18,11 @@
 	taken int
 }
 
+// Take returns the fixed error.
+func (q *fixedQuota) Outlook(*routing.Team) quota.Outlook {
+	return quota.Outlook{Decision: quota.AskOwner, Err: q.err}
+}
+
 // Take returns the fixed error.
 func (q *fixedQuota) Take(context.Context, *routing.Team) (*quota.Token, error) {
 	q.taken++
--- a/node/request/front/team.go
+++ b/node/request/front/team.go
@@ -25,22 +25,42 @@
 // authenticate returns the team whose key a request has. It returns no team on a public route and in a version without teams. A
 // response with status 401 is final for callers, so that it is sent only when no newer version may hold the key.
 func (h *Handler) authenticate(header http.Header, v *routing.Version, r *routing.Route) (*routing.Team, *problem) {
+	return h.decideTeam(v, r, h.claimOf(header, v))
+}
+
+// claim is the team that a request claims to be of.
+type claim struct {
+	// team is nil if it is not known.
+	team *routing.Team
+	// keys is the number of keys.
+	keys int
+}
+
+// claimOf returns the claim of the keys in a header.
+func (h *Handler) claimOf(header http.Header, v *routing.Version) claim {
+	keys := header.Values(h.config.Names.TeamKey)
+	c := claim{keys: len(keys)}
+	if len(keys) == 1 {
+		c.team = v.TeamOf(keys[0])
+	}
+	return c
+}
+
+// decideTeam returns the team of a request with a claim.
+func (h *Handler) decideTeam(v *routing.Version, r *routing.Route, claimed claim) (*routing.Team, *problem) {
 	if r.Public || !v.HasTeams() {
 		return nil, nil
 	}
 	if !h.config.Freshness.Leased(v.Number) {
 		return nil, &problem{status: http.StatusServiceUnavailable, cause: "no freshness lease", retryAfter: staleRetryAfter}
 	}
-	keys := header.Values(h.config.Names.TeamKey)
-	if len(keys) == 1 {
-		if team := v.TeamOf(keys[0]); team != nil {
-			return team, nil
-		}
+	if claimed.team != nil {
+		return claimed.team, nil
 	}
 	switch {
 	case h.config.Freshness.NewerKnown(v.Number):
 		return nil, &problem{status: http.StatusServiceUnavailable, cause: "newer routing version known", retryAfter: staleRetryAfter}
-	case len(keys) == 1:
+	case claimed.keys == 1:
 		return nil, &problem{status: http.StatusUnauthorized, cause: "unknown key"}
 	}
 	return nil, &problem{status: http.StatusUnauthorized, cause: "not exactly one key"}
--- a/node/version/routing/split.go
+++ b/node/version/routing/split.go
@@ -55,13 +55,28 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best := 0
+	best := s.best()
 	for i, p := range s.parts {
 		s.credits[i] += p.Weight
-		if s.credits[i] > s.credits[best] {
-			best = i
-		}
 	}
 	s.credits[best] -= s.total
 	return s.parts[best].Service
 }
+
+// Peek returns the service of the next call without taking its turn.
+func (s *Split) Peek() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parts[s.best()].Service
+}
+
+// best returns the index of the service whose turn is next. s.mu must be held.
+func (s *Split) best() int {
+	best := 0
+	for i, p := range s.parts {
+		if s.credits[i]+p.Weight > s.credits[best]+s.parts[best].Weight {
+			best = i
+		}
+	}
+	return best
+}
