--- a/api/explain/explain.go
+++ b/api/explain/explain.go
@@ -42,7 +42,7 @@
 	Quota      Quota       `json:"quota"`
 	Route      *Route      `json:"route,omitempty"`
 	Split      []Part      `json:"split,omitempty"`
-	Leaving    *Leaving    `json:"leaving,omitempty"`
+	Choice     *Choice     `json:"choice,omitempty"`
 	Candidates []Candidate `json:"candidates,omitempty"`
 	Queue      *Queue      `json:"queue,omitempty"`
 	// Unknown lists what the node cannot know without sending the request.
@@ -124,10 +124,22 @@
 	Next bool `json:"next,omitempty"`
 }
 
-// Leaving is the share of calls that leave the place, by place. A call is drawn at random with these shares; the explanation assumes the
-// more likely outcome.
-type Leaving struct {
-	Shares map[string]float64 `json:"shares"`
+// Rules of the choice between servers of this place and others.
+const (
+	// RulePenalty prefers the place while its best estimate meets the objective, or exceeds the best one by at most the transfer penalty.
+	RulePenalty = "this place, while its estimate meets the objective or exceeds the best one by at most the transfer penalty"
+	// RuleShare draws the calls that leave at random.
+	RuleShare = "this place, except for the share of the calls that leaves it"
+)
+
+// Choice is how the server was chosen among the candidates.
+type Choice struct {
+	Rule string `json:"rule"`
+	// TransferPenaltyMs is that of RulePenalty.
+	TransferPenaltyMs float64 `json:"transferPenaltyMs,omitempty"`
+	// LeavingShares is the share of such calls that leaves for each other place, with RuleShare. The explanation assumes that a call leaves
+	// if more than half of them do.
+	LeavingShares map[string]float64 `json:"leavingShares,omitempty"`
 }
 
 // Candidate is a server of the service, in the order in which the choice prefers them; those that are not usable are last.
--- a/ctl/explain/explain_test.go
+++ b/ctl/explain/explain_test.go
@@ -20,7 +20,7 @@
 	{"node": "local", "server": "i-2", "place": "north", "unusable": "leaving"}], "unknown": [{"what": "the answer of the queue", "why": "it was not asked"}]}`
 
 // run runs the command with the key as standard input.
-func run(t *testing.T, node, key string, args ...string) (err error, output string) {
+func run(t *testing.T, node, key string, args ...string) (output string, err error) {
 	t.Helper()
 	var out bytes.Buffer
 	env := &cli.Env{Stdin: strings.NewReader(key), Stdout: &out, Stderr: &out, Node: cli.DefaultNode}
@@ -29,7 +29,7 @@
 	if err != nil {
 		out.WriteString(err.Error())
 	}
-	return err, out.String()
+	return out.String(), err
 }
 
 // Guards against a key in an address or an output, also when the node refuses the request.
@@ -46,7 +46,7 @@
 	defer node.Close()
 	for _, status = range []int{200, 400, 500} {
 		for _, args := range [][]string{{"--json"}, nil} {
-			_, output := run(t, node.Listener.Addr().String(), "secret\n", append(args, "--host", "h", "--path", "/p", "--key-from-stdin")...)
+			output, _ := run(t, node.Listener.Addr().String(), "secret\n", append(args, "--host", "h", "--path", "/p", "--key-from-stdin")...)
 			assert.NotContains(t, output, "secret")
 		}
 	}
@@ -91,7 +91,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			err, output := run(t, c.node, c.key, c.args...)
+			output, err := run(t, c.node, c.key, c.args...)
 			assert.Equal(t, c.code, cli.ExitCode(err))
 			assert.Contains(t, output, c.want)
 		})
--- a/ctl/explain/print.go
+++ b/ctl/explain/print.go
@@ -14,22 +14,25 @@
 // Print writes an explanation for human readers.
 func Print(env *cli.Env, a *api.Answer) error {
 	env.Printlnf("%s", outcomeText(a.Outcome))
+	if a.Outcome.Result == api.ResultRefused && a.Route != nil {
+		env.Printlnf("what follows the refusal is what would happen to the request without it")
+	}
 	env.Printlnf("node %s in place %s, routing version %d", a.Node, a.Place, a.Version)
 	env.Printlnf("identity: %s", identityText(a.Identity))
 	env.Printlnf("lease: %s", leaseText(a.Lease))
 	env.Printlnf("quota: %s", quotaText(a.Quota))
 	if r := a.Route; r != nil {
-		env.Printlnf("route: %s (%s%s), timeout %d ms, objective %d ms, at most %d attempts, idempotent %t, rank %d, average %g ms and %d bytes",
-			r.Name, r.Host, r.Prefix, r.TimeoutMs, r.ObjectiveMs, r.MaxAttempts, r.Idempotent, r.Rank, r.AverageMs, r.AverageBytes)
+		env.Printlnf("route: %s (%s%s), timeout %d ms, objective %d ms, at most %d attempts, idempotent %t, rank %s, average %g ms and %d bytes",
+			r.Name, r.Host, r.Prefix, r.TimeoutMs, r.ObjectiveMs, r.MaxAttempts, r.Idempotent, rankText(r.Rank, a.Identity), r.AverageMs, r.AverageBytes)
 	}
 	if len(a.Split) > 0 {
 		env.Printlnf("split: %s", splitText(a.Split))
 	}
-	if a.Leaving != nil {
-		env.Printlnf("share that leaves the place: %s", sharesText(a.Leaving.Shares))
+	if a.Choice != nil {
+		env.Printlnf("choice: %s", choiceText(a.Choice))
 	}
 	if q := a.Queue; q != nil {
-		env.Printlnf("queue, by its last report: %s; wait %g ms, redirected from %s, time left %d ms", q.Answer, q.WaitMs, orNever(q.RedirectMs), q.TimeLeftMs)
+		env.Printlnf("queue, by its last report: %s; wait %g ms, %s, time left %d ms", q.Answer, q.WaitMs, redirectText(q.RedirectMs), q.TimeLeftMs)
 	}
 	if err := printCandidates(env, a.Candidates); err != nil {
 		return err
@@ -172,11 +175,30 @@
 	return fmt.Sprintf("%.0f ms", ms)
 }
 
-func orNever(ms float64) string {
+func redirectText(ms float64) string {
 	if ms == 0 {
-		return "no wait on"
+		return "not redirected, since there is no other server"
+	}
+	return fmt.Sprintf("redirected from a wait of %g ms", ms)
+}
+
+// rankBits is the number of bits of each part of a rank.
+const rankBits = 16
+
+// rankText returns a rank, with the team's part before the route's if there is one.
+func rankText(rank uint32, i api.Identity) string {
+	team, route := rank>>rankBits, rank&(1<<rankBits-1)
+	if team == 0 && i.Team == "" {
+		return strconv.FormatUint(uint64(route), 10)
+	}
+	return fmt.Sprintf("%d then %d", team, route)
+}
+
+func choiceText(c *api.Choice) string {
+	if c.Rule == api.RulePenalty {
+		return fmt.Sprintf("%s (%g ms)", c.Rule, c.TransferPenaltyMs)
 	}
-	return strconv.FormatFloat(ms, 'g', -1, 64) + " ms"
+	return c.Rule + " (" + sharesText(c.LeavingShares) + ")"
 }
 
 func orDash(s string) string {
--- a/node/request/front/explain.go
+++ b/node/request/front/explain.go
@@ -192,11 +192,15 @@
 		c := &e.answer.Candidates[i]
 		c.Chosen = c.Node == chosen.Node
 	}
-	if p.Shares != nil {
-		e.answer.Leaving = &explain.Leaving{Shares: p.Shares}
-		if len(p.Shares) > 0 {
-			e.unknown("whether this request leaves the place", "a share of the requests does, drawn at random")
+	if p.Shares == nil {
+		e.answer.Choice = &explain.Choice{
+			Rule: explain.RulePenalty, TransferPenaltyMs: milliseconds(e.call.choice().TransferPenalty()),
 		}
+	} else {
+		e.answer.Choice = &explain.Choice{Rule: explain.RuleShare, LeavingShares: p.Shares}
+	}
+	if len(p.Shares) > 0 {
+		e.unknown("whether this request leaves the place", "a share of the requests does, drawn at random")
 	}
 	e.queue(p)
 	if e.answer.Outcome.Result == explain.ResultRefused {
