--- a/node/process/sidecar/leaving.go
+++ b/node/process/sidecar/leaving.go
@@ -18,10 +18,11 @@
 	}
 }
 
-// decidesLeaving reports whether a share of the calls leaves the place, instead of each for which the fixed penalty is exceeded.
+// decidesLeaving reports whether a share of the calls leaves the place, instead of each for which the fixed penalty is exceeded. With
+// downloads the fixed penalty answers more calls in time, see docs/design/leaving-the-place.md.
 func (n *Node) decidesLeaving() bool {
 	v := n.routing.Current()
-	return v != nil && (v.HasTeams() || v.HasDownloads())
+	return v != nil && v.HasTeams() && !v.HasDownloads()
 }
 
 // leavingChanged logs that calls of a service begin or stop to leave for another place, and registers the gauge of their share.
