--- a/node/connection/backend/client.go
+++ b/node/connection/backend/client.go
@@ -36,6 +36,12 @@
 // the same connection, or that it may be such a copy since neither of two failures on the connection carries an id.
 var ErrForeignAnswer = errors.New("backend: answer to another attempt")
 
+// ErrStatus reports an answer whose status is outside the range of HTTP. net/http takes any three digits, 000 too.
+var ErrStatus = errors.New("backend: status is not between 100 and 599")
+
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
 // Client sends calls to one backend server. It is safe for concurrent use.
 type Client struct {
 	address   string
@@ -88,6 +94,11 @@
 		}
 		return nil, &attempt.Broken{Kind: attempt.KindFromContext(ctx), Cause: err}
 	}
+	if !validStatus(response.StatusCode) {
+		tracker.close()
+		_ = response.Body.Close()
+		return nil, &attempt.Broken{Kind: attempt.KindBroken, Cause: ErrStatus}
+	}
 	if unframed(request.Method, response) {
 		tracker.close()
 		_ = response.Body.Close()
@@ -169,6 +180,9 @@
 	return request.WithContext(ctx), nil
 }
 
+// validStatus reports whether a status is in the range of HTTP.
+func validStatus(status int) bool { return status >= http.StatusContinue && status <= maxStatus }
+
 // unframed reports whether the end of the answer is marked only by the close of the connection.
 func unframed(method string, r *http.Response) bool {
 	if method == http.MethodHead || r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified {
--- a/node/connection/backend/client_test.go
+++ b/node/connection/backend/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -204,3 +205,21 @@
 		})
 	}
 }
+
+// Guards against a status line that is no valid answer reaching a caller as one: net/http takes 000 for the status 0 and 600 for a
+// status, although neither is in the range of HTTP.
+func TestInvalidStatusIsBroken(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999", "1000", "+20", "-20", " 20", "20", "2OO", ""} {
+		t.Run("status "+strconv.Quote(status), func(t *testing.T) {
+			address := startRaw(t, func(_ int, r *http.Request, conn net.Conn) error {
+				_, err := fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\n%s: a1\r\nContent-Length: 2\r\n\r\nok", status, contract.HeaderContext)
+				return err
+			})
+			client := backend.New(address, 1)
+			t.Cleanup(client.Close)
+			_, err := client.Send(t.Context(), request("a1"))
+			var broken *attempt.Broken
+			require.ErrorAs(t, err, &broken)
+		})
+	}
+}
--- a/node/connection/exchange/answer.go
+++ b/node/connection/exchange/answer.go
@@ -21,6 +21,8 @@
 	maxBodyBytes = 64 << 20
 	// maxHeadBytes bounds the heads of an answer and of the interim answers before it together, and its trailer.
 	maxHeadBytes = 64 << 10
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 )
 
 // Errors of an answer that cannot be read. Their texts are sent to the entry node as the cause of a broken call.
@@ -90,11 +92,11 @@
 	}
 	a.mustClose = minor == 0
 	code, _, _ := strings.Cut(rest, " ")
-	status, err := strconv.Atoi(code)
-	if err != nil || len(code) != 3 || status < 100 {
+	status, err := strconv.ParseUint(code, 10, 16) // refuses signs
+	if err != nil || len(code) != 3 || status < http.StatusContinue || status > maxStatus {
 		return fmt.Errorf("%w: %q", errStatusLine, line)
 	}
-	a.status = status
+	a.status = int(status)
 	return nil
 }
 
--- a/node/connection/exchange/exchange_test.go
+++ b/node/connection/exchange/exchange_test.go
@@ -78,6 +78,11 @@
 	return &exchange.Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{idHeader: {id}}, ID: id}
 }
 
+// status returns a complete answer with the given text for its status.
+func status(text string) string {
+	return "HTTP/1.1 " + text + " OK\r\nX-Id: a\r\nContent-Length: 1\r\n\r\nx"
+}
+
 // Guards against an incomplete or ambiguous answer, or one to another request, that is returned as a success.
 func TestIncompleteOrForeignAnswerIsBroken(t *testing.T) {
 	cases := map[string]string{
@@ -91,6 +96,13 @@
 		"bytes that are not an HTTP answer":              "garbage\r\n\r\n",
 		"an encoding that is not chunked":                "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: gzip\r\n\r\n",
 		"no byte before the end of the connection":       "",
+		"the status 000":                                 status("000"),
+		"a status below those of HTTP":                   status("099"),
+		"a status above those of HTTP":                   status("600"),
+		"a status of four digits":                        status("1000"),
+		"a status with a sign":                           status("+20"),
+		"a status behind two spaces":                     status(" 20"),
+		"no status":                                      status(""),
 		"the connection ends within the header":          "HTTP/1.1 200 OK\r\nX-Id: a\r\n",
 		"a chunk whose size is not a hexadecimal number": "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
 	}
