--- a/node/process/quota/borrower.go
+++ b/node/process/quota/borrower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"iter"
 	"slices"
 	"sync"
@@ -147,7 +148,7 @@
 	switch {
 	case d.err == nil:
 		b.config.Count("quota.granted")
-	case d.err == ErrUnavailable:
+	case errors.Is(d.err, ErrUnavailable):
 		b.config.Count("quota.unavailable")
 	default:
 		b.config.Count("quota.exceeded")
--- a/node/process/quota/quota.go
+++ b/node/process/quota/quota.go
@@ -58,6 +58,19 @@
 // ErrUnavailable means that no owner decided about a request, which may be below the quota.
 var ErrUnavailable = errors.New("no quota owner")
 
+// StartingError is the ErrUnavailable of a process that does not lend its share yet, since loans of the process before it may still run.
+type StartingError struct {
+	// Wait is the time until the share is lent.
+	Wait time.Duration
+}
+
+func (e *StartingError) Error() string {
+	return fmt.Sprintf("%v: the share is lent in %s", ErrUnavailable, e.Wait)
+}
+
+// Unwrap returns ErrUnavailable.
+func (e *StartingError) Unwrap() error { return ErrUnavailable }
+
 // ExceededError means that a request is above the quota of its team.
 type ExceededError struct {
 	// Wait is the time until the next request of the team can be granted.
@@ -69,7 +82,12 @@
 // RetryAfter returns the Retry-After time for an error of Take, without and with an upper bound of jitter.
 func RetryAfter(err error) (lowest, highest time.Duration) {
 	var exceeded *ExceededError
-	if !errors.As(err, &exceeded) {
+	var starting *StartingError
+	switch {
+	case errors.As(err, &starting):
+		lowest = max(starting.Wait, unavailableRetryAfter)
+		return lowest, lowest + unavailableRetryAfter
+	case !errors.As(err, &exceeded):
 		return unavailableRetryAfter, 2 * unavailableRetryAfter
 	}
 	lowest = max(exceeded.Wait, minRetryAfter)
--- a/node/process/quota/quota_test.go
+++ b/node/process/quota/quota_test.go
@@ -402,3 +402,18 @@
 		})
 	}
 }
+
+// Guards against callers that are told to return before a process that has just started can grant anything.
+func TestAStartingProcessNamesTheTimeUntilItLends(t *testing.T) {
+	big := team("big", 20, 200)
+	f := newFleet(5, 3, []*routing.Team{big})
+	f.nodes[0].kill()
+	f.nodes[0].start()
+	f.run(100 * time.Millisecond)
+	d, w := f.nodes[0].borrower.begin(big.Name)
+	assert.Nil(t, w)
+	assert.ErrorIs(t, d.err, ErrUnavailable)
+	lowest, highest := RetryAfter(d.err)
+	assert.GreaterOrEqual(t, lowest, minUptime-200*time.Millisecond)
+	assert.Greater(t, highest, lowest)
+}
