--- a/node/process/quota/borrower.go
+++ b/node/process/quota/borrower.go
@@ -163,7 +163,7 @@
 	t := b.teams[name]
 	switch b.outlook(t, now) {
 	case NoOwner, OwnerSilent:
-		return decision{err: ErrUnavailable}, nil
+		return decision{err: b.unavailable(now)}, nil
 	case TokenHeld:
 		return decision{token: t.held(now)}, nil
 	case OwnerEmpty:
@@ -177,6 +177,14 @@
 	return decision{}, w
 }
 
+// unavailable returns the error of a request for which no owner decides.
+func (b *Borrower) unavailable(now time.Duration) error {
+	if wait := b.started + minUptime - now; wait > 0 {
+		return &StartingError{Wait: wait}
+	}
+	return ErrUnavailable
+}
+
 // abandon records that nobody waits for the decision any more. A token that was granted for it is kept.
 func (b *Borrower) abandon(w *waiter) {
 	b.mu.Lock()
@@ -260,7 +268,7 @@
 	i := slices.IndexFunc(r.Grants, func(g *linkpb.QuotaGrant) bool { return g.Team == t.name })
 	b.endQuestion(t)
 	if i < 0 {
-		b.decide(t, t.asked, now, func() decision { return decision{err: ErrUnavailable} })
+		b.decide(t, t.asked, now, func() decision { return decision{err: b.unavailable(now)} })
 	} else {
 		b.applyGrant(t, r.Grants[i], now)
 	}
@@ -309,7 +317,7 @@
 	for overdue < len(t.waiting) && now-t.waiting[overdue].since >= answerTimeout {
 		overdue++
 	}
-	b.decide(t, overdue, now, func() decision { return decision{err: ErrUnavailable} })
+	b.decide(t, overdue, now, func() decision { return decision{err: b.unavailable(now)} })
 	if t.question != 0 && now-t.questionAt >= answerTimeout {
 		b.endQuestion(t)
 		if len(t.waiting) > 0 && t.owner != "" {
@@ -373,7 +381,7 @@
 	}
 	for name, t := range b.teams {
 		if !t.limited {
-			b.decide(t, len(t.waiting), now, func() decision { return decision{err: ErrUnavailable} })
+			b.decide(t, len(t.waiting), now, func() decision { return decision{err: b.unavailable(now)} })
 			t.owner = ""
 			b.endQuestion(t)
 			if now >= t.lentUntil {
--- a/node/process/quota/outlook.go
+++ b/node/process/quota/outlook.go
@@ -37,7 +37,7 @@
 	now, t := b.config.Now(), b.teams[team.Name]
 	o := Outlook{Decision: b.outlook(t, now)}
 	if t == nil {
-		o.Err = ErrUnavailable
+		o.Err = b.unavailable(now)
 		return o
 	}
 	o.Owner, o.EmptyFor = t.owner, max(t.emptyUntil-now, 0)
@@ -48,7 +48,7 @@
 	}
 	switch o.Decision {
 	case NoOwner, OwnerSilent:
-		o.Err = ErrUnavailable
+		o.Err = b.unavailable(now)
 	case OwnerEmpty:
 		o.Err = &ExceededError{Wait: o.EmptyFor}
 	}
