--- a/node/process/ledger/random_test.go
+++ b/node/process/ledger/random_test.go
@@ -223,10 +223,15 @@
 		}
 	}
 	require.Empty(t, c.violations, "seed %d", seed)
+	// The claims above have started compactions. A holder counts its rows when the store has answered.
+	time.Sleep(compactionTime)
 	require.Len(t, f.segments(0), f.servers["a"].Dump().Ranges[0].Rows, "seed %d", seed)
 	return c, ownerless
 }
 
+// compactionTime is longer than a compaction takes without faults.
+const compactionTime = 10 * time.Second
+
 // model is a reference implementation of the ledger: a map that takes only deadlines into account.
 type model map[string]*struct {
 	call     string
