--- a/node/process/dispatch/cold.go
+++ b/node/process/dispatch/cold.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// coldBurst is the time whose requests a cold server may get at once after a pause.
+	// coldBurst determines the burst after a pause: the requests that the cold rate allows in this time.
 	coldBurst = 100 * time.Millisecond
 	// maxSilence is the time without an answer after which calls start only when a health check has shown that the server is
 	// not cold. A server that restarts is silent for longer.
@@ -23,13 +23,14 @@
 	// second they stay below the bound of the design page, 1.5*ColdPerSecond + 8.
 	unreportedBase  = 6
 	unreportedShare = 1.0 / 3
-	// renewalDivisor determines the share of that number from which the next health check is sent, before the calls have to wait.
+	// renewalDivisor determines when the next health check is sent: when no more than that number divided by it is left, so that
+	// calls need not wait for the answer.
 	renewalDivisor = 3
 	// coldHealthCheckShare is the number of health checks that a cold server gets for each request that it handles.
 	coldHealthCheckShare = 0.25
 )
 
-// Sources of the knowledge whether the server is cold.
+// Sources of a change of what is known about whether the server is cold.
 const (
 	SourceHealthCheck  = "health check"
 	SourceAnswer       = "answer"
@@ -68,7 +69,7 @@
 // ColdChange describes the start or the end of the limit for a cold server.
 type ColdChange struct {
 	Cold bool
-	// Source is why.
+	// Source is one of the Source constants.
 	Source string
 	// Left is the time for which the server is expected to stay cold.
 	Left      time.Duration
@@ -83,13 +84,14 @@
 	healthChecks *rate.Limiter
 	// until is the end of the cold time that the server has stated.
 	until time.Time
-	// doubtedAt is the time up to which reports say nothing: the server may have turned cold or restarted then.
-	doubtedAt time.Time
+	// invalidatedAt is the last time at which the server may have turned cold or restarted. A report from before does not show that
+	// it is warm.
+	invalidatedAt time.Time
 	// warmAt is the latest time at which the server is known not to have been cold; zero when it may be cold.
 	warmAt time.Time
 	// answeredAt is the time of the last answer.
 	answeredAt time.Time
-	// starts holds the times of the last calls that were started, up to unreported().
+	// starts holds the start times of the latest calls, at most maxUnreported() of them.
 	starts []time.Time
 	// checking is set while a health check is in progress that was sent to learn whether the server is cold.
 	checking bool
@@ -99,7 +101,7 @@
 	checkStartedAt time.Time
 	// failed is set when the latest health check has not shown whether the server is cold.
 	failed bool
-	// announced is the state that was passed to ColdControl.Changed; source is why the state changed last.
+	// announced is the state that was last passed to ColdControl.Changed; source is the source of the last change.
 	announced bool
 	source    string
 }
@@ -130,10 +132,13 @@
 
 func (c *coldState) enabled() bool { return c.limit.PerSecond > 0 }
 
-// unreported returns the number of calls that may start after the last report that the server is warm.
-func (c *coldState) unreported() int { return int(unreportedBase + unreportedShare*c.limit.PerSecond) }
+// maxUnreported returns the number of calls that may start after the last report that the server is warm.
+func (c *coldState) maxUnreported() int {
+	return int(unreportedBase + unreportedShare*c.limit.PerSecond)
+}
 
-// observe applies a report. It is called for each answer of the server.
+// observe applies a report. It is called for each answer of the server. A health check or an announcement without a remaining cold time
+// shows that the server is warm. Another answer only confirms that, and only if it states the time.
 func (c *coldState) observe(r ColdReport, now time.Time) {
 	madeAfter := r.SentAt
 	if r.Source == SourceAnnouncement {
@@ -141,11 +146,11 @@
 	} else {
 		c.answeredAt = now
 	}
-	switch final := r.Source != SourceAnswer; {
+	switch conclusive := r.Source != SourceAnswer; {
 	case r.Left > 0:
 		c.turnCold(now.Add(r.Left), madeAfter, r.Source, now)
-	case !madeAfter.After(c.doubtedAt):
-	case final || r.Stated && !c.warmAt.IsZero() && !c.cold(now):
+	case !madeAfter.After(c.invalidatedAt): // it may be from before the server turned cold
+	case conclusive || r.Stated && !c.warmAt.IsZero() && !c.cold(now):
 		c.turnWarm(madeAfter, r.Source)
 	}
 }
@@ -154,10 +159,10 @@
 // before does not shorten the time.
 func (c *coldState) turnCold(until, madeAfter time.Time, source string, now time.Time) {
 	c.source = source
-	if until.After(c.until) || madeAfter.After(c.doubtedAt) {
+	if until.After(c.until) || madeAfter.After(c.invalidatedAt) {
 		c.until = until
 	}
-	c.warmAt, c.doubtedAt, c.failed = time.Time{}, now, false
+	c.warmAt, c.invalidatedAt, c.failed = time.Time{}, now, false
 }
 
 // turnWarm records that the server was not cold at the given time or later.
@@ -169,14 +174,14 @@
 	c.until, c.failed, c.checkDelay = time.Time{}, false, 0
 }
 
-// doubt records that the server may have turned cold.
-func (c *coldState) doubt(source string, now time.Time) {
+// invalidate records that the server may have turned cold.
+func (c *coldState) invalidate(source string, now time.Time) {
 	if !c.enabled() {
 		return
 	}
 	c.source = source
 	c.until = time.Time{} // a restart begins a new cold time
-	c.warmAt, c.doubtedAt, c.checkAfter = time.Time{}, now, time.Time{}
+	c.warmAt, c.invalidatedAt, c.checkAfter = time.Time{}, now, time.Time{}
 }
 
 // update ends a stated cold time that is over.
@@ -207,7 +212,7 @@
 
 // unreportedLeft returns the number of calls that may start before the next report.
 func (c *coldState) unreportedLeft() int {
-	left := c.unreported()
+	left := c.maxUnreported()
 	for _, start := range c.starts {
 		if !start.Before(c.warmAt) {
 			left--
@@ -216,7 +221,8 @@
 	return left
 }
 
-// limited reports whether the server is known or assumed to be cold. While calls wait for the health check that shows it, it is not.
+// limited reports whether the server is known or assumed to be cold. It is not assumed to be before a health check has failed to show
+// its state; calls wait for that health check.
 func (c *coldState) limited(now time.Time) bool {
 	return c.enabled() && !c.warm(now) && (c.cold(now) || c.failed)
 }
@@ -227,7 +233,7 @@
 		return
 	}
 	c.bucket.AllowN(now, 1)
-	if excess := len(c.starts) + 1 - c.unreported(); excess > 0 {
+	if excess := len(c.starts) + 1 - c.maxUnreported(); excess > 0 {
 		c.starts = slices.Delete(c.starts, 0, min(excess, len(c.starts)))
 	}
 	c.starts = append(c.starts, now)
@@ -248,14 +254,14 @@
 
 // endCheck records the end of a health check. Another one is sent after a delay unless it has shown whether the server is cold.
 func (c *coldState) endCheck(now time.Time) {
-	c.failed = c.doubtedAt.After(c.checkStartedAt) || c.warmAt.Before(c.checkStartedAt)
-	if !c.failed || c.cold(now) {
-		c.failed = false
+	shownWarm := !c.invalidatedAt.After(c.checkStartedAt) && !c.warmAt.Before(c.checkStartedAt)
+	c.failed = !shownWarm && !c.cold(now)
+	if !c.failed {
 		return
 	}
 	c.source = SourceNoReport
 	c.checkDelay = min(max(2*c.checkDelay, minCheckDelay), maxCheckDelay)
-	if !c.doubtedAt.After(c.checkStartedAt) {
+	if !c.invalidatedAt.After(c.checkStartedAt) {
 		c.checkAfter = now.Add(c.checkDelay)
 	}
 }
--- a/node/process/dispatch/coldlimit.go
+++ b/node/process/dispatch/coldlimit.go
@@ -31,12 +31,12 @@
 }
 
 // ServerLost records that the server refused or broke a connection, so that it may have restarted.
-func (d *Dispatcher) ServerLost() { d.DoubtWarm(SourceLost) }
+func (d *Dispatcher) ServerLost() { d.InvalidateWarm(SourceLost) }
 
-// DoubtWarm records that the server may have turned cold unnoticed. Calls wait for a health check that shows its state, and start at
+// InvalidateWarm records that the server may have turned cold unnoticed. Calls wait for a health check that shows its state, and start at
 // the cold rate if it fails.
-func (d *Dispatcher) DoubtWarm(source string) {
-	d.updateCold(func(now time.Time) { d.cold.doubt(source, now) })
+func (d *Dispatcher) InvalidateWarm(source string) {
+	d.updateCold(func(now time.Time) { d.cold.invalidate(source, now) })
 }
 
 // updateCold changes what is known about whether the server is cold.
@@ -89,7 +89,7 @@
 		return true
 	}
 	if c.warm(now) {
-		if !c.limit.Provisional && c.unreportedLeft() <= c.unreported()/renewalDivisor {
+		if !c.limit.Provisional && c.unreportedLeft() <= c.maxUnreported()/renewalDivisor {
 			d.checkCold(now)
 		}
 		return true
@@ -132,9 +132,9 @@
 	return d.limiter.allowHealthCheck(now)
 }
 
-// resetCold discards what is known about whether the server is cold, since another one has taken its place.
+// resetCold discards what is known about whether the server is cold, since another server has replaced it.
 func (d *Dispatcher) resetCold(now time.Time) {
-	d.cold.doubt(SourceNewServer, now)
+	d.cold.invalidate(SourceNewServer, now)
 	d.cold.answeredAt, d.cold.starts, d.cold.failed = time.Time{}, nil, false
 }
 
--- a/node/process/dispatch/dispatch.go
+++ b/node/process/dispatch/dispatch.go
@@ -6,8 +6,8 @@
 // server may have a free slot, or when it cannot be answered in time. Calls start only while the host is not slow: a
 // neighbour on the host slows work down for short periods, and the time of a call depends on the slowness of the host at
 // its start. Slots are left free when the server has a lower throughput with all of them in use. A server that names a rate limit
-// gets no more calls, and few health checks. Where teams have shares, they divide the slots, and a call waits behind those of its rank
-// whose teams have used less.
+// gets no more calls, and few health checks. Where teams have shares, the slots are divided among them: of the calls of a rank, those
+// whose teams have used less slot time start first.
 package dispatch
 
 import (
@@ -56,7 +56,7 @@
 	// with it, so that nested calls go first and are refused only when they cannot be answered at all.
 	Nested bool
 	// Team is the team whose share of the slots the call uses; empty for calls without one. ParentRank is the rank of the call for which
-	// a nested call is made. They count only where teams have shares.
+	// a nested call is made. Both are used only where teams have shares.
 	Team       string
 	ParentRank int
 	// NoRedirect keeps the call from being redirected to another server.
--- a/node/process/dispatch/fairshares.go
+++ b/node/process/dispatch/fairshares.go
@@ -10,7 +10,7 @@
 const (
 	// defaultSlotTime is the slot time that is assumed for a call while no time of a call is known.
 	defaultSlotTime = 50 * time.Millisecond
-	// maxIdleTeams is the number of teams above which those without recent calls are forgotten.
+	// maxIdleTeams is the number of teams above which those at the current virtual time or before it are removed.
 	maxIdleTeams = 256
 )
 
@@ -22,15 +22,15 @@
 	used    map[string]time.Duration
 }
 
-// of returns the virtual time of a team.
-func (f *fairShares) of(team string) time.Duration { return max(f.used[team], f.current) }
+// virtualTime returns the virtual time of a team.
+func (f *fairShares) virtualTime(team string) time.Duration { return max(f.used[team], f.current) }
 
 // start charges a call that starts with an expected slot time, while others wait.
 func (f *fairShares) start(j *Job, expected time.Duration, waiting []*Job) {
-	start := f.of(j.Team)
+	start := f.virtualTime(j.Team)
 	least := start
 	for _, w := range waiting {
-		least = min(least, f.of(w.Team))
+		least = min(least, f.virtualTime(w.Team))
 	}
 	f.current = least
 	if f.used == nil {
@@ -85,8 +85,8 @@
 }
 
 // fairOrder returns calls in the order of their start: calls that can still meet their objective first, then by rank, nested calls
-// before others, by the virtual time of their team, and by objective. A nested call has the rank of its parent. It is not late before
-// its deadline: what counts is the objective of its parent, which holds a slot and fails with it.
+// before others, by the virtual time of their team, and by objective. A nested call has the rank of its parent. Its own objective does
+// not make it late: its parent holds a slot and fails with it.
 func (d *Dispatcher) fairOrder(jobs []*Job, now time.Time) []*Job {
 	entries := make([]fairEntry, len(jobs))
 	for i, j := range jobs {
@@ -101,7 +101,7 @@
 	ahead := map[string]time.Duration{} // slot time of the calls of a team that precede
 	for i := range entries {
 		j := entries[i].job
-		entries[i].start = d.shares.of(j.Team) + ahead[j.Team]
+		entries[i].start = d.shares.virtualTime(j.Team) + ahead[j.Team]
 		ahead[j.Team] += d.slotTime(j)
 	}
 	slices.SortStableFunc(entries, func(a, b fairEntry) int { return cmp.Or(a.compareClass(b), cmp.Compare(a.start, b.start)) })
@@ -112,8 +112,8 @@
 	return ordered
 }
 
-// fairlyAhead returns the calls that start before a call, which may wait or be new.
-func (d *Dispatcher) fairlyAhead(j *Job, now time.Time) []*Job {
+// aheadByShares returns the calls that start before a call, which may wait or be new.
+func (d *Dispatcher) aheadByShares(j *Job, now time.Time) []*Job {
 	jobs := slices.Clone(d.waiting)
 	if !slices.Contains(jobs, j) {
 		jobs = append(jobs, j)
--- a/node/process/dispatch/order.go
+++ b/node/process/dispatch/order.go
@@ -52,7 +52,7 @@
 // countAhead returns the number of waiting calls that start before a call.
 func (d *Dispatcher) countAhead(j *Job, now time.Time) int {
 	if d.fair() {
-		return len(d.fairlyAhead(j, now))
+		return len(d.aheadByShares(j, now))
 	}
 	ahead := 0
 	for _, w := range d.waiting {
@@ -87,12 +87,12 @@
 	return start.Add(service).After(j.Objective)
 }
 
-// waitingLate returns the number of waiting calls that miss their objective and may keep a call from waiting: all, or those that start
-// before it where teams have shares.
+// waitingLate returns the number of waiting calls that miss their objective: among all of them, or, where teams have shares, among those
+// that start before the given call.
 func (d *Dispatcher) waitingLate(j *Job, now time.Time) int {
 	waiting := d.waiting
 	if d.fair() {
-		waiting = d.fairlyAhead(j, now)
+		waiting = d.aheadByShares(j, now)
 	}
 	n := 0
 	for _, w := range waiting {
--- a/node/process/localserver/cold.go
+++ b/node/process/localserver/cold.go
@@ -134,8 +134,8 @@
 	s.dispatcher.ProbeFailed()
 }
 
-// doubtAfterEvacuation records that the server may have turned cold while its place was evacuated.
-func (s *Server) doubtAfterEvacuation() { s.dispatcher.DoubtWarm(dispatch.SourceEvacuation) }
+// invalidateAfterEvacuation records that the server may have turned cold while its place was evacuated.
+func (s *Server) invalidateAfterEvacuation() { s.dispatcher.InvalidateWarm(dispatch.SourceEvacuation) }
 
 // ColdLimit returns the number of requests per second to which the server is limited because it is treated as cold, or 0.
 func (s *Server) ColdLimit() float64 { return s.dispatcher.ColdLimit() }
--- a/node/process/localserver/localserver.go
+++ b/node/process/localserver/localserver.go
@@ -138,7 +138,7 @@
 	s.sweeper = &sweeper{sweep: s.dispatcher.Sweep}
 	if c.ColdLimit != nil {
 		s.dispatcher.LimitCold(dispatch.ColdControl{Limit: s.coldLimit, Check: s.checkCold, Changed: s.coldChanged})
-		s.afterEvacuation = s.doubtAfterEvacuation
+		s.afterEvacuation = s.invalidateAfterEvacuation
 	}
 	if c.PeerKnee != nil {
 		s.dispatcher.ShareKnee(c.PeerKnee, c.KneeChanged)
