--- a/node/process/quota/borrower.go
+++ b/node/process/quota/borrower.go
@@ -36,6 +36,8 @@
 	Known int
 	// MembersReadAt is the time at which the members were read from the store last, by the clock of the Borrower; 0 if never.
 	MembersReadAt time.Duration
+	// Restarted is set when the store had an entry of an earlier process of this node, so that the other nodes count it as a member.
+	Restarted bool
 }
 
 // Borrower lends the shares of this node to the owners of the teams and asks them for the tokens of the requests that enter here. It
@@ -177,6 +179,17 @@
 	return decision{}, w
 }
 
+// divisor returns the number by which the quotas are divided, or 0 while nothing may be lent: other nodes do not count a new member yet.
+func (b *Borrower) divisor(members int, restarted bool, now time.Duration) int {
+	switch {
+	case now-b.started >= minUptime:
+		return members
+	case restarted:
+		return members * startDivisor
+	}
+	return 0
+}
+
 // unavailable returns the error of a request for which no owner decides.
 func (b *Borrower) unavailable(now time.Duration) error {
 	if wait := b.started + minUptime - now; wait > 0 {
@@ -337,8 +350,8 @@
 		b.resumedAt = now
 	}
 	b.nodes = 0
-	if v.MembersReadAt > b.resumedAt && now-b.started >= minUptime {
-		b.nodes = members
+	if v.MembersReadAt > b.resumedAt {
+		b.nodes = b.divisor(members, v.Restarted, now)
 	}
 	candidates := b.updateOwners(v, now)
 	b.updateTeams(teams, candidates, now)
--- a/node/process/quota/quota.go
+++ b/node/process/quota/quota.go
@@ -34,8 +34,12 @@
 	// lowerQuotaDelay is the time from which a lower quota applies at an owner that has seen it. It is shorter than the window of 5 s after
 	// which it must be in force, since versions take up to a second to arrive.
 	lowerQuotaDelay = 4 * time.Second
-	// minUptime is the time after the start before a process lends. The loans of the process before it have ended by then.
+	// minUptime is the time after the start before a process lends its whole share. The loans of the process before it have ended by then.
 	minUptime = loanTime + loanMargin
+	// startDivisor divides the share that a restarted process lends before that. If all nodes restart and the loans before are still used, half of the
+	// quota is granted twice for minUptime: a tenth of what a window of 5 s allows, which the requirement permits above the quota. After
+	// a loss of power of all hosts nothing could be granted otherwise.
+	startDivisor = 2
 	// membersWindow is the time for which the largest number of members counts.
 	membersWindow = 60 * time.Second
 	// ownerCount is the number of nodes among which the owners of the teams are chosen. Each adds a renewal per node and renewLatest.
@@ -58,14 +62,15 @@
 // ErrUnavailable means that no owner decided about a request, which may be below the quota.
 var ErrUnavailable = errors.New("no quota owner")
 
-// StartingError is the ErrUnavailable of a process that does not lend its share yet, since loans of the process before it may still run.
+// StartingError is the ErrUnavailable of a process that does not lend its whole share yet, since loans of the process before it may still
+// run.
 type StartingError struct {
-	// Wait is the time until the share is lent.
+	// Wait is the time until the whole share is lent.
 	Wait time.Duration
 }
 
 func (e *StartingError) Error() string {
-	return fmt.Sprintf("%v: the share is lent in %s", ErrUnavailable, e.Wait)
+	return fmt.Sprintf("%v: the whole share is lent in %s", ErrUnavailable, e.Wait)
 }
 
 // Unwrap returns ErrUnavailable.
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -90,6 +90,7 @@
 			return err
 		}
 		if existing != nil {
+			n.quotas.restarted.Store(true)
 			n.identity.restore(existing.Server)
 			n.log.Info("entry of an earlier process found", "server", existing.Server.ID, "service", existing.Server.Service)
 		}
--- a/node/process/sidecar/quotas.go
+++ b/node/process/sidecar/quotas.go
@@ -18,6 +18,8 @@
 	running atomic.Bool
 	// membersReadAt is the boot time in nanoseconds at which the members were read last; 0 if never.
 	membersReadAt atomic.Int64
+	// restarted is set when the store had an entry of an earlier process of this node.
+	restarted atomic.Bool
 }
 
 // init must be called before the node is used.
@@ -104,7 +106,8 @@
 // quotaView returns what this node knows of the others.
 func (n *Node) quotaView() quota.View {
 	known, _ := n.peers.Linked()
-	v := quota.View{Known: known, MembersReadAt: time.Duration(n.quotas.membersReadAt.Load()), CPUMillis: n.cpuMillis()}
+	v := quota.View{Known: known, MembersReadAt: time.Duration(n.quotas.membersReadAt.Load()), CPUMillis: n.cpuMillis(),
+		Restarted: n.quotas.restarted.Load()}
 	for _, linked := range n.peers.LinkedNodes() {
 		v.Linked = append(v.Linked, quota.Node{Address: linked.Address, CPUMillis: linked.CPUMillis})
 	}
