--- a/node/process/quota/borrower.go
+++ b/node/process/quota/borrower.go
@@ -14,10 +14,10 @@
 
 // Config configures a Borrower.
 type Config struct {
-	// Self is the address of this node, and Owner the owner of quotas in this process.
+	// Self is the address of this node. Owner handles the requests that this node sends to itself.
 	Self  string
 	Owner *Owner
-	// Now is the clock that counts suspension.
+	// Now returns the time of a clock that also counts while the host is suspended.
 	Now func() time.Duration
 	// Send sends a request to the node at an address. It must not block. The request may get lost.
 	Send func(address string, r *linkpb.QuotaRequest)
@@ -26,23 +26,23 @@
 	Log   Log
 }
 
-// View is what a node knows of the others.
+// View is what a node knows about the other nodes.
 type View struct {
-	// Linked holds the nodes that this node has a link to.
+	// Linked holds the other nodes to which this node has a link.
 	Linked []Node
 	// CPUMillis is the share of a core that this node has, in thousandths; 0 if unknown.
 	CPUMillis int
-	// Known is the number of other members, linked or not.
+	// Known is the number of other members, whether linked or not.
 	Known int
 	// MembersReadAt is the time at which the members were read from the store last, by the clock of the Borrower; 0 if never.
 	MembersReadAt time.Duration
 }
 
-// Borrower lends the shares of this node to the owners of the teams and asks them for the tokens of the requests that enter here. It
-// is safe for concurrent use.
+// Borrower lends this node's share of each quota to the owner of the team, and asks the owner for the tokens of the requests that enter
+// at this node. It is safe for concurrent use.
 type Borrower struct {
 	config Config
-	// started is the time of the start of the process.
+	// started is the time at which the process started.
 	started time.Duration
 
 	mu       sync.Mutex
@@ -55,7 +55,8 @@
 	resumedAt time.Duration
 	owners    map[string]*ownerLink
 	teams     map[string]*teamState
-	// questions holds the teams with a question in progress, and releases those whose share is taken back, by sequence.
+	// questions holds the teams with a request for tokens in progress (a question), and releases the teams whose share is being taken back.
+	// The keys are the sequences of the requests.
 	questions map[uint64]*teamState
 	releases  map[uint64][]*teamState
 }
@@ -64,22 +65,22 @@
 type teamState struct {
 	name    string
 	limited bool
-	// owner is the address of the node that is asked for tokens and to which the share is lent if it may be.
+	// owner is the address of the node that is asked for tokens, and to which the share is lent when mayLend allows it.
 	owner string
-	// lentTo is the node to which the share was lent last, and lentUntil the time from which it may be lent to another one.
+	// lentTo is the node to which the share was lent last, and lentUntil the time from which it may be lent to another node.
 	lentTo    *ownerLink
 	lentUntil time.Duration
 	// release is the sequence of the request that takes the share back; 0 if there is none.
 	release uint64
 
 	tokens []*Token
-	// waiting holds the requests without a decision, oldest first. The first asked of them are in the question.
+	// waiting holds the requests without a decision, oldest first. The question in progress covers the first asked of them.
 	waiting []*waiter
 	asked   int
-	// question is the sequence of the question in progress; 0 if there is none.
+	// question is the sequence of the question in progress; 0 if there is none. questionAt is the time at which it was sent.
 	question   uint64
 	questionAt time.Duration
-	// emptyUntil is the time before which the owner has no tokens.
+	// emptyUntil is the time until which the owner has no tokens, as its last answer stated.
 	emptyUntil time.Duration
 }
 
@@ -88,9 +89,11 @@
 	since time.Duration
 	// done receives the decision.
 	done chan decision
-	left bool
+	// abandoned is set when the request no longer waits.
+	abandoned bool
 }
 
+// decision is the token of a request, or the error with which it is refused.
 type decision struct {
 	token *Token
 	err   error
@@ -103,7 +106,7 @@
 	expires  time.Duration
 }
 
-// Return gives the token of a request back that has not run and never will. It must be called at most once. A nil Token has no effect.
+// Return gives back the token of a request that has not run and never will. It must be called at most once. On a nil Token it does nothing.
 func (t *Token) Return() {
 	if t == nil {
 		return
@@ -118,7 +121,7 @@
 	now := c.Now()
 	return &Borrower{
 		config: c, started: now, lastTick: now,
-		// Requests of the process before have lower sequences.
+		// Start above the sequences of the previous process at this address, since owners ignore loans with lower ones.
 		sequence: uint64(now.Microseconds()) + 1,
 		owners:   map[string]*ownerLink{}, teams: map[string]*teamState{},
 		questions: map[uint64]*teamState{}, releases: map[uint64][]*teamState{},
@@ -161,7 +164,7 @@
 	defer b.mu.Unlock()
 	now := b.config.Now()
 	t := b.teams[name]
-	switch b.outlook(t, now) {
+	switch b.immediateDecision(t, now) {
 	case NoOwner, OwnerSilent:
 		return decision{err: b.unavailable(now)}, nil
 	case TokenHeld:
@@ -177,7 +180,7 @@
 	return decision{}, w
 }
 
-// unavailable returns the error of a request for which no owner decides.
+// unavailable returns the error for a request about which no owner decides.
 func (b *Borrower) unavailable(now time.Duration) error {
 	if wait := b.started + minUptime - now; wait > 0 {
 		return &StartingError{Wait: wait}
@@ -185,11 +188,11 @@
 	return ErrUnavailable
 }
 
-// abandon records that nobody waits for the decision any more. A token that was granted for it is kept.
+// abandon records that a request no longer waits. A token that was already granted for it is kept for the next request.
 func (b *Borrower) abandon(w *waiter) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w.left = true
+	w.abandoned = true
 	select {
 	case d := <-w.done:
 		if d.token != nil {
@@ -206,7 +209,7 @@
 	}
 }
 
-// held returns a token that has not expired, or nil.
+// held removes and returns a token that has not expired; nil if there is none.
 func (t *teamState) held(now time.Duration) *Token {
 	for len(t.tokens) > 0 {
 		token := t.tokens[0]
@@ -218,7 +221,7 @@
 	return nil
 }
 
-// ask asks the owner of a team for tokens of the requests that wait.
+// ask asks the owner of a team for one token per waiting request.
 func (b *Borrower) ask(t *teamState, now time.Duration) {
 	t.asked = len(t.waiting)
 	r := b.newRequest()
@@ -257,13 +260,14 @@
 	}
 }
 
-// endQuestion records that the question of a team is not in progress any more.
+// endQuestion records that a team has no question in progress. Later answers to it are ignored.
 func (b *Borrower) endQuestion(t *teamState) {
 	delete(b.questions, t.question)
 	t.question = 0
 }
 
-// handleAnswer ends the question of a team and asks again for the requests that have come meanwhile.
+// handleAnswer applies the answer to the question of a team, and asks again for the requests that have arrived since it was sent. An
+// answer without a grant means that the owner has no share of the quota, or knows no quota of the team.
 func (b *Borrower) handleAnswer(t *teamState, r *linkpb.QuotaReply, now time.Duration) {
 	i := slices.IndexFunc(r.Grants, func(g *linkpb.QuotaGrant) bool { return g.Team == t.name })
 	b.endQuestion(t)
@@ -277,7 +281,8 @@
 	}
 }
 
-// applyGrant passes granted tokens to the requests that wait longest and refuses the others if the owner has no more.
+// applyGrant passes granted tokens to the requests that have waited longest. It refuses the others if the owner granted fewer tokens than
+// it was asked for.
 func (b *Borrower) applyGrant(t *teamState, g *linkpb.QuotaGrant, now time.Duration) {
 	granted, asked := int(g.Count), t.asked
 	expires := t.questionAt + tokenLife
@@ -295,13 +300,13 @@
 	}
 }
 
-// decide passes a decision to the count requests that wait longest. A token for a request that has left is kept.
+// decide passes the decisions that next returns to the count requests that have waited longest. A token for an abandoned request is kept.
 func (b *Borrower) decide(t *teamState, count int, now time.Duration, next func() decision) {
 	count = min(count, len(t.waiting))
 	for _, w := range t.waiting[:count] {
 		d := next()
 		switch {
-		case !w.left:
+		case !w.abandoned:
 			w.done <- d
 		case d.token != nil:
 			b.keep(d.token)
@@ -311,7 +316,7 @@
 	t.asked = max(t.asked-count, 0)
 }
 
-// expireWaiting ends the waiting of requests that have waited for answerTimeout, and asks again if the question is that old.
+// expireWaiting refuses the requests that have waited for answerTimeout, and asks again if the question is that old.
 func (b *Borrower) expireWaiting(t *teamState, now time.Duration) {
 	overdue := 0
 	for overdue < len(t.waiting) && now-t.waiting[overdue].since >= answerTimeout {
@@ -360,7 +365,8 @@
 	}
 }
 
-// updateTeams applies the teams with a quota and their owners. A team without one is forgotten when its loan has ended.
+// updateTeams applies the current teams with a quota and chooses their owners. The state of a team without a quota is removed when its
+// loan has ended.
 func (b *Borrower) updateTeams(teams iter.Seq[*routing.Team], candidates []string, now time.Duration) {
 	for _, t := range b.teams {
 		t.limited = false
--- a/node/process/quota/bucket.go
+++ b/node/process/quota/bucket.go
@@ -19,12 +19,12 @@
 type bucket struct {
 	quota  routing.Quota
 	tokens float64
-	// at is the time up to which tokens are filled in.
+	// at is the time up to which tokens have been added.
 	at    time.Duration
 	loans map[string]loan
-	// sum is that of the shares of loans.
+	// sum is the sum of the shares in loans.
 	sum float64
-	// earliest is no later than the end of any loan.
+	// earliest is a lower bound of the ends of the loans; expire needs not run before it.
 	earliest time.Duration
 	// lowered is set while a lower quota is not in force yet, and loweredAt is when it was first seen.
 	lowered   bool
@@ -47,8 +47,8 @@
 	return b.quota.Burst * fraction
 }
 
-// settle removes loans that have ended and fills in the tokens up to now. Loans are added only after it, so that the fraction at the end
-// of the time is the lowest in it.
+// settle removes the loans that have ended and adds the tokens for the time since the last call. Loans are added only after a call of
+// settle, so the lent part never rose in that time, and its present value gives no token too many.
 func (b *bucket) settle(now time.Duration, q routing.Quota) {
 	if now >= b.earliest {
 		b.expire(now)
@@ -61,7 +61,7 @@
 	b.tokens = min(b.tokens, b.capacity())
 }
 
-// inForce returns the quota that applies now that the current version has the given one. A lower one applies lowerQuotaDelay after it
+// inForce returns the quota that applies while the current version has the given one. A lower one applies lowerQuotaDelay after it
 // was first seen, so that requests within the former quota are not refused while the version is being distributed.
 func (b *bucket) inForce(q routing.Quota, now time.Duration) routing.Quota {
 	if q.PerSecond >= b.quota.PerSecond && q.Burst >= b.quota.Burst {
@@ -91,7 +91,7 @@
 	}
 }
 
-// setLoan replaces the loan of a node unless it is of a later request.
+// setLoan replaces the loan of a node, unless the present one is from the same or a later request.
 func (b *bucket) setLoan(lender string, l loan) {
 	old := b.loans[lender]
 	if l.sequence <= old.sequence {
--- a/node/process/quota/choice.go
+++ b/node/process/quota/choice.go
@@ -10,7 +10,7 @@
 // Node is a node that may own quotas.
 type Node struct {
 	Address string
-	// CPUMillis is its share of a core in thousandths; 0 if unknown.
+	// CPUMillis is the node's share of a core in thousandths; 0 if unknown.
 	CPUMillis int
 }
 
@@ -28,7 +28,7 @@
 	return addresses
 }
 
-// ownerOf chooses the owner of a team by rendezvous hashing.
+// ownerOf chooses the owner of a team by rendezvous hashing; empty without candidates.
 func ownerOf(team string, candidates []string) string {
 	var owner string
 	var highest uint64
--- a/node/process/quota/lending.go
+++ b/node/process/quota/lending.go
@@ -6,24 +6,24 @@
 	"github.com/radishstand/radishstand/api/linkpb"
 )
 
-// ownerLink is what this node knows of a node that owns quotas. A process that is started again at its address gets another one.
+// ownerLink is what this node knows about a process that owns quotas. A restarted process at the same address gets a new ownerLink.
 type ownerLink struct {
 	address string
 	linked  bool
-	// clock is the clock that the owner stated last, received at clockAt; 0 if none. The owner's clock is never less than clock plus the
+	// clock is the owner's clock in its last reply, which was received at clockAt; 0 if there is none. The owner's clock is never less than clock plus the
 	// time since clockAt.
 	clock   uint64
 	clockAt time.Duration
 	// unansweredSince is the time of the first request since the latest reply; 0 if there is none.
 	unansweredSince time.Duration
 	requestedAt     time.Duration
-	// renewedAt is the time at which all shares were lent.
+	// renewedAt is the time of the last request that lent or renewed all shares of the owner's teams.
 	renewedAt time.Duration
 	// failed is set while the node is not chosen as an owner because it does not answer.
 	failed bool
 }
 
-// clockNow returns a clock that the owner's has reached; 0 if none is known.
+// clockNow returns a lower bound of the owner's clock; 0 if the clock is not known.
 func (o *ownerLink) clockNow(now time.Duration) uint64 {
 	if o.clock == 0 {
 		return 0
@@ -39,8 +39,8 @@
 	return now - o.unansweredSince
 }
 
-// observeClock applies the clock of a reply. A clock far from the expected one is that of another process, to which shares are lent
-// only when the loans to the process before have ended.
+// observeClock applies the clock of a reply. A clock far from the expected one belongs to a new process, to which shares are lent
+// only after the loans to the previous process have ended.
 func (b *Borrower) observeClock(o *ownerLink, clock uint64, now time.Duration) {
 	expected := o.clockNow(now)
 	difference := time.Duration(int64(clock)-int64(expected)) * time.Millisecond
@@ -56,9 +56,9 @@
 	o.clock, o.clockAt, o.unansweredSince, o.failed = clock, now, 0, false
 }
 
-// updateOwners applies the links and returns the addresses of the nodes among which owners are chosen.
+// updateOwners applies the current links and returns the addresses of the nodes among which owners are chosen.
 func (b *Borrower) updateOwners(v View, now time.Duration) []string {
-	// While this process did not run, replies waited unread: on a host that is suspended, or busy with other work.
+	// Replies were not read while this process did not run, for example on a suspended or busy host. That time does not count as silence.
 	missed := max(now-b.lastTick-TickInterval, 0)
 	for _, o := range b.owners {
 		o.linked = o.address == b.config.Self
@@ -72,7 +72,7 @@
 		if o != nil {
 			o.linked = true
 		}
-		if o == nil || !b.fails(o, now) {
+		if o == nil || !b.updateFailed(o, now) {
 			eligible = append(eligible, n)
 		}
 	}
@@ -90,8 +90,8 @@
 	return candidates
 }
 
-// fails updates and reports whether a node is passed over as an owner.
-func (b *Borrower) fails(o *ownerLink, now time.Duration) bool {
+// updateFailed sets failed for a node that has not answered for ownerTimeout, and returns it.
+func (b *Borrower) updateFailed(o *ownerLink, now time.Duration) bool {
 	if !o.failed && o.silentFor(now) >= ownerTimeout {
 		o.failed = true
 		b.config.Count("quota.owner_failed")
@@ -113,8 +113,8 @@
 		(t.lentTo == nil || t.lentTo == o || now >= t.lentUntil)
 }
 
-// addLoans makes the question of a team a loan if its share may be lent, and renews the shares of the other teams of that owner unless
-// they were renewed a short time ago.
+// addLoans lends the share of a team with its question if it may be lent. It also renews the shares of the owner's other teams unless they
+// were renewed less than renewAfter ago.
 func (b *Borrower) addLoans(t *teamState, r *linkpb.QuotaRequest, now time.Duration) {
 	if !b.mayLend(t, now) {
 		return
@@ -139,7 +139,7 @@
 	t.lentTo, t.lentUntil, t.release = o, now+loanTime+loanMargin, 0
 }
 
-// renew lends the shares whose loans end soon, and asks for the clock of owners that have not stated it or do not answer.
+// renew lends or renews the shares of each owner with a team whose share is not lent to it or whose loan ends soon. Then it probes.
 func (b *Borrower) renew(now time.Duration) {
 	due := map[*ownerLink]*linkpb.QuotaRequest{}
 	for _, t := range b.teams {
@@ -182,8 +182,8 @@
 	}
 }
 
-// releaseMoved takes back the shares that are lent to a node which no longer owns the team, if it is linked. Otherwise the loans end by
-// themselves.
+// releaseMoved takes back the shares that are lent to a node that no longer owns the team, so that they can be lent to the new owner
+// before the loan ends. Loans to a node that is not linked run to their end.
 func (b *Borrower) releaseMoved(now time.Duration) {
 	b.forgetReleases(now)
 	moved := map[*ownerLink]*linkpb.QuotaRequest{}
@@ -192,7 +192,7 @@
 		if from == nil || t.release != 0 || now >= t.lentUntil || !from.linked || b.owners[from.address] != from {
 			continue
 		}
-		if to == nil || to == from || to.clock == 0 { // it cannot be lent yet
+		if to == nil || to == from || to.clock == 0 { // the share cannot be lent to the new owner yet
 			continue
 		}
 		if moved[from] == nil {
@@ -201,27 +201,16 @@
 		}
 		moved[from].Asks = append(moved[from].Asks, &linkpb.QuotaAsk{Team: t.name})
 		t.release = moved[from].Sequence
+		b.releases[t.release] = append(b.releases[t.release], t)
 	}
 	for from, r := range moved {
-		b.releases[r.Sequence] = b.releasing(r.Sequence)
 		b.config.Log.Info("quota owner changes", "from", from.address, "teams", len(r.Asks))
 		b.config.Count("quota.releases")
 		b.send(from.address, r, now)
 	}
 }
 
-// releasing returns the teams that a request releases.
-func (b *Borrower) releasing(sequence uint64) []*teamState {
-	var teams []*teamState
-	for _, t := range b.teams {
-		if t.release == sequence {
-			teams = append(teams, t)
-		}
-	}
-	return teams
-}
-
-// forgetReleases forgets the releases that were not answered. Their loans have ended.
+// forgetReleases removes the releases that are not needed any more: the loans have ended, or the shares were lent or released again.
 func (b *Borrower) forgetReleases(now time.Duration) {
 	for sequence, teams := range b.releases {
 		if now >= teams[0].lentUntil || teams[0].release != sequence {
--- a/node/process/quota/members.go
+++ b/node/process/quota/members.go
@@ -10,7 +10,7 @@
 
 // largestCount is the largest number of members in the last membersWindow.
 type largestCount struct {
-	// counts falls in n and rises in at.
+	// counts is sorted by rising at and falling n. An observation removes the earlier ones that are not larger.
 	counts []memberCount
 }
 
--- a/node/process/quota/outlook.go
+++ b/node/process/quota/outlook.go
@@ -35,7 +35,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now, t := b.config.Now(), b.teams[team.Name]
-	o := Outlook{Decision: b.outlook(t, now)}
+	o := Outlook{Decision: b.immediateDecision(t, now)}
 	if t == nil {
 		o.Err = b.unavailable(now)
 		return o
@@ -55,8 +55,9 @@
 	return o
 }
 
-// outlook returns the decision about the next request of a team. It changes nothing.
-func (b *Borrower) outlook(t *teamState, now time.Duration) string {
+// immediateDecision returns the decision about the next request of a team that is possible without asking the owner, or AskOwner. It
+// changes nothing.
+func (b *Borrower) immediateDecision(t *teamState, now time.Duration) string {
 	switch {
 	case t == nil || !t.limited || t.owner == "":
 		return NoOwner
--- a/node/process/quota/owner.go
+++ b/node/process/quota/owner.go
@@ -17,8 +17,7 @@
 	now func() time.Duration
 	// quotaOf returns the quota of a team in the current routing version.
 	quotaOf func(team string) (routing.Quota, bool)
-	// offset makes the clock of this process differ from that of any other, so that clocks which an earlier process stated are
-	// recognized.
+	// offset is added to the clock of this process. It is random, so that a clock that an earlier process stated is recognized.
 	offset uint64
 
 	mu      sync.Mutex
@@ -26,17 +25,17 @@
 	buckets map[string]*bucket
 }
 
-// NewOwner returns an owner without loans. The clock counts suspension; quotaOf returns the quota of a team in the current routing
+// NewOwner returns an Owner without loans. The clock now also counts while the host is suspended; quotaOf returns the quota of a team in the current routing
 // version, and false when there is no such team.
 func NewOwner(now func() time.Duration, quotaOf func(team string) (routing.Quota, bool)) *Owner {
 	return &Owner{now: now, quotaOf: quotaOf, offset: 1 + rand.Uint64N(clockOffsets), buckets: map[string]*bucket{}}
 }
 
-// clock returns the clock that lenders echo.
+// clock returns the clock that replies state and that lenders return with their loans.
 func (o *Owner) clock(now time.Duration) uint64 { return o.offset + uint64(now.Milliseconds()) }
 
-// loanEnd returns the end of a loan with an echoed clock; ok is false when the clock is not of this process or the loan has ended. The
-// lender's clock may be a little fast.
+// loanEnd returns the end of a loan whose request holds the given clock; ok is false if the clock is not from this process or the loan has
+// ended. A clock up to loanMargin ahead is accepted, since the lender's clock may run faster.
 func (o *Owner) loanEnd(echoed uint64, now time.Duration) (end time.Duration, ok bool) {
 	if echoed < o.offset || echoed > o.clock(now+loanMargin) {
 		return 0, false
@@ -45,7 +44,8 @@
 	return end, end > now
 }
 
-// Handle applies a request of a node and returns the reply. Tokens of teams of which nothing is lent are not mentioned in it.
+// Handle applies a request of a node and returns the reply. It has no grant for a team of which no share is lent to
+// this process.
 func (o *Owner) Handle(from string, r *linkpb.QuotaRequest) *linkpb.QuotaReply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -73,7 +73,7 @@
 	return reply
 }
 
-// settled returns the bucket of a team, filled up to now, or nil if the team has no quota.
+// settled returns the bucket of a team with its loans and tokens as of now, or nil if the team has no quota.
 func (o *Owner) settled(team string, now time.Duration) *bucket {
 	q, ok := o.quotaOf(team)
 	if !ok || !q.Limited() {
@@ -89,14 +89,14 @@
 	return b
 }
 
-// setMembers sets the number of members that this node knows. Shares are no larger than it allows.
+// setMembers sets the number n of members that this node knows. No loan counts for more than 1/n of a quota.
 func (o *Owner) setMembers(n int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.members = n
 }
 
-// Sweep removes the buckets of which nothing is lent any more and returns the number of those that remain.
+// Sweep removes the buckets without loans and returns the number of the remaining ones.
 func (o *Owner) Sweep() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/node/process/quota/quota.go
+++ b/node/process/quota/quota.go
@@ -1,8 +1,8 @@
 // Package quota limits the requests of each team over all nodes together.
 //
 // Each of n nodes has the right to 1/n of the rate and burst of each team. It lends this share to one node, the owner of the team,
-// whose token bucket has the sum of the shares that are lent to it. Entry nodes ask the owner for tokens. A share is lent again only
-// after the loan before has ended at its owner for sure, so that no right exists twice, whatever the nodes know of each other.
+// whose token bucket has the sum of the shares that are lent to it. Entry nodes ask the owner for tokens. A share is lent to
+// another owner only when the previous loan has certainly ended, so that no share counts twice, whatever the nodes know of each other.
 //
 // All times are read from one clock of the host that counts suspension (internal/boottime). The package sends nothing itself.
 package quota
@@ -20,10 +20,11 @@
 	loanTime = time.Second
 	// loanMargin is added to loanTime before a share is lent again. It covers clocks of hosts that run at different rates.
 	loanMargin = 20 * time.Millisecond
-	// renewAfter is the age of a loan from which questions renew it, and renewLatest the age at which it is renewed without one.
+	// renewAfter is the age from which a loan is renewed together with the next request for tokens, and renewLatest the age at which it is
+	// renewed in any case.
 	renewAfter  = 350 * time.Millisecond
 	renewLatest = 700 * time.Millisecond
-	// tokenLife is the time from the question to the end of the tokens that are granted for it. It is a tenth of the window of 5 s,
+	// tokenLife is the time from the request for tokens to the expiry of the tokens that are granted for it. It is a tenth of the window of 5 s,
 	// which is the part that the requirement allows above the quota.
 	tokenLife = 500 * time.Millisecond
 	// answerTimeout is the time without an answer after which requests stop waiting and the owner gets no further loans.
@@ -34,7 +35,7 @@
 	// lowerQuotaDelay is the time from which a lower quota applies at an owner that has seen it. It is shorter than the window of 5 s after
 	// which it must be in force, since versions take up to a second to arrive.
 	lowerQuotaDelay = 4 * time.Second
-	// minUptime is the time after the start before a process lends. The loans of the process before it have ended by then.
+	// minUptime is the time after the start before a process lends. The loans of the previous process have ended by then.
 	minUptime = loanTime + loanMargin
 	// membersWindow is the time for which the largest number of members counts.
 	membersWindow = 60 * time.Second
@@ -43,7 +44,8 @@
 	// minWholeShare is the part of the quota from which a bucket holds at least one whole token. It bounds to 1/minWholeShare
 	// the tokens that are held beyond the burst.
 	minWholeShare = 1.0 / 8
-	// otherProcess is the difference between the expected and the stated clock of an owner from which it is another process.
+	// otherProcess is the difference between the expected and the stated clock of an owner from which the owner is taken for a restarted
+	// process.
 	otherProcess = 5 * time.Second
 	// unavailableRetryAfter is the Retry-After time of requests for which no owner decided.
 	unavailableRetryAfter = 300 * time.Millisecond
@@ -58,7 +60,7 @@
 // ErrUnavailable means that no owner decided about a request, which may be below the quota.
 var ErrUnavailable = errors.New("no quota owner")
 
-// StartingError is the ErrUnavailable of a process that does not lend its share yet, since loans of the process before it may still run.
+// StartingError is the ErrUnavailable of a process that does not lend its share yet, since loans of the previous process may not have ended.
 type StartingError struct {
 	// Wait is the time until the share is lent.
 	Wait time.Duration
@@ -79,7 +81,7 @@
 
 func (e *ExceededError) Error() string { return fmt.Sprintf("quota exceeded, more in %s", e.Wait) }
 
-// RetryAfter returns the Retry-After time for an error of Take, without and with an upper bound of jitter.
+// RetryAfter returns the bounds between which the Retry-After time for an error of Take is drawn.
 func RetryAfter(err error) (lowest, highest time.Duration) {
 	var exceeded *ExceededError
 	var starting *StartingError
