--- a/node/process/choice/choice.go
+++ b/node/process/choice/choice.go
@@ -96,7 +96,7 @@
 // Pick returns the index of the candidate to use, or -1 without candidates.
 func Pick(candidates []Candidate, call Call) int { return pick(candidates, call, rand.Float64) }
 
-// Preview returns the index that Pick returns if the estimates are not varied.
+// Preview returns the index that Pick would return without jitter.
 func Preview(candidates []Candidate, call Call) int {
 	return pick(candidates, call, func() float64 { return 0 })
 }
@@ -149,7 +149,7 @@
 	return c.expected(call, failures) + time.Duration(jitter*float64(c.service())*random)
 }
 
-// service returns the average time of a call at the server, also while it is not known.
+// service returns the average time of a call at the server, or defaultServiceTime while it is unknown.
 func (c *Candidate) service() time.Duration {
 	if c.ServiceTime == 0 {
 		return defaultServiceTime
--- a/node/process/choice/leaving_class.go
+++ b/node/process/choice/leaving_class.go
@@ -9,14 +9,14 @@
 // demandTime is the time constant of the moving average of the demand by rank.
 const demandTime = 10 * time.Second
 
-// leavingService is the state of the calls of one service. A class is added for each route and rank of the configuration that is used.
+// leavingService is the state of the calls of one service. A class is added with the first call of its route and rank.
 type leavingService struct {
 	demand  rankDemand
 	classes map[classKey]*leavingClass
 	// leaving holds the places for which calls have been reported to leave, with the time at which their share was last above minLeaving.
 	leaving map[string]time.Time
-	// reported is when changes of these were looked for last.
-	reported time.Time
+	// checkedAt is the time of the last check of which places are to be reported.
+	checkedAt time.Time
 }
 
 type classKey struct {
@@ -31,7 +31,7 @@
 // clone returns a copy that shares nothing with the service.
 func (s *leavingService) clone() *leavingService {
 	c := newLeavingService()
-	c.reported = s.reported
+	c.checkedAt = s.checkedAt
 	c.demand = rankDemand{byRank: maps.Clone(s.demand.byRank), updated: s.demand.updated}
 	for key, class := range s.classes {
 		c.classes[key] = &leavingClass{shares: maps.Clone(class.shares), calls: class.calls, updated: class.updated}
@@ -82,16 +82,16 @@
 	d.updated = now
 }
 
-// ahead returns the share of the calls that a queue starts no later than one of a rank: those that are at least as valuable.
+// ahead returns the share of the calls whose rank is not below the given one (a lower number is a higher rank). Queues start them first.
 func (d *rankDemand) ahead(rank uint32) float64 {
-	total, before := 0.0, 0.0
+	total, ahead := 0.0, 0.0
 	for r, calls := range d.byRank {
 		total += calls
 		if r <= rank {
-			before += calls
+			ahead += calls
 		}
 	}
-	return before / max(total, 1)
+	return ahead / max(total, 1)
 }
 
 // leavingClass holds the shares of the calls with the same service, route and rank that leave for each other place.
@@ -101,7 +101,7 @@
 	updated time.Time
 }
 
-// update changes the shares by what the load reports show at the time of a call.
+// update adjusts the shares at a call, by the load reports in view. home is the expected time of the call in its own place.
 func (c *leavingClass) update(view *fleetView, call Call, home time.Duration, now time.Time) {
 	elapsed := now.Sub(c.updated)
 	if c.updated.IsZero() {
@@ -110,7 +110,7 @@
 	c.calls = decayed(c.calls, elapsed, demandTime) + 1
 	c.updated = now
 	for place, share := range c.shares {
-		c.shares[place] = c.next(view, view.place(place), call, home, decayed(share, elapsed, idleTime), elapsed)
+		c.shares[place] = c.lowered(view, view.place(place), call, home, decayed(share, elapsed, idleTime), elapsed)
 		if c.shares[place] < minLeaving/10 {
 			delete(c.shares, place)
 		}
@@ -118,9 +118,9 @@
 	c.rise(view, call, home, elapsed)
 }
 
-// next returns the share of a place after a fall: when home has room again, when leaving costs more than it saves, or when the place is short
-// of room itself.
-func (c *leavingClass) next(view *fleetView, place *placeView, call Call, home time.Duration, share float64, elapsed time.Duration) float64 {
+// lowered returns the lowered share of a place. It falls when home has room again, when leaving costs more than it saves, and when the place
+// has no room itself.
+func (c *leavingClass) lowered(view *fleetView, place *placeView, call Call, home time.Duration, share float64, elapsed time.Duration) float64 {
 	switch {
 	case place == nil:
 		return 0
@@ -138,8 +138,7 @@
 	return max(share-step(pressure, elapsed, fallTime), 0)
 }
 
-// rise raises the shares while home has no room and other places with room are earlier by more than the price of the bytes. The increase
-// is divided by their room.
+// rise raises the shares while home has no room and a call gains more than startGain in another place, with the price of its bytes.
 func (c *leavingClass) rise(view *fleetView, call Call, home time.Duration, elapsed time.Duration) {
 	if view.home.room > 0 {
 		return
@@ -153,7 +152,7 @@
 	c.raise(view, step(float64(gain)/float64(max(view.home.idle, 1)), elapsed, riseTime))
 }
 
-// raise adds to the shares, divided by the room of the other places.
+// raise adds to the shares, in proportion to the room of the other places and up to maxLeaving in total.
 func (c *leavingClass) raise(view *fleetView, added float64) {
 	total, room := 0.0, 0.0
 	for _, share := range c.shares {
@@ -173,13 +172,14 @@
 	}
 }
 
-// step returns the change of a share under a pressure, over the time since the last call of its class.
+// step returns the change of a share in the elapsed time. The share changes by 1 in the time full at a pressure of 1; lower pressures
+// change it proportionally.
 func step(pressure float64, elapsed, full time.Duration) float64 {
 	return min(min(max(pressure, 0), 1)*float64(elapsed)/float64(full), maxStep)
 }
 
-// draw returns the place for which a call leaves, or nil if it stays. Calls leave at random in the proportion of the shares, so that the
-// entry nodes of a place, which see the same reports, do not move together. A call does not leave for a place that has no room or where it
+// draw returns the place for which a call leaves, or nil if it stays. The choice is random in proportion to the shares, so
+// that the entry nodes of a place, which see the same reports, do not all send their calls to the same place. A call does not leave for a place that has no room or where it
 // would be late while home is in time.
 func (c *leavingClass) draw(view *fleetView, call Call, home time.Duration, random float64) *placeView {
 	for _, p := range view.away {
--- a/node/process/choice/placeview.go
+++ b/node/process/choice/placeview.go
@@ -1,53 +1,55 @@
 package choice
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// slowServerFactor is the multiple of the least service time from which a server counts as slow. Noisy neighbours alone let the averages
-	// of equal servers differ by less.
+	// slowServerFactor is the multiple of the least service time from which a server counts as slow. The averages of
+	// equal servers differ by less, also when other load on their hosts disturbs them.
 	slowServerFactor = 1.5
 	// roomLevel is the part of a server's limit up to which other places use it. The rest is for the callers of its own place.
 	roomLevel = 0.85
-	// lateMark is the part of the time to the objective from which a call counts as late at home. Late calls whose bytes cost little also
+	// lateMark is the part of the time to the objective above which the expected time at home counts as late. Late calls whose bytes cost little also
 	// use the part of the limits above roomLevel, since a free slot there is not needed now.
 	lateMark = 0.8
-	// fullFreeShare is the free part of the limits at home at which calls stop leaving at the full rate.
+	// fullFreeShare is the free part of the limits at home from which the shares fall at the full rate.
 	fullFreeShare = 0.25
-	// maxPrice is the largest price of the bytes of a call, as a part of the time to its objective. The rest is for its work, which may
+	// maxPrice is the upper bound of the price of the bytes of a call, as a part of the time to its objective. The rest is for its work, which may
 	// take longer than usual.
 	maxPrice = 0.3
-	// reportLife is the time constant with which the load of an old report counts less, so that a server that gets no calls because of it
+	// reportLife is the time constant with which the reported load decays with the age of the report, so that a server that gets no calls because of it
 	// is tried again.
 	reportLife = 4 * time.Second
 )
 
-// fleetView is what the candidates of a call show by place.
+// fleetView groups the candidates of a call by place.
 type fleetView struct {
 	candidates []Candidate
 	// home is the view of the caller's place; nil if no server there takes the call now.
 	home *placeView
 	// away holds the other places with a usable server, by name.
 	away []*placeView
-	// refusedHome is a server of the caller's place that has refused the call; -1 if there is none.
+	// refusedHome is the index of a server of the caller's place that has refused the call; -1 if there is none.
 	refusedHome int
 	// refusals is the number of servers in other places that have refused the call.
 	refusals int
 }
 
-// placeView is what the candidates of a call show for one place.
+// placeView summarizes the candidates of a call in one place.
 type placeView struct {
 	name string
-	// best is the candidate with the least expected time; usable holds all that respond and have not refused the call.
+	// best is the index of the candidate with the least expected time. usable holds the indexes of all that respond and have not refused the
+	// call.
 	best   int
 	usable []int
-	// least is the expected time there, and idle what it would be without other calls.
+	// least is the expected time at best, and idle that without other calls there.
 	least time.Duration
 	idle  time.Duration
-	// room is the number of further calls that the servers can start at once for other places; rooms holds that of each usable server.
+	// room is the number of further calls of other places that the usable servers can start at once; rooms holds the number of each server.
 	room  float64
 	rooms []float64
 	// limits is the sum of the limits of the usable servers.
@@ -56,8 +58,28 @@
 	refused bool
 }
 
+// homeName is the key of the caller's place among the places of a fleetView. Servers whose place is unknown are counted in it.
+const homeName = ""
+
 func newFleetView(candidates []Candidate, call Call) *fleetView {
 	v := &fleetView{candidates: candidates, refusedHome: -1}
+	places := v.viewPlaces(call)
+	for name, p := range places {
+		switch {
+		case len(p.usable) == 0:
+		case name == homeName:
+			v.home = p
+		default:
+			v.away = append(v.away, p)
+		}
+	}
+	slices.SortFunc(v.away, func(a, b *placeView) int { return cmp.Compare(a.name, b.name) })
+	return v
+}
+
+// viewPlaces returns the views of the places by name, and records the refusals of the call.
+func (v *fleetView) viewPlaces(call Call) map[string]*placeView {
+	candidates := v.candidates
 	call.Transfer.slowest = slowestLink(candidates)
 	places := map[string]*placeView{}
 	leastFailures, leastService := minFailures(candidates), minService(candidates)
@@ -69,7 +91,7 @@
 		}
 		name := c.Place
 		if c.SamePlace {
-			name = "" // the caller's place
+			name = homeName
 		}
 		p := places[name]
 		if p == nil {
@@ -87,25 +109,10 @@
 			p.add(i, &aged, call, c.Failures-leastFailures, c.slower(leastService), level)
 		}
 	}
-	for name, p := range places {
-		switch {
-		case len(p.usable) == 0:
-		case name == "":
-			v.home = p
-		default:
-			v.away = append(v.away, p)
-		}
-	}
-	slices.SortFunc(v.away, func(a, b *placeView) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
-	return v
+	return places
 }
 
-// aged returns the candidate with the load that is expected now, after the time since its report.
+// aged returns the candidate with its reported load reduced by the age of the report.
 func (c *Candidate) aged() Candidate {
 	aged := *c
 	left := math.Exp(-float64(max(c.ReportAge, 0)) / float64(reportLife))
@@ -134,7 +141,7 @@
 	p.best, p.least, p.idle = i, expected, idle.expected(call, failures)+slower
 }
 
-// minService returns the least known time of a call at a server; 0 if none is known.
+// minService returns the least known average time of a call at a candidate; 0 if none is known.
 func minService(candidates []Candidate) time.Duration {
 	least := time.Duration(0)
 	for i := range candidates {
@@ -145,7 +152,7 @@
 	return least
 }
 
-// slower returns the time that calls take longer at the server than at the fastest one.
+// slower returns the time by which calls take longer at a slow server than at the fastest one, whose time is least; 0 if it is not slow.
 func (c *Candidate) slower(least time.Duration) time.Duration {
 	if c.WarmUpLeft > 0 || float64(c.ServiceTime) < slowServerFactor*float64(least) {
 		return 0
@@ -179,7 +186,7 @@
 	return max(level*float64(c.Limit)-float64(c.InProgress+c.Queued+c.SentSinceReport), 0)
 }
 
-// expected returns the expected time of a call at the place, whose queues start calls of the given share of the demand before it.
+// expected returns the expected time of a call at the place if the given share of the demand is started before it.
 func (p *placeView) expected(ahead float64) time.Duration {
 	return p.idle + time.Duration(float64(p.least-p.idle)*ahead)
 }
@@ -200,7 +207,8 @@
 	return p.room > 0 && p.cost(call)+startGain < home
 }
 
-// draw returns the better one of two servers drawn by their room, so that nodes with the same reports choose different ones.
+// draw draws two usable servers in proportion to their room and returns the one with more room. Nodes with the same load reports thus choose
+// different servers.
 func (p *placeView) draw(random func() float64) int {
 	first, second := drawIndex(p.rooms, random()), drawIndex(p.rooms, random())
 	if p.rooms[second] > p.rooms[first] {
@@ -234,7 +242,7 @@
 	return nil
 }
 
-// cheapest returns the other place with room at which a call costs least, or nil.
+// cheapest returns the other place with room at which the cost of a call is lowest, or nil.
 func (v *fleetView) cheapest(call Call) *placeView {
 	var least *placeView
 	for _, p := range v.away {
@@ -245,7 +253,7 @@
 	return least
 }
 
-// drawRoom returns another place drawn by its room, or nil if none has room.
+// drawRoom returns another place drawn in proportion to the room, or nil if none has room.
 func (v *fleetView) drawRoom(random float64) *placeView {
 	weights, total := make([]float64, 0, len(v.away)), 0.0
 	for _, p := range v.away {
@@ -258,8 +266,8 @@
 	return v.away[drawIndex(weights, random)]
 }
 
-// any returns a candidate where no place has room: one of the best two, or one that does not respond or has refused the call if there is no
-// other.
+// any returns a candidate when no other place has room: the best server of a place drawn at random or, if no server is usable, the best of
+// those that do not respond or have refused the call.
 func (v *fleetView) any(random func() float64) int {
 	var best []int
 	for _, p := range v.away {
--- a/node/process/choice/terms.go
+++ b/node/process/choice/terms.go
@@ -11,15 +11,15 @@
 	// Utilization is the penalty for a busy server, and Failures that for one that fails more calls than the best one.
 	Utilization time.Duration
 	Failures    time.Duration
-	// Slowness is the time lost while the host is slow, and WarmUp while the server is.
+	// Slowness is the time lost because the host is slow, and WarmUp that lost because the server has just started.
 	Slowness time.Duration
 	WarmUp   time.Duration
-	// Transfer is the time of the answer on the links, and Displacement the price of a link that large answers need.
+	// Transfer is the time of the answer on the links, and Displacement the price of using a fast link that larger answers need more.
 	Transfer     time.Duration
 	Displacement time.Duration
 }
 
-// Total is the sum.
+// Total returns the sum of the terms.
 func (t Terms) Total() time.Duration {
 	return t.RoundTrip + t.Work + t.Wait + t.Utilization + t.Failures + t.Slowness + t.WarmUp + t.Transfer + t.Displacement
 }
@@ -31,7 +31,7 @@
 	return t
 }
 
-// AllTerms returns the terms of each candidate as Pick compares them, or with aged reports as a Leaver does.
+// AllTerms returns the terms of each candidate: as Pick compares them, or if aged is set as a Leaver does, with aged load reports.
 func AllTerms(candidates []Candidate, call Call, aged bool) []Terms {
 	leastFailures, leastService := minFailures(candidates), minService(candidates)
 	call.Transfer.slowest = slowestLink(candidates)
--- a/node/process/choice/transfer.go
+++ b/node/process/choice/transfer.go
@@ -15,7 +15,7 @@
 	LinkBytesPerSecond float64
 	EgressBytes        int
 
-	// slowest is the speed of the slowest link of a candidate's host.
+	// slowest is the speed of the slowest known link of the candidates; infinity if none is known.
 	slowest float64
 }
 
@@ -33,8 +33,8 @@
 	return max(own, linkTime(int(waiting)+c.BytesSinceReport+t.AnswerBytes, c.LinkBytesPerSecond))
 }
 
-// displacement returns the time that larger answers lose if the call takes a slot of the server: they go to the host with the slowest
-// link instead, the more probably the fuller the server is. It keeps hosts with fast links free for large answers.
+// displacement returns the time that larger answers lose if the call takes a slot of the server. They are assumed to go to the host
+// with the slowest link instead, with a probability that is the utilization of the server. It keeps hosts with fast links free for large answers.
 func (c *Candidate) displacement(t Transfer) time.Duration {
 	larger := t.LargeBytes - t.AnswerBytes
 	if larger <= 0 || c.LinkBytesPerSecond <= t.slowest {
