--- a/node/process/backpressure/backpressure.go
+++ b/node/process/backpressure/backpressure.go
@@ -1,6 +1,6 @@
-// Package backpressure refuses calls before they start whose nested calls would be refused: such a call holds a slot and ends in an
-// error of its server. It is decided at the server's node, by route, from the calls that have ended there. The package
-// sends nothing, and its clock is handed in.
+// Package backpressure refuses calls whose nested calls would probably be refused, before they start. Such a call would hold a slot and end
+// in an error of its server. The node of the server decides for each route, from the calls of the route that have ended there. The
+// package sends nothing, and gets its clock from the caller.
 package backpressure
 
 import (
@@ -13,26 +13,26 @@
 )
 
 const (
-	// reactionTime is the time in which the admitted share follows the share of calls that fail.
+	// reactionTime is the time constant with which the admitted share follows the share of calls that fail.
 	reactionTime = 300 * time.Millisecond
-	// maxCallWeight bounds the weight of one call where calls are few.
+	// maxCallWeight is the upper bound of the weight of one call, which rises with the time since the last one.
 	maxCallWeight = 0.25
-	// toleratedFailures is the share of the started calls that fail while the admitted share stays. Without any, free capacity would not
-	// be found.
+	// toleratedFailures is the share of failing calls at which the admitted share stays the same. At 0 it would never rise and find free
+	// capacity while calls fail.
 	toleratedFailures = 0.1
-	// calmTime is the time without a failure after which the admitted share grows by itself, and doublingTime the time in which it then
+	// calmTime is the time without a failure after which the admitted share grows also without calls that end, and doublingTime the time in which it then
 	// doubles.
 	calmTime     = 1200 * time.Millisecond
 	doublingTime = 500 * time.Millisecond
 	// minAdmitted is the share of calls that is always admitted, so that the end of the shortage is detected.
 	minAdmitted = 0.1
-	// nestingWeight is the weight of a call in the average share of calls that make nested calls.
+	// nestingWeight is the weight of one call in the moving average of the share of calls that make nested calls.
 	nestingWeight = 0.03
-	// usageTime is the time constant of the average of the calls that a team offers.
+	// usageTime is the time constant of the usage of a team, which is the decaying number of the calls that it sends.
 	usageTime = 3 * time.Second
-	// minTeamUsage is the usage below which a team is forgotten.
+	// minTeamUsage is the usage below which the state of a team is removed.
 	minTeamUsage = 0.01
-	// reportedAdmitted is the admitted share below which a route is reported.
+	// reportedAdmitted is the admitted share below which the calls of a route are reported as refused.
 	reportedAdmitted = 0.9
 	// maxRetryAfter is the Retry-After time when all calls are refused.
 	maxRetryAfter = 500 * time.Millisecond
@@ -40,12 +40,12 @@
 
 // Call holds the properties of a call that decide whether it is refused.
 type Call struct {
-	// ID decides which calls are refused: servers with the same shares admit or refuse the same calls, so that a call which one of them
-	// redirects is not at risk again at the next.
+	// ID decides, with the shares, whether the call is refused. Servers with the same shares admit the same calls, so that a redirected call
+	// that one of them admitted is not refused by the next.
 	ID    string
 	Route string
 	Team  string
-	// Spared calls are never refused: nested calls and those of the highest rank.
+	// Spared is set for calls that are never refused: nested ones and those of the highest rank.
 	Spared bool
 }
 
@@ -59,8 +59,8 @@
 	refused int64
 }
 
-// New returns a Controller that admits all calls. The function changed is called without holding locks when calls of a route begin to be
-// refused, and when all are admitted again; it may be nil.
+// New returns a Controller that admits all calls. The function changed is called without holding locks when calls of a route start to be
+// refused, and when all are admitted again. It may be nil.
 func New(now func() time.Time, changed func(route string, s Share)) *Controller {
 	if changed == nil {
 		changed = func(string, Share) {}
@@ -73,13 +73,14 @@
 	// admitted is the share of the calls that may start.
 	admitted float64
 	// nesting is the share of ended calls that made nested calls.
-	nesting   float64
-	endedAt   time.Time
-	failedAt  time.Time
-	grownAt   time.Time
+	nesting  float64
+	endedAt  time.Time
+	failedAt time.Time
+	grownAt  time.Time
+	// teams holds the usage of each team.
 	teams     map[string]float64
 	decayedAt time.Time
-	// reported is set while the route is reported as one of which calls are refused.
+	// reported is set from the report that calls of the route are refused to the report that all are admitted.
 	reported bool
 }
 
@@ -92,7 +93,7 @@
 	return r
 }
 
-// Admit reports whether a call may start. A refused call should return after the given time.
+// Admit reports whether a call may start. A refused call should be sent again after the returned time.
 func (c *Controller) Admit(call Call) (retryAfter time.Duration, ok bool) {
 	if call.Spared {
 		return 0, true
@@ -133,7 +134,7 @@
 	r.limit()
 }
 
-// report calls changed if calls of a route begin to be refused, or are all admitted again.
+// report calls changed if calls of a route start to be refused, or are all admitted again.
 func (c *Controller) report(name string) {
 	c.mu.Lock()
 	r := c.routes[name]
@@ -141,14 +142,14 @@
 	if begins || ends {
 		r.reported = begins
 	}
-	share := Share{Admitted: r.admitted, Nesting: r.nesting}
+	share := r.share()
 	c.mu.Unlock()
 	if begins || ends {
 		c.changed(name, share)
 	}
 }
 
-// limit keeps the admitted share within its bounds. Calls that make no nested calls do not fail, and are as many as ended without one.
+// limit keeps the admitted share within its bounds. It is at least the share of calls without nested calls, since those do not fail here.
 func (r *route) limit() { r.admitted = min(max(r.admitted, minAdmitted, 1-r.nesting), 1) }
 
 // grow raises the admitted share if no call has failed for calmTime.
@@ -164,7 +165,7 @@
 	}
 }
 
-// decayUsage decays the usage of the teams.
+// decayUsage decays the usage of the teams by the time since the last call.
 func (r *route) decayUsage(now time.Time) {
 	factor := math.Exp(-now.Sub(r.decayedAt).Seconds() / usageTime.Seconds())
 	r.decayedAt = now
@@ -178,7 +179,7 @@
 }
 
 // refusedShare returns the share of a team's calls that is refused. The admitted calls are divided among the teams equally: each gets
-// up to a level, and what some do not need is left to the others.
+// up to the same number, the level, and what some teams do not need is divided among the others.
 func (r *route) refusedShare(team string) float64 {
 	if r.admitted >= 1 {
 		return 0
@@ -207,14 +208,16 @@
 	Admitted, Nesting float64
 }
 
-// Shares returns the state of the routes of which calls are refused.
+func (r *route) share() Share { return Share{Admitted: r.admitted, Nesting: r.nesting} }
+
+// Shares returns the state of the routes with calls that are refused.
 func (c *Controller) Shares() map[string]Share {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	shares := map[string]Share{}
 	for name, r := range c.routes {
 		if r.grow(c.now()); r.admitted < 1 {
-			shares[name] = Share{Admitted: r.admitted, Nesting: r.nesting}
+			shares[name] = r.share()
 		}
 	}
 	return shares
@@ -227,9 +230,9 @@
 	return c.refused
 }
 
-// draw returns the number in [0, 1) of a call.
+// draw maps the ID of a call to a number in [0, 1), evenly distributed.
 func draw(id string) float64 {
-	const bits = 53 // of a float64
+	const bits = 53 // precision of a float64
 	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
 }
 
