--- a/node/process/peers/evacuations.go
+++ b/node/process/peers/evacuations.go
@@ -6,10 +6,10 @@
 	"github.com/radishstand/radishstand/api/linkpb"
 )
 
-// evacuationFanout is the number of nodes to which a node forwards a set of evacuated places besides those that cannot read it.
+// evacuationFanout is the number of nodes that reach the store to which a node forwards a new set of evacuated places.
 const evacuationFanout = 3
 
-// SetEvacuated sets the places whose servers are not chosen.
+// SetEvacuated sets the evacuated places. Pick chooses no server there.
 func (p *Set) SetEvacuated(places []string) {
 	evacuated := make(map[string]bool, len(places))
 	for _, place := range places {
@@ -24,8 +24,8 @@
 	return evacuated != nil && len(*evacuated) > 0 && (*evacuated)[s.place()]
 }
 
-// ForwardEvacuations sends the set of evacuated places to the linked nodes whose calls to the store fail, and to a few others, whose
-// polls may be lost.
+// ForwardEvacuations sends the set of evacuated places to all linked nodes whose calls to the store fail, and to evacuationFanout others,
+// since their polls of the store may fail too.
 func (p *Set) ForwardEvacuations() {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
@@ -45,10 +45,9 @@
 	}
 }
 
-// observeStore handles what the state of another node says about the store. A node that does not reach it gets the set of evacuated
-// places, since this node may have the newest one.
-func (p *Set) observeStore(s *Server, state *linkpb.State, reached, reaches bool) {
-	if reached && !reaches {
+// observeStore handles what the state of another node says about the store. A node that no longer reaches it gets the set of evacuated places, since this node may have a newer one.
+func (p *Set) observeStore(s *Server, state *linkpb.State, reachedBefore, reachesNow bool) {
+	if reachedBefore && !reachesNow {
 		go s.session.SendEvacuations()
 	}
 	if p.config.StoreEra != nil && state.StoreEra > 0 {
--- a/node/process/peers/leaving.go
+++ b/node/process/peers/leaving.go
@@ -11,19 +11,19 @@
 	"github.com/radishstand/radishstand/node/process/choice"
 )
 
-// Leaving decides which calls of this node leave its place.
+// Leaving configures which calls of this node leave its place.
 type Leaving struct {
 	Leaver *choice.Leaver
-	// Active reports whether the Leaver decides; otherwise the choice among all servers with a fixed transfer penalty does.
+	// Active reports whether the Leaver decides; otherwise choice.Pick does, with a fixed transfer penalty.
 	Active func() bool
-	// Sent is told of a call that was sent to another place, with the bytes of the call and its answer.
+	// Sent is called after a call was sent to another place, with the bytes of the call and its answer.
 	Sent func(service, place string, bytes int)
 }
 
 // active reports whether the Leaver decides.
 func (l *Leaving) active() bool { return l != nil && l.Active() }
 
-// useMeasuredRoundTrips sets the round trips to other places to those that pings have measured.
+// useMeasuredRoundTrips replaces the round-trip times to servers in other places by those that pings have measured.
 func useMeasuredRoundTrips(usable []*Server, candidates []choice.Candidate) {
 	for i, s := range usable {
 		if measured := s.measuredRoundTrip(); measured > 0 && !candidates[i].SamePlace {
@@ -50,8 +50,8 @@
 	return p.config.Leaving.Leaver.Shares(service)[place]
 }
 
-// countLeaving counts a call that was sent to another place and its answer.
-func (p *Set) countLeaving(s *Server, call *linkpb.Call, f *link.Result, err error) {
+// countLeaving passes a call to Sent if it was sent to another place.
+func (p *Set) countLeaving(s *Server, call *linkpb.Call, result *link.Result, err error) {
 	var notSent *link.NotSentError
 	if !p.config.Leaving.active() || s.address == "" || errors.As(err, &notSent) {
 		return
@@ -61,8 +61,8 @@
 		return
 	}
 	bytes := proto.Size(call)
-	if f != nil {
-		bytes += proto.Size(f.Frame)
+	if result != nil {
+		bytes += proto.Size(result.Frame)
 	}
 	p.config.Leaving.Sent(service, place, bytes)
 }
--- a/node/process/peers/local.go
+++ b/node/process/peers/local.go
@@ -8,8 +8,8 @@
 	"github.com/radishstand/radishstand/node/connection/link"
 )
 
-// serveLocally runs a call at the server beside this node. A call that is not idempotent is not aborted when ctx ends; like one at another
-// node, it is waited for until link.ConfirmationTimeout after the deadline, and continues without a caller.
+// serveLocally runs a call at the server beside this node. When ctx ends, a call that is not idempotent is not aborted: like for a
+// call at another node, its result is awaited for link.ConfirmationTimeout more. After that it continues, and its result is dropped.
 func (p *Set) serveLocally(ctx context.Context, call *linkpb.Call) (*link.Result, error) {
 	if call.Idempotent {
 		return p.serveAndWait(ctx, call), nil
@@ -32,8 +32,8 @@
 	}
 }
 
-// serveAndWait runs a call at the server beside this node. The server's part of the node releases the memory of the answer when it has
-// passed it on; the answer then takes it again for the caller.
+// serveAndWait runs a call at the server beside this node. Serve releases the memory that it reserved for the answer when it returns, so
+// the memory is reserved again for the caller.
 func (p *Set) serveAndWait(ctx context.Context, call *linkpb.Call) *link.Result {
 	var frame *linkpb.Frame
 	p.config.Serve(ctx, call, func(f *linkpb.Frame) { frame = f })
--- a/node/process/peers/peer.go
+++ b/node/process/peers/peer.go
@@ -50,7 +50,7 @@
 	lostAt time.Time
 	// excludedUntil is the end of the exclusion of a server that accepts no calls.
 	excludedUntil time.Time
-	// proofAt is the time of the youngest proof of freshness that the node has passed on, by the boot clock.
+	// proofAt is the time, by the boot clock, of the latest proof of freshness that the node has passed on.
 	proofAt time.Duration
 }
 
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -45,19 +45,19 @@
 	Routing func(peer string, document []byte)
 	// Dial opens the connection to the node at an address; nil for TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// QuotaReply handles a reply about quotas of the node at an address; nil if no requests are sent.
+	// QuotaReply handles a quota reply from the node at an address; nil if no quota requests are sent.
 	QuotaReply func(peer string, r *linkpb.QuotaReply)
 	// PollersChanged is called when the result of InSubset may have changed. It must not block.
 	PollersChanged func()
-	// Proof handles a proof from another node that a routing version was the newest one at a time of the boot clock.
+	// Proof handles a proof of freshness from another node: the routing version was the newest one at the time, by the boot clock.
 	Proof func(version uint64, at time.Duration)
 	// Evacuations exchanges the set of evacuated places with other nodes.
 	Evacuations link.EvacuationExchange
 	// StoreEra is called with the era of the store that the node at an address reports. It must not block. It may be nil.
 	StoreEra func(peer string, era uint64)
-	// Egress sends large frames in pieces; nil if they are sent whole.
+	// Egress sends large frames in pieces; nil if they are sent in one piece.
 	Egress *link.Egress
-	// Leaving decides which calls leave this place; nil if the choice among all servers does.
+	// Leaving decides which calls leave this place; nil if choice.Pick always chooses among all servers.
 	Leaving *Leaving
 	// Memory bounds the bytes of frames that are being received.
 	Memory *membudget.Budget
@@ -260,10 +260,10 @@
 		call.Service = service
 		return resultOfLeaving(usable, candidates, p.config.Leaving.Leaver.Pick(candidates, call)), nil
 	}
-	return pickLeast(usable, candidates, call), nil
+	return resultOf(usable, candidates, choice.Pick(candidates, call)), nil
 }
 
-// candidates returns the servers that may be chosen, as the choice sees them.
+// candidates returns the servers that may be chosen, and for each what package choice needs to know.
 func (p *Set) candidates(service string, exclude, refused []*Server) ([]*Server, []choice.Candidate) {
 	now := time.Now()
 	servers := slices.DeleteFunc(p.servers(service), func(s *Server) bool { return slices.Contains(exclude, s) })
@@ -284,12 +284,7 @@
 	return usable, candidates
 }
 
-// pickLeast chooses the server with the least expected time.
-func pickLeast(usable []*Server, candidates []choice.Candidate, call choice.Call) PickResult {
-	return resultOf(usable, candidates, choice.Pick(candidates, call))
-}
-
-// resultOf returns the result for the candidate with an index.
+// resultOf returns the result for the candidate with index i.
 func resultOf(usable []*Server, candidates []choice.Candidate, i int) PickResult {
 	picked := PickResult{Server: usable[i]}
 	for j, c := range candidates {
--- a/node/process/peers/preview.go
+++ b/node/process/peers/preview.go
@@ -8,10 +8,11 @@
 	"github.com/radishstand/radishstand/node/process/choice"
 )
 
-// CandidateView is a server of a service as the choice sees it.
+// CandidateView describes a server of a service for an operator.
 type CandidateView struct {
 	Node, ServerID, Place string
-	// Unusable says why the server is no candidate; the following fields are then empty.
+	// Unusable is the reason why the server is no candidate; empty for a candidate. If it is set, Chosen, Candidate, Reported and Terms are
+	// not.
 	Unusable  string
 	Evacuated bool
 	Chosen    bool
@@ -26,7 +27,7 @@
 	Picked PickResult
 	// Chosen is the view of the server that would be picked.
 	Chosen CandidateView
-	// Shares is the share of such calls that leave for each other place; nil if the choice among all servers decides.
+	// Shares is the share of the call's class that leaves for each other place; nil if no Leaver decides.
 	Shares map[string]float64
 }
 
@@ -69,7 +70,7 @@
 	return append(views, others...)
 }
 
-// view returns the server as a candidate.
+// view returns the CandidateView of a usable server.
 func (s *Server) view(c choice.Candidate, terms choice.Terms) CandidateView {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,7 +113,7 @@
 	}, s.state.GetService() == service
 }
 
-// Unlinked returns the addresses of the known nodes without a link: which servers they have is not known.
+// Unlinked returns the sorted addresses of the known nodes without a link. Their servers are not known.
 func (p *Set) Unlinked() []string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
--- a/node/process/peers/proofs.go
+++ b/node/process/peers/proofs.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// proofSources is the number of nodes that are asked first for a proof of freshness: those that poll the store often.
+	// proofSources is the number of nodes that all nodes ask first for a proof of freshness. Those nodes poll the store often.
 	proofSources = 3
-	// maxDirectAskers is the number of linked nodes up to which all nodes ask those. In larger fleets a node asks nodes of its own
-	// place, which ask them.
+	// maxDirectAskers is the number of linked nodes up to which all nodes ask them. In larger fleets, a node asks proofSources nodes of its
+	// own place, and only these ask the nodes that poll often.
 	maxDirectAskers = 256
 )
 
@@ -24,8 +24,8 @@
 	p.config.Proof(version, at)
 }
 
-// AskForProof pings linked nodes, whose answers hold their proof of freshness: the one of which a young proof is expected most, and count
-// of the others from position first in their order on. After the last of them the first one follows.
+// AskForProof pings linked nodes, whose answers hold their proof of freshness. It always pings the first node in the order of
+// orderSources, and count of the others from position first on, cyclically.
 func (p *Set) AskForProof(first, count int) {
 	sources := orderSources(p.linkedSources(), xxhash.Sum64String(p.config.Hello.Address))
 	if len(sources) == 0 {
@@ -55,9 +55,9 @@
 	reachesStore bool
 }
 
-// orderSources returns the nodes in the order in which the node with a hash asks them: the one from which the youngest proof came, the
-// nodes that poll the store often as far as this node can tell, and the others. A node that reaches no poller is served by nodes that
-// do.
+// orderSources returns the nodes in the order in which the node with ownHash asks them: the one from which the latest proof came, then the
+// preferred ones and the others. Preferred are nodes that reach the store; in fleets above maxDirectAskers, unless this node is one of those
+// that its place asks, the nodes of its place instead. The order of the others matters to a node that is linked to no node that polls.
 func orderSources(sources []proofSource, ownHash uint64) []*Server {
 	slices.SortFunc(sources, func(a, b proofSource) int { return cmp.Compare(a.hash, b.hash) })
 	preferred := func(s proofSource) bool { return s.reachesStore }
@@ -74,9 +74,9 @@
 	}
 	ordered := make([]*Server, 0, len(sources)+1)
 	if len(sources) > 0 {
-		youngest := slices.MaxFunc(sources, func(a, b proofSource) int { return cmp.Compare(a.proofAt, b.proofAt) })
-		if youngest.proofAt > 0 {
-			ordered = append(ordered, youngest.server)
+		latest := slices.MaxFunc(sources, func(a, b proofSource) int { return cmp.Compare(a.proofAt, b.proofAt) })
+		if latest.proofAt > 0 {
+			ordered = append(ordered, latest.server)
 		}
 	}
 	for _, s := range sources {
--- a/node/process/peers/quota.go
+++ b/node/process/peers/quota.go
@@ -5,7 +5,7 @@
 // LinkedNode is a node that this node has a link to.
 type LinkedNode struct {
 	Address string
-	// CPUMillis is its share of a core in thousandths; 0 if unknown.
+	// CPUMillis is the node's share of a core in thousandths; 0 if unknown.
 	CPUMillis int
 }
 
@@ -29,7 +29,7 @@
 	return int(s.state.GetCpuMillis()), s.client != nil && s.state != nil
 }
 
-// SendQuotaRequest sends a request about quotas to the node at an address. Without a link to it, it does nothing.
+// SendQuotaRequest sends a quota request to the node at an address. It does nothing if the node is unknown or not linked.
 func (p *Set) SendQuotaRequest(address string, r *linkpb.QuotaRequest) {
 	p.mu.RLock()
 	known := p.peers[address]
@@ -39,7 +39,7 @@
 	}
 }
 
-// handleQuotaReply passes on a reply about quotas of the node at an address.
+// handleQuotaReply passes a reply from the node at an address to QuotaReply, if it is set.
 func (p *Set) handleQuotaReply(address string, r *linkpb.QuotaReply) {
 	if p.config.QuotaReply != nil {
 		p.config.QuotaReply(address, r)
--- a/node/process/peers/versions.go
+++ b/node/process/peers/versions.go
@@ -89,8 +89,8 @@
 	time.AfterFunc(routingRequestDelay, p.requestRouting)
 }
 
-// NewestVersion returns the highest routing version number above the local one that any node has reported so far, or a lower number
-// when there is none.
+// NewestVersion returns the highest routing version number above the local one that any node has reported so far, or a
+// number not above the local one if there is none.
 func (p *Set) NewestVersion() uint64 { return p.newestVersion.Load() }
 
 // recordVersion records a routing version number that a node has reported.
