--- a/node/process/backpressure/backpressure_test.go
+++ b/node/process/backpressure/backpressure_test.go
@@ -35,7 +35,7 @@
 	return admitted
 }
 
-// Guards against a team whose excess has the calls of the others refused.
+// Guards against a team whose excess causes calls of other teams to be refused.
 func TestExcessOfATeamIsRefusedFirst(t *testing.T) {
 	clock := virtualtime.New()
 	c := backpressure.New(clock.Now, nil)
@@ -56,7 +56,7 @@
 	assert.GreaterOrEqual(t, offer(clock, c, 10*time.Second, []string{""}, rare)[""], 0.75)
 }
 
-// Guards against a shortage whose end is never seen, and against refusals of calls of the highest rank and of nested calls.
+// Guards against a shortage whose end is never detected, and against refusals of calls of the highest rank and of nested calls.
 func TestSomeCallsAreAdmittedUntilTheShortageEnds(t *testing.T) {
 	clock := virtualtime.New()
 	var reports []float64
@@ -75,7 +75,7 @@
 	assert.Len(t, reports, 2)
 }
 
-// Guards against a call that is refused somewhere because servers to which it is redirected draw again.
+// Guards against a call that one server admits and redirects, and the next refuses.
 func TestServersWithTheSameSharesDecideAlike(t *testing.T) {
 	clock := virtualtime.New()
 	a, b := backpressure.New(clock.Now, nil), backpressure.New(clock.Now, nil)
--- a/node/process/choice/leaving_test.go
+++ b/node/process/choice/leaving_test.go
@@ -49,7 +49,7 @@
 	return d
 }
 
-// scenario changes a world before it runs. All have waves.
+// scenario changes a world before it runs.
 type scenario struct {
 	name  string
 	apply func(w *world)
@@ -148,7 +148,7 @@
 	return float64(left) / float64(max(all, 1))
 }
 
-// Guards against calls that swing between home and other places, or from one other place to the next, after a step of the demand, and
+// Guards against calls that oscillate between home and other places, or from one other place to the next, after a step of the demand, and
 // against calls that stay away although home has room again.
 func TestLeavingIsStableAfterAStep(t *testing.T) {
 	const stepUp, stepDown, settle = 20, 80, 10
@@ -180,7 +180,7 @@
 	assert.LessOrEqual(t, *changes, 4*2*worldEntries/3, "each entry node begins and stops at most twice for each of two places")
 }
 
-// countChanges counts how often entry nodes of place 0 begin and stop to leave.
+// countChanges counts how often entry nodes of place 0 start and stop sending calls away.
 func (w *world) countChanges() *int {
 	changes := 0
 	for _, e := range w.entries {
@@ -231,7 +231,7 @@
 }
 
 // Guards against valuable calls that leave although the queue at home starts them first, calls that leave for a place without room, and
-// calls that wait where no other place has room but are redirected on and on.
+// calls that are redirected again and again where no other place has room.
 func TestWhichCallsLeave(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	now := worldEpoch
--- a/node/process/choice/leaving_world_test.go
+++ b/node/process/choice/leaving_world_test.go
@@ -64,7 +64,7 @@
 	known  []worldReport
 }
 
-// worldReport is the last load report of a server, and the calls sent since.
+// worldReport is the last load report of a server, and the number of calls sent since then.
 type worldReport struct {
 	candidate choice.Candidate
 	at        time.Duration
@@ -83,7 +83,7 @@
 	server    int
 }
 
-// worldResult is what the callers see.
+// worldResult holds the outcomes of the callers' calls.
 type worldResult struct {
 	calls, inTime, failed, valuable, valuableInTime int
 	refusedAway                                     int
@@ -352,7 +352,7 @@
 // inTimeShare is the part of all calls that were answered within the objective.
 func (r *worldResult) inTimeShare() float64 { return float64(r.inTime) / float64(max(r.calls, 1)) }
 
-// wave returns a demand that swings by half around a mean, with a phase for each place.
+// wave returns a demand that varies by half around a mean, with a phase for each place.
 func wave(mean float64) func(int, time.Duration) float64 {
 	return func(place int, at time.Duration) float64 {
 		return mean * (1 + 0.5*math.Sin(2*math.Pi*(at.Seconds()/20+float64(place)/3)))
--- a/node/process/choice/transfer_test.go
+++ b/node/process/choice/transfer_test.go
@@ -50,7 +50,7 @@
 	views   [modelEntries]modelView
 }
 
-// modelView is what an entry node knows of a server.
+// modelView is what an entry node knows about a server.
 type modelView struct {
 	inProgress, queued, sent, egress, sentBytes int
 	at                                          time.Duration
@@ -82,7 +82,7 @@
 
 func (m *model) after(d time.Duration, do func()) { heap.Push(&m.events, event{m.now + d, do}) }
 
-// arrivals lets calls of a kind arrive at random.
+// arrivals simulates calls of a kind that arrive at random.
 func (m *model) arrivals(download bool, perSecond float64) {
 	m.after(time.Duration(m.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		m.send(&modelCall{download: download, entry: m.random.IntN(modelEntries), startedAt: m.now})
@@ -170,7 +170,7 @@
 // quantiles are the median and the 99th percentile of times.
 type quantiles struct{ median, p99 time.Duration }
 
-// play returns the times of downloads and lookups.
+// play simulates the model and returns the quantiles of the times of downloads and lookups.
 func play(seed uint64, downloads float64, transfers, leaver bool) (download, lookup quantiles) {
 	m := &model{random: rand.New(rand.NewPCG(seed, 1)), transfers: transfers, times: map[bool][]time.Duration{}, pick: choice.Pick}
 	if leaver {
--- a/node/process/peers/evacuations_test.go
+++ b/node/process/peers/evacuations_test.go
@@ -33,7 +33,8 @@
 	assert.True(t, set.Available("quotes"))
 }
 
-// Guards against a node that the store has begun to turn away and that misses an evacuation, and against frames to all others then.
+// Guards against a node that misses an evacuation because its calls to the store have begun to fail, and against frames to all other nodes
+// when that happens.
 func TestNodeThatTheStoreTurnsAwayGetsTheEvacuations(t *testing.T) {
 	received := make(chan string, 10)
 	exchange := link.EvacuationExchange{Current: func() *linkpb.Evacuations { return &linkpb.Evacuations{Revision: 1} }}
--- a/node/process/peers/leaving_test.go
+++ b/node/process/peers/leaving_test.go
@@ -13,7 +13,7 @@
 	"github.com/radishstand/radishstand/node/process/choice"
 )
 
-// Guards against a Leaver that decides where the configuration does not ask for it, and against bytes that are counted for calls that stay
+// Guards against a Leaver that decides although it is not active, and against bytes that are counted for calls that stay
 // or that were not sent.
 func TestLeavingDecidesOnlyWhereItIsActive(t *testing.T) {
 	set := fleet(3)[0]
--- a/node/process/peers/proofs_test.go
+++ b/node/process/peers/proofs_test.go
@@ -6,8 +6,8 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// Guards against nodes that ask nodes without the store first, against a fleet in which all ask the same node, and against fleets in
-// which all nodes ask three.
+// Guards against nodes that first ask nodes that do not reach the store, against fleets in which all nodes ask the same one, and against
+// large fleets in which all nodes ask the same three.
 func TestProofsAreAskedWhereTheyAreExpected(t *testing.T) {
 	sources := func(count int) []proofSource {
 		made := make([]proofSource, count)
--- a/node/process/peers/room_test.go
+++ b/node/process/peers/room_test.go
@@ -11,7 +11,7 @@
 	"github.com/radishstand/radishstand/node/process/choice"
 )
 
-// Guards against a refused call that wanders from one full server to the next.
+// Guards against a refused call that is sent to one full server after the other.
 func TestPickWithRoomChoosesOnlyServersThatReportRoom(t *testing.T) {
 	s := fleet(5)[0]
 	var servers []*Server
--- a/node/process/quota/fleet_test.go
+++ b/node/process/quota/fleet_test.go
@@ -111,7 +111,7 @@
 	heap.Push(&f.events, event{at: f.now + d, order: f.count, run: run})
 }
 
-// run runs the events of a time.
+// run runs the events of the next period d.
 func (f *fleet) run(d time.Duration) {
 	end := f.now + d
 	for len(f.events) > 0 && f.events[0].at <= end {
@@ -126,7 +126,7 @@
 	return i == j || !f.cut[[2]int{min(i, j), max(i, j)}] && f.nodes[i].borrower != nil && f.nodes[j].borrower != nil
 }
 
-// noticeLink applies the state of a link after a delay. A loss of which no end of a connection tells is noticed late.
+// noticeLinks applies the state of a node's links after a delay of up to within. A loss without the end of a connection is noticed late.
 func (f *fleet) noticeLinks(i int, within time.Duration) {
 	for j := range f.nodes {
 		for _, pair := range [][2]int{{i, j}, {j, i}} {
@@ -233,7 +233,7 @@
 	})
 }
 
-// request has a request of a team arrive at the node.
+// request simulates the arrival of a request of a team at the node.
 func (n *simNode) request(team *routing.Team) {
 	if n.borrower == nil || n.pausedUntil > n.fleet.now {
 		return
@@ -274,7 +274,7 @@
 	f.results = append(f.results, result{team: team.Name, at: f.now, err: d.err, ran: d.err == nil})
 }
 
-// load has requests of a team arrive at nodes for a time, at random times with a mean rate per second.
+// load simulates requests of a team that arrive at nodes for a time, at random times with a mean rate per second.
 func (f *fleet) load(team *routing.Team, nodes []int, rate float64, d time.Duration) {
 	end := f.now + d
 	var next func()
--- a/node/process/quota/quota_test.go
+++ b/node/process/quota/quota_test.go
@@ -41,7 +41,7 @@
 // bound is the largest number of requests in a window.
 func bound(q routing.Quota) float64 { return (q.PerSecond*window.Seconds()+q.Burst)*overage + slack }
 
-// Guards against rights that exist twice: a share that is used by two owners after a loss, a restart, a suspension, a cut or late frames.
+// Guards against a share that is used by two owners at once after a lost frame, a restart, a suspension, a cut link or late frames.
 // The reference is one bucket for the whole fleet; what it lets through in a window is the quota, to which the requirement adds a tenth and
 // a constant.
 func TestNoWindowExceedsTheQuotaUnderFaults(t *testing.T) {
@@ -96,7 +96,7 @@
 	return team, lent
 }
 
-// injectFault has one thing fail, or recover.
+// injectFault injects a random fault at a node or at all of them, heals all cuts, or adds a node.
 func injectFault(r *rapid.T, f *fleet) {
 	node := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(r, "node")]
 	others := rapid.SliceOfDistinct(rapid.SampledFrom(f.all()), rapid.ID[int]).Draw(r, "others")
@@ -159,7 +159,7 @@
 	return newFleet(seed, 72, teams)
 }
 
-// play has the load of board arrive for a time.
+// play simulates the load of board for a time.
 func play(f *fleet, factor float64, d time.Duration) {
 	for i, team := range f.teams {
 		nodes := f.all()
@@ -284,7 +284,7 @@
 	}
 }
 
-// Guards against a change of the owner that refuses requests until the loans to the one before have ended.
+// Guards against a change of the owner after which requests are refused until the loans to the former owner have ended.
 func TestOwnerChangesWithoutAGap(t *testing.T) {
 	big := team("big", 200, 100)
 	f := newFleet(4, 12, []*routing.Team{big})
@@ -298,8 +298,8 @@
 	assert.Less(t, longestGap(f, changedAt), 200*time.Millisecond)
 }
 
-// Guards against a burst that is let through twice when all nodes restart, and, when a version lowers the cap, against refusals within the
-// former cap while the version is distributed and against a lower cap that is not in force one window later.
+// Guards against a burst that is let through twice when all nodes restart, and, when a version lowers the quota, against refusals within
+// the former quota while the version is distributed and against a lower quota that is not in force one window later.
 func TestBucketsStartEmptyAndALowerCapIsInForceAfterAWindow(t *testing.T) {
 	const nodes = 12
 	big := team("big", 20, 200)
@@ -323,8 +323,8 @@
 	assert.Greater(t, since[len(since)-1], loweredAt+12*time.Second)
 }
 
-// Guards against a frame that was sent before a release and arrives after it: it must not establish the loan again. A clock that the process
-// before has stated must not establish one either.
+// Guards against a frame that was sent before a release and arrives after it: it must not establish the loan again. A clock that the
+// previous process stated must not establish one either.
 func TestLateAndForeignLoansDoNotCount(t *testing.T) {
 	now := time.Hour
 	o := NewOwner(func() time.Duration { return now }, func(string) (routing.Quota, bool) {
@@ -349,7 +349,7 @@
 	assert.Zero(t, o.Sweep())
 }
 
-// Guards against a token that outlives its time, or that is lost or doubled when a request did not run or its caller has left.
+// Guards against a token that is used after it has expired, or that is lost or used twice when a request did not run or was abandoned.
 func TestReturnedTokensServeTheNextRequestUntilTheyExpire(t *testing.T) {
 	big := team("big", 100, 10)
 	f := newFleet(6, 1, []*routing.Team{big})
@@ -403,7 +403,7 @@
 	}
 }
 
-// Guards against callers that are told to return before the processes can grant anything, when all of them have just started.
+// Guards against a Retry-After time that ends before the processes can grant anything, when all of them have just started.
 func TestStartingProcessesNameTheTimeUntilTheyLend(t *testing.T) {
 	big := team("big", 20, 200)
 	f := newFleet(5, 3, []*routing.Team{big})
