--- a/node/process/backpressure/backpressure.go
+++ b/node/process/backpressure/backpressure.go
@@ -20,8 +20,8 @@
 	// toleratedFailures is the share of failing calls at which the admitted share stays the same. At 0 it would never rise and find free
 	// capacity while calls fail.
 	toleratedFailures = 0.1
-	// calmTime is the time without a failure after which the admitted share grows also without calls that end, and doublingTime the time in which it then
-	// doubles.
+	// calmTime is the time without a failure after which the admitted share grows also without calls that end, and doublingTime the time in
+	// which it then doubles.
 	calmTime     = 1200 * time.Millisecond
 	doublingTime = 500 * time.Millisecond
 	// minAdmitted is the share of calls that is always admitted, so that the end of the shortage is detected.
@@ -40,8 +40,8 @@
 
 // Call holds the properties of a call that decide whether it is refused.
 type Call struct {
-	// ID decides, with the shares, whether the call is refused. Servers with the same shares admit the same calls, so that a redirected call
-	// that one of them admitted is not refused by the next.
+	// ID decides, with the shares, whether the call is refused. Servers with the same shares admit the same calls, so that a redirected
+	// call that one of them admitted is not refused by the next.
 	ID    string
 	Route string
 	Team  string
--- a/node/process/choice/leaver.go
+++ b/node/process/choice/leaver.go
@@ -46,8 +46,8 @@
 	Now func() time.Time
 	// Random returns a random number in [0, 1).
 	Random func() float64
-	// Changed is called when calls of a service start or stop leaving for a place, with the share of the calls that leave for it. It may be nil
-	// and must not call the Leaver.
+	// Changed is called when calls of a service start or stop leaving for a place, with the share of the calls that leave for it. It may be
+	// nil and must not call the Leaver.
 	Changed func(service, place string, leaving bool, share float64)
 }
 
--- a/node/process/choice/leaving_class.go
+++ b/node/process/choice/leaving_class.go
@@ -118,8 +118,8 @@
 	c.rise(view, call, home, elapsed)
 }
 
-// lowered returns the lowered share of a place. It falls when home has room again, when leaving costs more than it saves, and when the place
-// has no room itself.
+// lowered returns the lowered share of a place. It falls when home has room again, when leaving costs more than it saves, and when the
+// place has no room itself.
 func (c *leavingClass) lowered(view *fleetView, place *placeView, call Call, home time.Duration, share float64, elapsed time.Duration) float64 {
 	switch {
 	case place == nil:
@@ -178,9 +178,9 @@
 	return min(min(max(pressure, 0), 1)*float64(elapsed)/float64(full), maxStep)
 }
 
-// draw returns the place for which a call leaves, or nil if it stays. The choice is random in proportion to the shares, so
-// that the entry nodes of a place, which see the same reports, do not all send their calls to the same place. A call does not leave for a place that has no room or where it
-// would be late while home is in time.
+// draw returns the place for which a call leaves, or nil if it stays. The choice is random in proportion to the shares, so that the entry
+// nodes of a place, which see the same reports, do not all send their calls to the same place. A call does not leave for a place that has
+// no room or where it would be late while home is in time.
 func (c *leavingClass) draw(view *fleetView, call Call, home time.Duration, random float64) *placeView {
 	for _, p := range view.away {
 		share := c.shares[p.name]
--- a/node/process/choice/placeview.go
+++ b/node/process/choice/placeview.go
@@ -13,16 +13,16 @@
 	slowServerFactor = 1.5
 	// roomLevel is the part of a server's limit up to which other places use it. The rest is for the callers of its own place.
 	roomLevel = 0.85
-	// lateMark is the part of the time to the objective above which the expected time at home counts as late. Late calls whose bytes cost little also
-	// use the part of the limits above roomLevel, since a free slot there is not needed now.
+	// lateMark is the part of the time to the objective above which the expected time at home counts as late. Late calls whose bytes cost
+	// little also use the part of the limits above roomLevel, since a free slot there is not needed now.
 	lateMark = 0.8
 	// fullFreeShare is the free part of the limits at home from which the shares fall at the full rate.
 	fullFreeShare = 0.25
-	// maxPrice is the upper bound of the price of the bytes of a call, as a part of the time to its objective. The rest is for its work, which may
-	// take longer than usual.
+	// maxPrice is the upper bound of the price of the bytes of a call, as a part of the time to its objective. The rest is for its work,
+	// which may take longer than usual.
 	maxPrice = 0.3
-	// reportLife is the time constant with which the reported load decays with the age of the report, so that a server that gets no calls because of it
-	// is tried again.
+	// reportLife is the time constant with which the reported load decays with the age of the report, so that a server that gets no calls
+	// because of it is tried again.
 	reportLife = 4 * time.Second
 )
 
@@ -42,8 +42,8 @@
 // placeView summarizes the candidates of a call in one place.
 type placeView struct {
 	name string
-	// best is the index of the candidate with the least expected time. usable holds the indexes of all that respond and have not refused the
-	// call.
+	// best is the index of the candidate with the least expected time. usable holds the indexes of all that respond and have not refused
+	// the call.
 	best   int
 	usable []int
 	// least is the expected time at best, and idle that without other calls there.
@@ -207,8 +207,8 @@
 	return p.room > 0 && p.cost(call)+startGain < home
 }
 
-// draw draws two usable servers in proportion to their room and returns the one with more room. Nodes with the same load reports thus choose
-// different servers.
+// draw draws two usable servers in proportion to their room and returns the one with more room. Nodes with the same load reports thus
+// choose different servers.
 func (p *placeView) draw(random func() float64) int {
 	first, second := drawIndex(p.rooms, random()), drawIndex(p.rooms, random())
 	if p.rooms[second] > p.rooms[first] {
--- a/node/process/choice/transfer.go
+++ b/node/process/choice/transfer.go
@@ -33,8 +33,9 @@
 	return max(own, linkTime(int(waiting)+c.BytesSinceReport+t.AnswerBytes, c.LinkBytesPerSecond))
 }
 
-// displacement returns the time that larger answers lose if the call takes a slot of the server. They are assumed to go to the host
-// with the slowest link instead, with a probability that is the utilization of the server. It keeps hosts with fast links free for large answers.
+// displacement returns the time that larger answers lose if the call takes a slot of the server. They are assumed to go to the host with
+// the slowest link instead, with a probability that is the utilization of the server. It keeps hosts with fast links free for large
+// answers.
 func (c *Candidate) displacement(t Transfer) time.Duration {
 	larger := t.LargeBytes - t.AnswerBytes
 	if larger <= 0 || c.LinkBytesPerSecond <= t.slowest {
--- a/node/process/peers/evacuations.go
+++ b/node/process/peers/evacuations.go
@@ -45,7 +45,8 @@
 	}
 }
 
-// observeStore handles what the state of another node says about the store. A node that no longer reaches it gets the set of evacuated places, since this node may have a newer one.
+// observeStore handles what the state of another node says about the store. A node that no longer reaches it gets the set of evacuated
+// places, since this node may have a newer one.
 func (p *Set) observeStore(s *Server, state *linkpb.State, reachedBefore, reachesNow bool) {
 	if reachedBefore && !reachesNow {
 		go s.session.SendEvacuations()
--- a/node/process/peers/proofs.go
+++ b/node/process/peers/proofs.go
@@ -56,8 +56,9 @@
 }
 
 // orderSources returns the nodes in the order in which the node with ownHash asks them: the one from which the latest proof came, then the
-// preferred ones and the others. Preferred are nodes that reach the store; in fleets above maxDirectAskers, unless this node is one of those
-// that its place asks, the nodes of its place instead. The order of the others matters to a node that is linked to no node that polls.
+// preferred ones and the others. Preferred are nodes that reach the store; in fleets above maxDirectAskers, unless this node is one of
+// those that its place asks, the nodes of its place instead. The order of the others matters to a node that is linked to no node that
+// polls.
 func orderSources(sources []proofSource, ownHash uint64) []*Server {
 	slices.SortFunc(sources, func(a, b proofSource) int { return cmp.Compare(a.hash, b.hash) })
 	preferred := func(s proofSource) bool { return s.reachesStore }
--- a/node/process/quota/lending.go
+++ b/node/process/quota/lending.go
@@ -10,8 +10,8 @@
 type ownerLink struct {
 	address string
 	linked  bool
-	// clock is the owner's clock in its last reply, which was received at clockAt; 0 if there is none. The owner's clock is never less than clock plus the
-	// time since clockAt.
+	// clock is the owner's clock in its last reply, which was received at clockAt; 0 if there is none. The owner's clock is never less than
+	// clock plus the time since clockAt.
 	clock   uint64
 	clockAt time.Duration
 	// unansweredSince is the time of the first request since the latest reply; 0 if there is none.
--- a/node/process/quota/owner.go
+++ b/node/process/quota/owner.go
@@ -25,8 +25,8 @@
 	buckets map[string]*bucket
 }
 
-// NewOwner returns an Owner without loans. The clock now also counts while the host is suspended; quotaOf returns the quota of a team in the current routing
-// version, and false when there is no such team.
+// NewOwner returns an Owner without loans. The function now reads a clock that also counts while the host is suspended. quotaOf returns the
+// quota of a team in the current routing version, and false when there is no such team.
 func NewOwner(now func() time.Duration, quotaOf func(team string) (routing.Quota, bool)) *Owner {
 	return &Owner{now: now, quotaOf: quotaOf, offset: 1 + rand.Uint64N(clockOffsets), buckets: map[string]*bucket{}}
 }
--- a/node/process/quota/quota.go
+++ b/node/process/quota/quota.go
@@ -24,8 +24,8 @@
 	// renewed in any case.
 	renewAfter  = 350 * time.Millisecond
 	renewLatest = 700 * time.Millisecond
-	// tokenLife is the time from the request for tokens to the expiry of the tokens that are granted for it. It is a tenth of the window of 5 s,
-	// which is the part that the requirement allows above the quota.
+	// tokenLife is the time from the request for tokens to the expiry of the tokens that are granted for it. It is a tenth of the window of
+	// 5 s, which is the part that the requirement allows above the quota.
 	tokenLife = 500 * time.Millisecond
 	// answerTimeout is the time without an answer after which requests stop waiting and the owner gets no further loans.
 	answerTimeout = 250 * time.Millisecond
@@ -60,7 +60,8 @@
 // ErrUnavailable means that no owner decided about a request, which may be below the quota.
 var ErrUnavailable = errors.New("no quota owner")
 
-// StartingError is the ErrUnavailable of a process that does not lend its share yet, since loans of the previous process may not have ended.
+// StartingError is the ErrUnavailable of a process that does not lend its share yet, since loans of the previous process may not have
+// ended.
 type StartingError struct {
 	// Wait is the time until the share is lent.
 	Wait time.Duration
