--- a/node/process/choice/leaving_test.go
+++ b/node/process/choice/leaving_test.go
@@ -230,17 +230,18 @@
 	assert.InDelta(t, 0.5, float64(leavers[2])/total, 0.15, "places with equal room")
 }
 
-// Guards against valuable calls that leave although the queue at home starts them first, calls that leave for a place without room, and
-// calls that are redirected again and again where no other place has room.
-func TestWhichCallsLeave(t *testing.T) {
+// newTestLeaver returns a Leaver with the time in now and a fixed seed.
+func newTestLeaver(now *time.Time) *choice.Leaver {
 	random := rand.New(rand.NewPCG(1, 2))
+	return choice.NewLeaver(choice.LeaverConfig{Now: func() time.Time { return *now }, Random: random.Float64})
+}
+
+// Guards against valuable calls that leave although the queue at home starts them first.
+func TestWhichCallsLeave(t *testing.T) {
 	now := worldEpoch
-	newLeaver := func() *choice.Leaver {
-		return choice.NewLeaver(choice.LeaverConfig{Now: func() time.Time { return now }, Random: random.Float64})
-	}
+	leaver := newTestLeaver(&now)
 	valuable, other := call, call
 	valuable.Rank, other.Rank = 0, 1
-	leaver := newLeaver()
 	left := map[uint32]int{}
 	for i := range 600 {
 		of := other
@@ -254,12 +255,18 @@
 	}
 	assert.Greater(t, left[1], 250, "of 500")
 	assert.Less(t, left[0], 20, "of 100")
+}
 
+// Guards against calls that leave for a place without room, and calls that are redirected again and again where no other place has room.
+func TestCallsLeaveOnlyForPlacesWithRoom(t *testing.T) {
+	other := call
+	other.Rank = 1
 	full := busyHome(20)
 	for i := range full[2:] {
 		full[2+i].InProgress = 10
 	}
-	leaver = newLeaver()
+	now := worldEpoch
+	leaver := newTestLeaver(&now)
 	for range 100 {
 		assert.Less(t, leaver.Pick(full, other).Index, 2, "no place has room")
 		now = now.Add(50 * time.Millisecond)
