--- a/node/process/quota/quota.go
+++ b/node/process/quota/quota.go
@@ -68,7 +68,7 @@
 }
 
 func (e *StartingError) Error() string {
-	return fmt.Sprintf("%v: the share is lent in %s", ErrUnavailable, e.Wait)
+	return fmt.Sprintf("%v: this process lends its share in %s", ErrUnavailable, e.Wait)
 }
 
 // Unwrap returns ErrUnavailable.
@@ -80,7 +80,7 @@
 	Wait time.Duration
 }
 
-func (e *ExceededError) Error() string { return fmt.Sprintf("quota exceeded, more in %s", e.Wait) }
+func (e *ExceededError) Error() string { return fmt.Sprintf("quota exceeded, next token in %s", e.Wait) }
 
 // RetryAfter returns the bounds between which the Retry-After time for an error of Take is drawn.
 func RetryAfter(err error) (lowest, highest time.Duration) {
