--- a/node/process/quota/bucket.go
+++ b/node/process/quota/bucket.go
@@ -24,7 +24,7 @@
 	loans map[string]loan
 	// sum is the sum of the shares in loans.
 	sum float64
-	// earliest is a lower bound of the ends of the loans; expire needs not run before it.
+	// earliest is a lower bound of the ends of the loans; expire need not run before it.
 	earliest time.Duration
 	// lowered is set while a lower quota is not in force yet, and loweredAt is when it was first seen.
 	lowered   bool
--- a/node/process/quota/owner.go
+++ b/node/process/quota/owner.go
@@ -89,7 +89,7 @@
 	return b
 }
 
-// setMembers sets the number n of members that this node knows. No loan counts for more than 1/n of a quota.
+// setMembers sets the number n of members that this node knows. No new loan counts for more than 1/n of a quota.
 func (o *Owner) setMembers(n int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/node/process/quota/quota.go
+++ b/node/process/quota/quota.go
@@ -80,7 +80,9 @@
 	Wait time.Duration
 }
 
-func (e *ExceededError) Error() string { return fmt.Sprintf("quota exceeded, next token in %s", e.Wait) }
+func (e *ExceededError) Error() string {
+	return fmt.Sprintf("quota exceeded, next token in %s", e.Wait)
+}
 
 // RetryAfter returns the bounds between which the Retry-After time for an error of Take is drawn.
 func RetryAfter(err error) (lowest, highest time.Duration) {
