--- a/node/process/choice/leaving_test.go
+++ b/node/process/choice/leaving_test.go
@@ -49,7 +49,7 @@
 	return d
 }
 
-// scenario changes a world before it runs. All have waves.
+// scenario changes a world before it runs.
 type scenario struct {
 	name  string
 	apply func(w *world)
@@ -148,7 +148,7 @@
 	return float64(left) / float64(max(all, 1))
 }
 
-// Guards against calls that swing between home and other places, or from one other place to the next, after a step of the demand, and
+// Guards against calls that oscillate between home and other places, or from one other place to the next, after a step of the demand, and
 // against calls that stay away although home has room again.
 func TestLeavingIsStableAfterAStep(t *testing.T) {
 	const stepUp, stepDown, settle = 20, 80, 10
@@ -180,7 +180,7 @@
 	assert.LessOrEqual(t, *changes, 4*2*worldEntries/3, "each entry node begins and stops at most twice for each of two places")
 }
 
-// countChanges counts how often entry nodes of place 0 begin and stop to leave.
+// countChanges counts how often entry nodes of place 0 start and stop sending calls away.
 func (w *world) countChanges() *int {
 	changes := 0
 	for _, e := range w.entries {
@@ -230,17 +230,18 @@
 	assert.InDelta(t, 0.5, float64(leavers[2])/total, 0.15, "places with equal room")
 }
 
-// Guards against valuable calls that leave although the queue at home starts them first, calls that leave for a place without room, and
-// calls that wait where no other place has room but are redirected on and on.
-func TestWhichCallsLeave(t *testing.T) {
+// newTestLeaver returns a Leaver with the time in now and a fixed seed.
+func newTestLeaver(now *time.Time) *choice.Leaver {
 	random := rand.New(rand.NewPCG(1, 2))
+	return choice.NewLeaver(choice.LeaverConfig{Now: func() time.Time { return *now }, Random: random.Float64})
+}
+
+// Guards against valuable calls that leave although the queue at home starts them first.
+func TestWhichCallsLeave(t *testing.T) {
 	now := worldEpoch
-	newLeaver := func() *choice.Leaver {
-		return choice.NewLeaver(choice.LeaverConfig{Now: func() time.Time { return now }, Random: random.Float64})
-	}
+	leaver := newTestLeaver(&now)
 	valuable, other := call, call
 	valuable.Rank, other.Rank = 0, 1
-	leaver := newLeaver()
 	left := map[uint32]int{}
 	for i := range 600 {
 		of := other
@@ -254,12 +255,18 @@
 	}
 	assert.Greater(t, left[1], 250, "of 500")
 	assert.Less(t, left[0], 20, "of 100")
+}
 
+// Guards against calls that leave for a place without room, and calls that are redirected again and again where no other place has room.
+func TestCallsLeaveOnlyForPlacesWithRoom(t *testing.T) {
+	other := call
+	other.Rank = 1
 	full := busyHome(20)
 	for i := range full[2:] {
 		full[2+i].InProgress = 10
 	}
-	leaver = newLeaver()
+	now := worldEpoch
+	leaver := newTestLeaver(&now)
 	for range 100 {
 		assert.Less(t, leaver.Pick(full, other).Index, 2, "no place has room")
 		now = now.Add(50 * time.Millisecond)
