--- a/node/process/localserver/callset.go
+++ b/node/process/localserver/callset.go
@@ -34,7 +34,7 @@
 	nested nestedCalls
 }
 
-// nestedCalls says what became of the nested calls of a call.
+// nestedCalls is the outcome of the nested calls of a call.
 type nestedCalls struct {
 	// made is set when a nested call has ended, and refused when one was refused for lack of capacity.
 	made, refused bool
@@ -49,7 +49,7 @@
 	c.calls[call.Id] = callSetEntry{count: entry.count + 1, parent: parentOf(call), nested: entry.nested}
 }
 
-// recordNested records a nested call of a call in progress.
+// recordNested records the end of a nested call of a call in progress.
 func (c *callSet) recordNested(id string, refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -59,7 +59,7 @@
 	}
 }
 
-// remove removes a call that has ended, and returns what became of its nested calls.
+// remove removes a call that has ended, and returns the outcome of its nested calls.
 func (c *callSet) remove(id string) nestedCalls {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -79,5 +79,6 @@
 	return entry.parent, ok
 }
 
-// Parent returns the call in progress at the server that has an ID. The calls that the server makes for it arrive at this node.
+// Parent returns the call with an ID, and false if none is in progress at the server. The calls that the server makes for it arrive at
+// this node.
 func (s *Server) Parent(id string) (Parent, bool) { return s.inProgress.get(id) }
--- a/node/process/localserver/cold.go
+++ b/node/process/localserver/cold.go
@@ -15,8 +15,8 @@
 const (
 	// lateCheckTimeout is the timeout of a health check that shows whether the server is cold. Calls wait for slownessTimeout only.
 	lateCheckTimeout = 250 * time.Millisecond
-	// checkGrace is the last part of slownessTimeout. It begins with a timer of its own, so that a process that was throttled reads the
-	// answer that has arrived meanwhile before the health check fails.
+	// checkGrace is the last part of slownessTimeout. It has a timer of its own, which starts only when the process runs: a process
+	// that was throttled can then read an answer that has arrived before the health check fails.
 	checkGrace = 2 * time.Millisecond
 	// maxColdMs bounds the time for which a server may state that it stays cold.
 	maxColdMs = int64(24 * time.Hour / time.Millisecond)
@@ -33,13 +33,13 @@
 // limitsCold reports whether cold servers of the current server's service are limited.
 func (s *Server) limitsCold() bool { return s.config.ColdLimit != nil && s.coldLimit().PerSecond > 0 }
 
-// isColdLimit reports whether a limit that another node has heard is that for cold servers, which this node applies by itself.
+// isColdLimit reports whether a rate limit that another node passes on is the limit for cold servers, which this node applies by itself.
 func (s *Server) isColdLimit(perSecond float32) bool {
 	return s.config.ColdLimit != nil && perSecond == float32(s.coldLimit().PerSecond)
 }
 
-// coldChanged keeps the time for which the server is expected to stay cold, and reports the change. It looks at the queue again at
-// the end of that time. The warm-up that a server of a service without the limit has announced is kept.
+// coldChanged records the time for which the server is expected to stay cold, and reports the change. At the end of that time the queue
+// is checked again. If the service no longer has a limit, the warm-up that the server has announced is kept.
 func (s *Server) coldChanged(c dispatch.ColdChange) {
 	if c.PerSecond > 0 {
 		s.mu.Lock()
@@ -86,8 +86,8 @@
 	return left, stated
 }
 
-// observeFailure applies the failure of a request. The server may have restarted when it refused or broke the connection; that
-// this node has given up waiting says nothing.
+// observeFailure applies the failure of a request. The server may have restarted when it refused or broke the connection; a timeout or
+// a cancellation at this node does not show that.
 func (s *Server) observeFailure(client *exchange.Client, err error) {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) || !s.limitsCold() {
 		return
@@ -105,7 +105,7 @@
 	}
 }
 
-// checkCold requests the state of the server with a health check. Calls wait for slownessTimeout; an answer that comes later still
+// checkCold sends a health check that shows whether the server is cold. Calls wait for slownessTimeout; an answer that comes later still
 // counts. The dispatcher bounds the number of these health checks.
 func (s *Server) checkCold() {
 	s.mu.Lock()
@@ -125,15 +125,6 @@
 	}()
 }
 
-// endCheck passes the result of a health check to the dispatcher.
-func (s *Server) endCheck(slowness int, ok bool) {
-	if ok {
-		s.dispatcher.Observe(slowness, true)
-		return
-	}
-	s.dispatcher.ProbeFailed()
-}
-
 // invalidateAfterEvacuation records that the server may have turned cold while its place was evacuated.
 func (s *Server) invalidateAfterEvacuation() { s.dispatcher.InvalidateWarm(dispatch.SourceEvacuation) }
 
--- a/node/process/localserver/pressure.go
+++ b/node/process/localserver/pressure.go
@@ -7,12 +7,14 @@
 	"github.com/radishstand/radishstand/node/process/backpressure"
 )
 
-// pressure reports whether calls are refused whose nested calls would be refused.
-func (s *Server) pressure() bool { return s.config.BackPressure != nil && s.config.BackPressure() }
+// backPressureEnabled reports whether calls are refused whose nested calls would be refused.
+func (s *Server) backPressureEnabled() bool {
+	return s.config.BackPressure != nil && s.config.BackPressure()
+}
 
 // refuseForDependency returns the refusal of a call whose nested calls would be refused, or nil.
 func (s *Server) refuseForDependency(call *linkpb.Call) *linkpb.Frame {
-	if !s.pressure() {
+	if !s.backPressureEnabled() {
 		return nil
 	}
 	after, ok := s.backPressure.Admit(backpressure.Call{
@@ -24,17 +26,17 @@
 	return refusalFrame(linkpb.Refusal_REASON_DEPENDENCY, max(after, time.Millisecond), s.Load())
 }
 
-// endInProgress ends a call that was sent to the server.
+// endInProgress records the end of a call that was sent to the server.
 func (s *Server) endInProgress(call *linkpb.Call, answered bool) {
 	nested := s.inProgress.remove(call.Id)
-	if s.pressure() {
+	if s.backPressureEnabled() {
 		s.backPressure.Ended(call.Route, nested.made, nested.refused && !answered)
 	}
 }
 
 // NestedEnded records the end of a call that the server made for a call in progress, and whether it was refused for lack of capacity.
 func (s *Server) NestedEnded(parent string, refused bool) {
-	if s.pressure() {
+	if s.backPressureEnabled() {
 		s.inProgress.recordNested(parent, refused)
 	}
 }
--- a/node/process/localserver/probe.go
+++ b/node/process/localserver/probe.go
@@ -82,14 +82,20 @@
 		return
 	}
 	go func() {
-		if slowness, ok := s.requestSlowness(client, path, slownessTimeout); ok {
-			s.dispatcher.Observe(slowness, true)
-		} else {
-			s.dispatcher.ProbeFailed()
-		}
+		slowness, ok := s.requestSlowness(client, path, slownessTimeout)
+		s.endCheck(slowness, ok)
 	}()
 }
 
+// endCheck passes the result of a health check to the dispatcher.
+func (s *Server) endCheck(slowness int, ok bool) {
+	if ok {
+		s.dispatcher.Observe(slowness, true)
+		return
+	}
+	s.dispatcher.ProbeFailed()
+}
+
 // requestSlowness returns the slowness in percent; ok is false if the server did not report it in time.
 func (s *Server) requestSlowness(client *exchange.Client, path string, timeout time.Duration) (slowness int, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -50,7 +50,7 @@
 	}
 	answered := false
 	defer func() { s.dispatcher.Done(job, answered) }()
-	if ctx.Err() != nil { // the caller may be told that the call has not run
+	if ctx.Err() != nil { // the sender may tell the caller that a cancelled call has not run
 		return s.refusalOf(&dispatch.Refused{Reason: dispatch.Cancelled}), nil
 	}
 	client := s.clientFor(call.ServerId)
