--- a/node/version/evacuation/evacuation.go
+++ b/node/version/evacuation/evacuation.go
@@ -1,9 +1,9 @@
 // Package evacuation holds the set of places whose backend servers get no calls, and decides which of two sets is the newer one.
-// It has no network and no clock.
+// It uses neither the network nor a clock.
 //
 // A set is read from the store or received from another node. It is replaced as a whole, in the order of the store's revisions. When
 // the store has come back from an older copy, the set in it may lack places that operators are about to write again. A set that was
-// read too early is therefore unsettled: it only adds to the sets before. It is not sent to other nodes.
+// read too early is therefore unsettled: its places are added to those of earlier sets, and it is not sent to other nodes.
 package evacuation
 
 import (
@@ -41,14 +41,14 @@
 // Holder holds the set of this node. Its zero value holds none. It is safe for concurrent use.
 type Holder struct {
 	mu sync.Mutex
-	// settled is the newest set that replaced the ones before.
+	// settled is the newest settled set.
 	settled Set
-	// unsettled is a newer set that was read too early to do so; nil if there is none.
+	// unsettled is the newest unsettled set, which is newer than settled; nil if there is none.
 	unsettled *Set
 	// earlier holds the places of unsettled sets of eras before that of unsettled.
 	earlier []string
-	// changed is set when there has been an evacuated place, here or at another node.
-	changed bool
+	// everEvacuated is set when there has been an evacuated place, here or at another node.
+	everEvacuated bool
 }
 
 // Read applies a set that was read from the store, and reports whether the places in force have changed. A set that is not settled
@@ -78,7 +78,7 @@
 	defer h.mu.Unlock()
 	if !h.settled.Revision.Before(set.Revision) {
 		outdated = set.Revision.Before(h.settled.Revision) && !slices.Equal(set.Places, h.settled.Places)
-		h.changed = h.changed || outdated
+		h.everEvacuated = h.everEvacuated || outdated
 		return false, outdated
 	}
 	before := h.inForce()
@@ -99,7 +99,7 @@
 // must be held.
 func (h *Holder) update(before []string) bool {
 	now := h.inForce()
-	h.changed = h.changed || len(now) > 0
+	h.everEvacuated = h.everEvacuated || len(now) > 0
 	return !slices.Equal(before, now)
 }
 
@@ -121,7 +121,7 @@
 func (h *Holder) Settled() (Set, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.settled, h.changed && h.settled.Revision != Revision{}
+	return h.settled, h.everEvacuated && h.settled.Revision != Revision{}
 }
 
 // NeedsRead reports whether the set must be read again to settle it.
--- a/node/version/freshness/freshness.go
+++ b/node/version/freshness/freshness.go
@@ -1,6 +1,6 @@
-// Package freshness decides for how long a node may act on its routing version without hearing of the store again. It holds the
-// node's proofs that a version was the newest one in the store, and schedules the questions that bring newer proofs. It has no
-// network and no clock: all times are those of the node's boot clock, which includes suspension.
+// Package freshness decides for how long a node may act on its routing version without a newer proof that it is the newest one. It holds
+// the node's proofs that a version was the newest one in the store, and schedules the requests to other nodes and to the store that
+// bring newer proofs. It uses neither the network nor a clock: all times are those of the node's boot clock, which includes suspension.
 package freshness
 
 import (
@@ -10,12 +10,12 @@
 )
 
 const (
-	// margin is the part of the allowed time that is left for the drift of the clock and the time until a request is forwarded.
+	// margin is the part of the allowed time that is reserved for the drift of the clock and the time until a request is forwarded.
 	margin = 200 * time.Millisecond
 	// FeedLag is the time for which the feed of the store may report nothing although there are changes, with a margin.
 	FeedLag = 1200 * time.Millisecond
-	// eraDelay is the time after which operators have written again what the store has lost.
-	eraDelay = time.Second
+	// EraDelay is the time after a new era of the store was first seen within which operators write again what the store has lost.
+	EraDelay = time.Second
 	// maxPassedAge bounds the age of proofs that are passed on.
 	maxPassedAge = time.Hour
 	// maxProofs bounds the proofs of versions that are newer than the current one. Such a version arrives within seconds or
@@ -33,7 +33,7 @@
 // Lease holds the proofs of a process. It is empty when the process starts. It is safe for concurrent use.
 type Lease struct {
 	mu sync.Mutex
-	// proofs are in ascending order of versions and of times, since a proof is of no use beside a later one of an older version.
+	// proofs are in ascending order of versions and of times: a later proof of the same or an older version replaces a proof.
 	proofs []Proof
 	// stored is the highest version that was read from the store in this era.
 	stored uint64
@@ -51,8 +51,8 @@
 
 // add is like Add; the lock must be held.
 func (l *Lease) add(p Proof) {
-	useless := func(known Proof) bool { return known.Version <= p.Version && known.At >= p.At }
-	if p.Version == 0 || slices.ContainsFunc(l.proofs, useless) {
+	supersedes := func(known Proof) bool { return known.Version <= p.Version && known.At >= p.At }
+	if p.Version == 0 || slices.ContainsFunc(l.proofs, supersedes) {
 		return
 	}
 	l.proofs = slices.DeleteFunc(l.proofs, func(known Proof) bool { return known.Version >= p.Version && known.At <= p.At })
@@ -63,18 +63,18 @@
 		return 1
 	})
 	l.proofs = slices.Insert(l.proofs, i, p)
-	if len(l.proofs) > maxProofs { // the first one may be all that the current version has, the last one is the youngest
+	if len(l.proofs) > maxProofs { // the first one may be the only one for the current version, the last one is the newest
 		l.proofs = slices.Delete(l.proofs, 1, 2)
 	}
 }
 
 // SetEra records the era of a response of the store. After it rose, what the store holds may be older than what it has acknowledged,
-// so that reads are no proofs for eraDelay. A store that never lost anything has era 0. A late response of an older era changes nothing.
+// so that reads are no proofs for EraDelay. A store that never lost anything has era 0. A late response of an older era changes nothing.
 func (l *Lease) SetEra(era uint64, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if era > l.era {
-		l.era, l.stored, l.validFrom = era, 0, now+eraDelay
+		l.era, l.stored, l.validFrom = era, 0, now+EraDelay
 	}
 }
 
@@ -129,8 +129,8 @@
 	return uint32((age+time.Millisecond-1)/time.Millisecond) + 1
 }
 
-// DecodeAge returns the time of a proof whose age is that of an answer to a question that was sent at a time. The question was sent
-// before the age was determined, so that the proof is not younger than it is. It reports false when there is no proof.
+// DecodeAge returns the time of a proof from its age in the answer to a request that was sent at a time. Since the request was sent before
+// the age was determined, the result is never later than the time of the proof. It reports false when there is no proof.
 func DecodeAge(age uint32, asked time.Duration) (at time.Duration, ok bool) {
 	if age == 0 {
 		return 0, false
--- a/node/version/freshness/schedule.go
+++ b/node/version/freshness/schedule.go
@@ -8,10 +8,10 @@
 const (
 	// maxAskAge is the age of a proof from which on the node asks for another one.
 	maxAskAge = time.Second
-	// askInterval is the time in which a question is answered on a working link.
+	// askInterval is the time between requests for a proof. On a working link, a request is answered within it.
 	askInterval = 250 * time.Millisecond
-	// singleAsks is the number of further nodes that are asked one after the other beside the best source. Then askAtOnce nodes are
-	// asked at a time, so that one with a proof is found before the lease ends although most have none.
+	// singleAsks is the number of further nodes that are asked one at a time, in addition to the best source. After them, askAtOnce nodes
+	// are asked at a time, so that one with a proof is found before the lease ends even if most have none.
 	singleAsks = 4
 	askAtOnce  = 4
 	// maxReadInterval is the time between two reads of the store.
@@ -31,8 +31,8 @@
 
 // Schedule decides when a node asks other nodes and reads the store. It is not safe for concurrent use.
 type Schedule struct {
-	// asking is set while questions have brought no proof that is young enough, and others is the number of further nodes that were
-	// asked meanwhile.
+	// asking is set from a request until the node has a proof that is new enough; others is the number of further nodes that were
+	// asked in that time.
 	asking bool
 	others int
 	// readAt is the time from which on the store may be read again.
@@ -51,12 +51,12 @@
 		return Step{Wait: askAge - age}
 	}
 	step := Step{Wait: askInterval, Read: s.reads(now, age, within, poller)}
-	if poller && age < askAge+2*askInterval { // its own read is on its way
+	if poller && age < askAge+2*askInterval { // its own read is expected to bring a proof
 		return step
 	}
 	step.Ask, step.First = true, s.others
 	switch {
-	case !s.asking: // most questions bring a proof
+	case !s.asking: // the best source alone is usually enough
 	case s.others < singleAsks:
 		step.Others = 1
 	default:
@@ -75,7 +75,7 @@
 	case age < within/2:
 		s.due = false
 		return false
-	case !s.due: // the proofs of nodes that have lost the same source end together
+	case !s.due: // spreads the reads of nodes that have lost the same source, since their proofs expire together
 		s.due = true
 		s.readAt = max(s.readAt, now+rand.N(interval/2))
 	}
--- a/node/version/routing/rank.go
+++ b/node/version/routing/rank.go
@@ -1,11 +1,11 @@
 package routing
 
-// maxRank is the largest priority that a call's rank holds.
+// maxRank is the largest value of each of the two priorities in a call's rank.
 const maxRank = 1<<16 - 1
 
 // RankOf returns the rank of the calls of a team on a route; 0 is the highest. The team is nil for calls without one. In a version
-// with teams, the rank holds the priority of the team before that of the route. A call whose team has no priority has that of the
-// route in both places.
+// with teams, calls are ranked by the priority of the team and then by that of the route. If the team has no priority, that of the
+// route is used for both.
 func (v *Version) RankOf(r *Route, t *Team) uint32 {
 	rank := clampRank(r.Rank)
 	if !v.HasTeams() {
--- a/node/version/routing/routing.go
+++ b/node/version/routing/routing.go
@@ -35,7 +35,7 @@
 	MaxConnections int
 	// ColdStart is the time for which a server of the service stays cold after its start.
 	ColdStart time.Duration
-	// ColdPerSecond is the number of requests per second that a cold server bears; 0 if it is not limited.
+	// ColdPerSecond is the number of requests per second that a cold server handles; 0 if cold servers are not limited.
 	ColdPerSecond float64
 }
 
@@ -64,9 +64,9 @@
 	MaxAttempts int
 	// Split distributes the calls over services by weight.
 	Split Split
-	// Download routes have large answers.
+	// Download is set for routes with large answers.
 	Download bool
-	// Public routes serve callers without a key.
+	// Public is set for routes that serve callers without a key.
 	Public bool
 }
 
--- a/node/version/routing/split.go
+++ b/node/version/routing/split.go
@@ -55,7 +55,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best := s.best()
+	best := s.nextIndex()
 	for i, p := range s.parts {
 		s.credits[i] += p.Weight
 	}
@@ -63,15 +63,15 @@
 	return s.parts[best].Service
 }
 
-// Peek returns the service of the next call without taking its turn.
+// Peek returns the service that Next would return, and changes nothing.
 func (s *Split) Peek() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.parts[s.best()].Service
+	return s.parts[s.nextIndex()].Service
 }
 
-// best returns the index of the service whose turn is next. s.mu must be held.
-func (s *Split) best() int {
+// nextIndex returns the index of the part whose service gets the next call. s.mu must be held.
+func (s *Split) nextIndex() int {
 	best := 0
 	for i, p := range s.parts {
 		if s.credits[i]+p.Weight > s.credits[best]+s.parts[best].Weight {
--- a/node/version/routing/team.go
+++ b/node/version/routing/team.go
@@ -8,7 +8,7 @@
 // Team is a group of callers that share keys, a quota and a priority.
 type Team struct {
 	Name string
-	// Rank is the priority of the team's calls, which precedes that of the route; 0 is the highest. It counts only if HasRank is set.
+	// Rank is the priority of the team's calls, which precedes that of the route; 0 is the highest. It is used only if HasRank is set.
 	Rank    int
 	HasRank bool
 	Quota   Quota
@@ -18,14 +18,14 @@
 type Quota struct {
 	// PerSecond is the rate in calls per second.
 	PerSecond float64
-	// Burst is the number of calls that may come at once after a pause.
+	// Burst is the number of calls that are admitted at once after a pause.
 	Burst float64
 }
 
 // Limited reports whether there is a limit.
 func (q Quota) Limited() bool { return q.PerSecond > 0 }
 
-// TeamKeys is a team with the keys by which its callers are known.
+// TeamKeys is a team with the keys that identify its callers.
 type TeamKeys struct {
 	Team
 	Keys []string
@@ -53,7 +53,7 @@
 		for _, key := range configured[i].Keys {
 			hash := hashKey(key)
 			if other := t.byKey[hash]; key == "" || other != nil {
-				return teams{}, fmt.Errorf("team %q: a key is empty or held twice", team.Name)
+				return teams{}, fmt.Errorf("team %q: a key is empty or not unique", team.Name)
 			}
 			t.byKey[hash] = team
 		}
