--- a/node/process/sidecar/era.go
+++ b/node/process/sidecar/era.go
@@ -4,10 +4,9 @@
 	"context"
 	"sync"
 	"time"
-)
 
-// settleTime is the time after an era of the store was first seen in which operators may not have written again what the store lost.
-const settleTime = time.Second
+	"github.com/radishstand/radishstand/node/version/freshness"
+)
 
 // eras tracks the era of the store. It rises when the store comes back from an older copy, and then everything that this node has read
 // from it or written to it is in doubt. Only the store's own responses set the era; one that another node reports makes this node ask the
@@ -84,15 +83,15 @@
 	}
 }
 
-// settles returns the time from which on a read shows what operators wrote again in an era. It is zero for era 0, in which the
+// settledFrom returns the time from which on a read shows what operators wrote again in an era. It is zero for era 0, in which the
 // store has lost nothing.
-func (e *eras) settles(era uint64) time.Time {
+func (e *eras) settledFrom(era uint64) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if era == 0 {
 		return time.Time{}
 	}
-	return e.firstSeen.Add(settleTime)
+	return e.firstSeen.Add(freshness.EraDelay)
 }
 
 // count returns how often the era has changed.
--- a/node/process/sidecar/routing.go
+++ b/node/process/sidecar/routing.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/node/internal/boottime"
+	"github.com/radishstand/radishstand/node/version/freshness"
 )
 
 const (
@@ -25,8 +26,6 @@
 	// pollersChangeDelay is the time in which several links and states may change before the frequent pollers are determined
 	// again.
 	pollersChangeDelay = 50 * time.Millisecond
-	// feedDelay is the longest time for which the response to a poll may miss a change.
-	feedDelay = 1200 * time.Millisecond
 	// readSpacing is the least time between two reads of the whole by a node that has a routing version, and the time over which the
 	// nodes spread such a read.
 	readSpacing = 250 * time.Millisecond
@@ -51,7 +50,7 @@
 	if r.direct {
 		return !r.sentAt.Before(changesBefore)
 	}
-	return !r.sentAt.Add(-feedDelay).Before(changesBefore)
+	return !r.sentAt.Add(-freshness.FeedLag).Before(changesBefore)
 }
 
 // watchRouting applies new routing versions and evacuations from the store until ctx ends.
@@ -97,7 +96,7 @@
 
 // applyRead applies what a successful read of the store has brought.
 func (n *Node) applyRead(read *operatorsRead) {
-	n.readEvacuations(read.state, read.shows(n.eras.settles(read.state.Revision.Era)))
+	n.readEvacuations(read.state, read.shows(n.eras.settledFrom(read.state.Revision.Era)))
 	if read.state.Document == nil {
 		return
 	}
@@ -122,7 +121,7 @@
 	}
 	wait := pollWait(n.peers.InSubset(frequentPollers), n.storeFailing.Load())
 	if n.evacuations.holder.NeedsRead() {
-		wait = min(wait, max(time.Until(n.eras.settles(last.Revision.Era)), time.Millisecond))
+		wait = min(wait, max(time.Until(n.eras.settledFrom(last.Revision.Era)), time.Millisecond))
 	}
 	n.poll.setWait(wait)
 	sentAt, began := time.Now(), boottime.Now()
@@ -138,7 +137,7 @@
 
 // evacuationsDue reports whether the evacuated places must be read again and operators have had the time to write them in an era.
 func (n *Node) evacuationsDue(era uint64) bool {
-	return n.evacuations.holder.NeedsRead() && !time.Now().Before(n.eras.settles(era))
+	return n.evacuations.holder.NeedsRead() && !time.Now().Before(n.eras.settledFrom(era))
 }
 
 // readOperators reads the whole of the operators' state. After the first time, nodes spread these reads.
