--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -80,11 +80,25 @@
 	n.freshness = &freshnessLease{node: n}
 	memory := membudget.New(bodyBytes(c.MemoryBytes))
 	n.egress = n.newEgress()
-	n.server = localserver.New(localserver.Config{
+	n.server = n.newServer(memory)
+	n.registerMetrics()
+	evacuations := link.EvacuationExchange{Current: n.currentEvacuations, Received: n.receiveEvacuations}
+	n.links = link.NewServer(n, memory)
+	n.links.ExchangeEvacuations(evacuations)
+	n.links.SendThrough(n.egress)
+	n.peers = n.newPeers(memory, evacuations)
+	n.quotas.init(n)
+	n.front = n.newFront(memory)
+	return n
+}
+
+// newServer returns the backend server's part of a node.
+func (n *Node) newServer(memory *membudget.Budget) *localserver.Server {
+	return localserver.New(localserver.Config{
 		Address:    func() string { return n.config.Load().ServerAddress },
 		HasService: n.knownService, HealthPath: n.healthPath,
 		AnnounceInterval: func() time.Duration { return n.config.Load().AnnounceInterval },
-		Names:            adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
+		Names:            n.adapter.Names(), Memory: memory, Now: time.Now, Boottime: boottime.Now, Changed: n.serverChanged,
 		Stated:      n.serverStated,
 		EgressBytes: n.egress.WaitingBytes,
 		ColdLimit:   n.coldLimit, ColdChanged: n.coldChanged,
@@ -92,6 +106,10 @@
 		BackPressureChanged: n.backPressureChanged,
 		PeerKnee:            n.sharedKnee, KneeChanged: n.kneeChanged,
 	})
+}
+
+// registerMetrics registers the metrics of the server, of back pressure and of the store's state.
+func (n *Node) registerMetrics() {
 	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
 	n.metrics.Register("server.cold_limit", metrics.NewFunctionalGaugeFloat64(n.server.ColdLimit))
 	n.metrics.Register("server.cold_refusals", metrics.NewFunctionalGauge(n.server.ColdRefusals))
@@ -100,35 +118,38 @@
 	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
 	n.evacuated = metrics.NewRegisteredGauge("evacuated.places", n.metrics)
 	n.eraChanges = metrics.NewRegisteredCounter("store.era_changes", n.metrics)
-	evacuations := link.EvacuationExchange{Current: n.currentEvacuations, Received: n.receiveEvacuations}
-	n.links = link.NewServer(n, memory)
-	n.links.ExchangeEvacuations(evacuations)
-	n.links.SendThrough(n.egress)
+}
+
+// newPeers returns the node's connections to the other nodes.
+func (n *Node) newPeers(memory *membudget.Budget, evacuations link.EvacuationExchange) *peers.Set {
+	c := n.config.Load()
 	var dial func(ctx context.Context, address string) (net.Conn, error)
-	if dialer, ok := adapter.(PeerDialer); ok {
+	if dialer, ok := n.adapter.(PeerDialer); ok {
 		dial = dialer.DialPeer
 	}
-	n.peers = peers.New(ctx, peers.Config{
+	return peers.New(n.ctx, peers.Config{
 		Dial:  dial,
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
-		LocalVersion: n.routing.Number, Memory: memory, Log: log,
+		LocalVersion: n.routing.Number, Memory: memory, Log: n.log,
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
 		Proof:       n.freshness.addProof,
 		Evacuations: evacuations, StoreEra: n.peerReportedEra, Egress: n.egress,
 		Leaving:    n.newLeaving(),
 		QuotaReply: func(peer string, r *linkpb.QuotaReply) { n.quotas.borrower.HandleReply(peer, r) },
 	})
-	n.quotas.init(n)
-	n.front = front.New(front.Config{
-		Names: adapter.Names(), Routing: n.routing, Peers: n.peers,
+}
+
+// newFront returns the handler of the callers' requests.
+func (n *Node) newFront(memory *membudget.Budget) *front.Handler {
+	return front.New(front.Config{
+		Names: n.adapter.Names(), Routing: n.routing, Peers: n.peers,
 		Egress:  n.egress,
-		Budget:  budget.New(c.Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
+		Budget:  budget.New(n.config.Load().Limits, func() int { known, _ := n.peers.Linked(); return known + 1 }),
 		Service: func() string { return n.config.Load().Service }, Parent: n.server.Parent,
 		NestedEnded: n.server.NestedEnded,
 		Freshness:   n.freshness, Quota: n.quotas.borrower,
-		Memory: memory, Log: log, Counters: counters{n.metrics},
+		Memory: memory, Log: n.log, Counters: counters{n.metrics},
 	})
-	return n
 }
 
 const (
