--- a/node/process/sidecar/config.go
+++ b/node/process/sidecar/config.go
@@ -29,8 +29,8 @@
 	Limits           budget.Limits
 	// MemoryBytes is the memory that the process may use; 0 when it is not limited.
 	MemoryBytes int64
-	// RevokeWithin is the time after which a key that operators took away must not work any more at any node, also without the
-	// store; 0 if nodes without the store serve on.
+	// RevokeWithin is the longest time for which a revoked key may still work at any node, also while the store is unavailable; 0 if
+	// there is no bound and nodes continue to accept keys without the store.
 	RevokeWithin time.Duration
 	// CPUShare is the share of a core that the process has; 0 if unknown.
 	CPUShare float64
@@ -55,7 +55,7 @@
 }
 
 // ErrHistoryGone is returned when the store does not have a revision, no longer holds the changes after it, or has changed its era
-// during a read, so that everything must be read again.
+// during a read, so that the whole state must be read again.
 var ErrHistoryGone = errors.New("history is no longer available")
 
 // Revision identifies a state of the store: its era, and the row version in that era. Apart from its order it is opaque.
@@ -63,7 +63,7 @@
 
 // OperatorState is what operators have written to the store.
 type OperatorState struct {
-	// Document is that of the newest routing version; nil if there is none, or if it was read earlier.
+	// Document is that of the newest routing version; nil if there is none, or if an earlier read has returned it.
 	Document []byte
 	// Evacuated holds the places whose servers get no calls.
 	Evacuated []string
@@ -86,7 +86,7 @@
 	// Routing reads the operators' state.
 	Routing(ctx context.Context) (OperatorState, error)
 	// AwaitRouting waits for a change after a state and returns the state with the change. Its document is nil when the routing
-	// did not change. If the era has changed, only the revision of the result has a meaning. It returns ErrHistoryGone when the
+	// did not change. If the era has changed, only the revision of the result is valid. It returns ErrHistoryGone when the
 	// store does not hold the changes after the revision.
 	AwaitRouting(ctx context.Context, after OperatorState, wait time.Duration) (OperatorState, error)
 	// Fleet returns the member entries of all nodes and the stored knees.
--- a/node/process/sidecar/egress.go
+++ b/node/process/sidecar/egress.go
@@ -6,7 +6,7 @@
 	"github.com/radishstand/radishstand/node/connection/link"
 )
 
-// newEgress returns what the links of this node have in common when they send.
+// newEgress returns the Egress that all links of this node send through, and registers its metrics.
 func (n *Node) newEgress() *link.Egress {
 	egress := link.NewEgress(link.EgressConfig{
 		Chunks:        n.hasDownloads,
--- a/node/process/sidecar/era.go
+++ b/node/process/sidecar/era.go
@@ -71,7 +71,8 @@
 	return r.Era < e.current || e.reported > max(e.current, e.checked)
 }
 
-// beginRead returns a function to be called after a successful read of the whole, which answers the reports up to now.
+// beginRead returns a function to be called after a successful read of the operators' whole state. It marks the eras that were reported
+// before the read as checked.
 func (e *eras) beginRead() (succeeded func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -135,7 +136,7 @@
 	n.log.Warn("store came back from an older copy", "era", era)
 	n.eraChanges.Inc(1)
 	n.poll.end()
-	if n.peers.InSubset(frequentPollers) { // nodes whose own poll is lost hear it from these
+	if n.peers.InSubset(frequentPollers) { // tells the nodes whose own poll is lost
 		go n.broadcastState()
 	}
 }
--- a/node/process/sidecar/evacuations.go
+++ b/node/process/sidecar/evacuations.go
@@ -37,8 +37,9 @@
 	return outdated
 }
 
-// changeEvacuations changes the set. If the places in force have changed, no more calls go to their servers, and other nodes are told:
-// all linked ones by the frequent pollers, and those that may not hear it from a frequent poller by each node.
+// changeEvacuations changes the set. If the places in force have changed, servers in evacuated places get no more calls. If the settled
+// set has changed, it is sent to other nodes: by a frequent poller to all linked ones, by any other node to those that may not get it
+// from a frequent poller.
 func (n *Node) changeEvacuations(source string, change func() bool) {
 	n.evacuations.applying.Lock()
 	settledBefore, _ := n.evacuations.holder.Settled()
@@ -69,7 +70,7 @@
 // must not wait for that.
 func (n *Node) closeOwnPlace(evacuated []string) {
 	if n.server.SetEvacuated(slices.Contains(evacuated, n.config.Load().Place)) {
-		n.log.Info("place of the server", "server", n.server.Status().ID, "evacuated", n.server.Status().Evacuated)
+		n.log.Info("evacuation of the server's place changed", "server", n.server.Status().ID, "evacuated", n.server.Status().Evacuated)
 		go n.broadcastState()
 	}
 }
@@ -83,19 +84,19 @@
 
 // currentEvacuations returns the frame with the evacuated places, or nil if no place has ever been evacuated.
 func (n *Node) currentEvacuations() *linkpb.Evacuations {
-	set, any := n.evacuations.holder.Settled()
-	if !any {
+	set, exists := n.evacuations.holder.Settled()
+	if !exists {
 		return nil
 	}
 	return &linkpb.Evacuations{Era: set.Revision.Era, Revision: set.Revision.Row, Places: set.Places}
 }
 
-// dumpEvacuations writes the evacuated places as text, unless no place has ever been evacuated. A place that is listed gets no calls any
-// more.
+// dumpEvacuations writes the evacuated places as text, unless no place has ever been evacuated. It waits for a change in progress, so that
+// a place that is listed gets no more calls.
 func (n *Node) dumpEvacuations(w io.Writer) {
 	n.evacuations.applying.Lock()
 	defer n.evacuations.applying.Unlock()
-	if set, any := n.evacuations.holder.Settled(); any || n.evacuations.holder.NeedsRead() {
+	if set, exists := n.evacuations.holder.Settled(); exists || n.evacuations.holder.NeedsRead() {
 		fmt.Fprintf(w, "evacuated %q, sent to others %q of revision %d of era %d\n",
 			n.evacuations.holder.InForce(), set.Places, set.Revision.Row, set.Revision.Era)
 	}
--- a/node/process/sidecar/explain.go
+++ b/node/process/sidecar/explain.go
@@ -32,12 +32,12 @@
 func explainedRequest(w http.ResponseWriter, r *http.Request) (request explain.Request, problem string) {
 	query := r.URL.Query()
 	if query.Has("key") {
-		return request, "a key is accepted only in the body of a POST: addresses end up in logs"
+		return request, "a key is accepted only in the body of a POST, since URLs are logged"
 	}
 	if r.Method == http.MethodPost {
 		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxExplainBytes))
 		if err := decoder.Decode(&request); err != nil {
-			return request, "the body is no JSON object with the fields of a request"
+			return request, "the body is not a JSON object with the fields of a request"
 		}
 	} else {
 		request = explain.Request{Host: query.Get("host"), Path: query.Get("path"), Method: query.Get("method"), Team: query.Get("team")}
--- a/node/process/sidecar/freshness.go
+++ b/node/process/sidecar/freshness.go
@@ -15,8 +15,8 @@
 	"github.com/radishstand/radishstand/node/version/freshness"
 )
 
-// freshnessLease shows how current the routing version of a node is. It implements front.Freshness. Unless the node is configured to
-// fail closed, it holds nothing and sends nothing.
+// freshnessLease decides whether the routing version of a node is current enough to accept keys. It implements front.Freshness. Unless
+// the node is configured to fail closed, it holds no proofs and sends no requests.
 type freshnessLease struct {
 	node  *Node
 	lease freshness.Lease
@@ -31,7 +31,7 @@
 	version  uint64
 }
 
-// within returns the time after which a revoked key must not work any more, or 0 if there is no bound.
+// within returns the longest time for which a revoked key may still work, or 0 if there is no bound.
 func (f *freshnessLease) within() time.Duration { return f.node.config.Load().RevokeWithin }
 
 // NewerKnown reports whether another node has reported a newer version than the given one.
@@ -58,8 +58,8 @@
 func (f *freshnessLease) setEra(era uint64) { f.lease.SetEra(era, boottime.Now()) }
 
 // read records a successful read of the operators' configuration that began at a time of the boot clock. The document is nil if a poll
-// of the feed has brought none; setEra must have been called with the era. A document that is rejected counts as if it had not been written: the version before it stays in
-// force.
+// of the feed has returned none; setEra must have been called with the era. A document that is rejected counts as if it had not been
+// written: the version before it stays in force.
 func (f *freshnessLease) read(document []byte, era uint64, began time.Duration, direct bool) {
 	if f.within() == 0 {
 		return
@@ -158,7 +158,7 @@
 	f.start(ctx) // the configuration may have changed in between
 }
 
-// logChange logs the begin and the end of the lease and returns whether it is held.
+// logChange logs that the lease was gained or lost, and returns whether it is held.
 func (f *freshnessLease) logChange(held bool) bool {
 	now := f.Leased(f.node.routing.Number())
 	switch {
@@ -170,7 +170,7 @@
 	return now
 }
 
-// readStore reads the configuration from the store.
+// readStore reads the configuration from the store, applies it and records the proof.
 func (f *freshnessLease) readStore(ctx context.Context) {
 	defer f.reading.Store(false)
 	f.count("reads")
--- a/node/process/sidecar/leaving.go
+++ b/node/process/sidecar/leaving.go
@@ -10,7 +10,7 @@
 	"github.com/radishstand/radishstand/node/process/peers"
 )
 
-// newLeaving returns the decision which calls leave the place of this node.
+// newLeaving returns what decides which calls leave the place of this node, and counts them.
 func (n *Node) newLeaving() *peers.Leaving {
 	return &peers.Leaving{
 		Leaver: choice.NewLeaver(choice.LeaverConfig{Now: time.Now, Random: rand.Float64, Changed: n.leavingChanged}),
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -15,7 +15,7 @@
 	maxStoreBackoff = 500 * time.Millisecond
 	// probeInterval is the time between two health checks of a server that is unknown or unreachable.
 	probeInterval = 250 * time.Millisecond
-	// rewriteSpread is the time over which the nodes spread their calls after a change of the store's era.
+	// rewriteSpread is the time over which the nodes spread their calls to the store after a change of its era.
 	rewriteSpread = 500 * time.Millisecond
 )
 
--- a/node/process/sidecar/quotas.go
+++ b/node/process/sidecar/quotas.go
@@ -10,7 +10,7 @@
 	"github.com/radishstand/radishstand/node/version/routing"
 )
 
-// quotas connects the quotas of teams with the links, the members and the current routing version.
+// quotas enforces the quotas of teams: it passes the links, the members and the current routing version to the owner and the borrower.
 type quotas struct {
 	owner    *quota.Owner
 	borrower *quota.Borrower
@@ -52,7 +52,7 @@
 // membersRead records that the members have been read from the store.
 func (q *quotas) membersRead() { q.membersReadAt.Store(int64(boottime.Now())) }
 
-// start runs the loans while the routing version has teams with a quota.
+// start runs the loop that borrows quota, if the routing version has teams with a quota and it does not run yet.
 func (q *quotas) start(n *Node) {
 	if hasQuotas(n.routing.Current()) && q.running.CompareAndSwap(false, true) {
 		n.log.Info("quotas in force")
@@ -60,7 +60,7 @@
 	}
 }
 
-// run applies the state of the node to the loans until no team has a quota, or the node ends.
+// run passes the state of the node to the borrower until no team has a quota, or the node ends.
 func (q *quotas) run(n *Node) {
 	q.borrower.Resume()
 	ticker := time.NewTicker(quota.TickInterval)
@@ -92,8 +92,8 @@
 	return false
 }
 
-// cpuMillis returns this node's share of a core in thousandths. A node that stops states none, so that it is the last choice as an owner of
-// quotas before its links end.
+// cpuMillis returns this node's share of a core in thousandths. A node that stops reports 0, so that it is the last choice as an owner
+// of quotas before its links end.
 func (n *Node) cpuMillis() int {
 	if n.stopping.Load() {
 		return 0
--- a/node/process/sidecar/routing.go
+++ b/node/process/sidecar/routing.go
@@ -26,8 +26,8 @@
 	// pollersChangeDelay is the time in which several links and states may change before the frequent pollers are determined
 	// again.
 	pollersChangeDelay = 50 * time.Millisecond
-	// readSpacing is the least time between two reads of the whole by a node that has a routing version, and the time over which the
-	// nodes spread such a read.
+	// readSpacing is the minimum time between two reads of the whole state by a node that has a routing version, and the time over
+	// which the nodes spread such a read.
 	readSpacing = 250 * time.Millisecond
 )
 
@@ -39,9 +39,9 @@
 	state OperatorState
 	// sentAt is the time before the request was sent.
 	sentAt time.Time
-	// began is that time by the boot clock.
+	// began is sentAt by the boot clock.
 	began time.Duration
-	// direct is set when the rows were read, and not the feed of changes.
+	// direct is set when the whole state was read, and not the feed of changes.
 	direct bool
 }
 
@@ -55,7 +55,7 @@
 
 // watchRouting applies new routing versions and evacuations from the store until ctx ends.
 func (n *Node) watchRouting(ctx context.Context) {
-	var last *OperatorState // nil when the whole must be read
+	var last *OperatorState // nil when the whole state must be read
 	retryBackoff := newBackoff()
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
@@ -94,7 +94,7 @@
 	}
 }
 
-// applyRead applies what a successful read of the store has brought.
+// applyRead applies the result of a successful read of the store.
 func (n *Node) applyRead(read *operatorsRead) {
 	n.readEvacuations(read.state, read.shows(n.eras.settledFrom(read.state.Revision.Era)))
 	if read.state.Document == nil {
@@ -107,15 +107,15 @@
 	}
 }
 
-// pollRouting reads the whole when last is nil or must not be used any more, and otherwise waits for a change after it. The error is
-// errPollEnded when another request must be sent at once.
+// pollRouting reads the operators' whole state when last is nil or must not be used any more, and otherwise waits for a change after it.
+// The error is errPollEnded when another request must be sent at once.
 func (n *Node) pollRouting(ctx context.Context, last *OperatorState) (*operatorsRead, error) {
 	if last.revision().Row == 0 || n.eras.outdated(last.Revision) || n.evacuationsDue(last.Revision.Era) {
 		return n.readOperators(ctx)
 	}
 	ctx = n.poll.begin(ctx, last.Revision)
 	defer n.poll.finish()
-	// From here on, whatever makes a read of the whole necessary ends the poll.
+	// From here on, whatever requires a read of the whole state ends the poll. This checks for what came before.
 	if n.eras.outdated(last.Revision) {
 		return nil, errPollEnded
 	}
@@ -140,7 +140,8 @@
 	return n.evacuations.holder.NeedsRead() && !time.Now().Before(n.eras.settledFrom(era))
 }
 
-// readOperators reads the whole of the operators' state. After the first time, nodes spread these reads.
+// readOperators reads the operators' whole state. Once a node has a routing version, it delays the read, so that nodes do not read all at
+// once.
 func (n *Node) readOperators(ctx context.Context) (*operatorsRead, error) {
 	if n.routing.Current() != nil {
 		sleep(ctx, max(time.Until(n.lastRead.Add(readSpacing)), rand.N(readSpacing)))
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -37,7 +37,7 @@
 	// answerMargin is the part of the grace period, before exitMargin, that is reserved for the responses to requests which would not
 	// end in time. Confirming that such a request has not started takes up to link.ConfirmationTimeout.
 	answerMargin = 300 * time.Millisecond
-	// deliveryMargin is the part of it that is reserved for what is written and has not arrived.
+	// deliveryMargin is the part of answerMargin that is reserved for delivering what has been written.
 	deliveryMargin     = 100 * time.Millisecond
 	resultPollInterval = 10 * time.Millisecond
 )
@@ -197,7 +197,7 @@
 }
 
 // finish ends the requests that are still in progress with a response of the node, waits for the last responses to callers and for the
-// last results of calls, and delivers both until ctx ends. Results of calls that are not there at lastResults are lost. It returns the
+// last results of calls, and delivers both until ctx ends. Results of calls that end after lastResults are lost. It returns the
 // number of requests that it ended, and of links on which something may not have arrived.
 func (n *Node) finish(ctx context.Context, lastResults time.Time) (ended, undelivered int) {
 	ended = n.front.EndRequests()
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -52,7 +52,7 @@
 	// freshness holds the proofs that the current routing version is the newest one.
 	freshness *freshnessLease
 	eras      eras
-	// lastRead is the time of the latest read of the whole operators' state. It is used by watchRouting only.
+	// lastRead is the time of the latest read of the operators' whole state. It is used by watchRouting only.
 	lastRead    time.Time
 	evacuations evacuations
 	evacuated   metrics.Gauge   // number of evacuated places
