--- a/node/process/dispatch/cold_test.go
+++ b/node/process/dispatch/cold_test.go
@@ -107,7 +107,7 @@
 	return most
 }
 
-// Guards against a server that gets more than it bears while it is cold, in the cases in which the node has not been told.
+// Guards against a server that gets more than it handles while it is cold, in the cases in which the node has not been told.
 func TestColdServerGetsNoMoreThanTheBound(t *testing.T) {
 	warm := func(s *coldServer) { s.run(60, 2*time.Second) }
 	fresh := func(*coldServer) {}
@@ -210,7 +210,7 @@
 
 // Guards against a call that starts before a health check has shown the state of a server that was silent or has broken a
 // connection, also when an announcement arrives that was made before, and against such delays at a busy server.
-func TestCallWaitsForTheHealthCheckAfterADoubt(t *testing.T) {
+func TestCallWaitsForTheHealthCheckWhenTheServerMayBeCold(t *testing.T) {
 	warm := func(s *coldServer) { s.run(20, time.Second) }
 	cases := map[string]struct {
 		event func(s *coldServer)
--- a/node/process/dispatch/fairshares_test.go
+++ b/node/process/dispatch/fairshares_test.go
@@ -122,7 +122,7 @@
 		before, leastBefore, after, leastAfter, naive, during["large"], unshared["large"])
 	assert.GreaterOrEqual(t, float64(after), want*float64(before))
 	assert.GreaterOrEqual(t, float64(leastAfter), want*float64(leastBefore))
-	assert.Less(t, float64(naive), want*float64(before), "the load must be one that the order without shares does not stand")
+	assert.Less(t, float64(naive), want*float64(before), "the order without shares must fail under this load")
 	assert.GreaterOrEqual(t, float64(after+during["large"]), want*float64(naive+unshared["large"]), "the slots must not be left unused")
 }
 
--- a/node/process/localserver/cold_test.go
+++ b/node/process/localserver/cold_test.go
@@ -115,7 +115,7 @@
 }
 
 // Guards against a cold server that gets its normal load: it says in announcements or health checks that it is cold.
-func TestServersWordDeterminesWhetherItIsCold(t *testing.T) {
+func TestServerStatementDeterminesWhetherItIsCold(t *testing.T) {
 	s, b, changes := newColdServer(t)
 	announce(t, s, b, func(a *localserver.Announcement) { a.WarmUp = 2 * time.Second })
 	c := nextChange(t, changes)
@@ -153,7 +153,7 @@
 	assert.Equal(t, dispatch.SourceHealthCheck, c.Source)
 }
 
-// Guards against the limit for a cold server that other nodes have heard and that then counts as one that the server has named.
+// Guards against the limit for a cold server that other nodes pass on and that is then taken for a limit that the server has named.
 func TestColdLimitOfLoadReportsIsNotAdopted(t *testing.T) {
 	s, b, _ := newColdServer(t)
 	announce(t, s, b, nil)
--- a/node/process/localserver/serve.go
+++ b/node/process/localserver/serve.go
@@ -33,14 +33,7 @@
 
 // run waits for a slot and runs a call. The response is nil when there was no answer.
 func (s *Server) run(ctx context.Context, call *linkpb.Call) (*linkpb.Frame, *exchange.Response) {
-	now, arrived := s.config.Now(), s.config.Boottime()
-	job := &dispatch.Job{
-		Route: call.Route, Rank: int(call.Rank), Nested: call.Nested, NoRedirect: call.Stay,
-		Team: call.Team, ParentRank: int(call.ParentRank),
-		RedirectAbove: time.Duration(call.ReferMs) * time.Millisecond,
-		Objective:     now.Add(time.Duration(call.ObjectiveMs) * time.Millisecond),
-		Deadline:      now.Add(time.Duration(call.LeftMs) * time.Millisecond),
-	}
+	job, arrived := newJob(call, s.config.Now()), s.config.Boottime()
 	s.adoptRate(call)
 	if refusal := s.refuseForDependency(call); refusal != nil {
 		return refusal, nil
@@ -73,6 +66,17 @@
 	return f, response
 }
 
+// newJob returns the job of a call that arrived at a time.
+func newJob(call *linkpb.Call, arrivedAt time.Time) *dispatch.Job {
+	return &dispatch.Job{
+		Route: call.Route, Rank: int(call.Rank), Nested: call.Nested, NoRedirect: call.Stay,
+		Team: call.Team, ParentRank: int(call.ParentRank),
+		RedirectAbove: time.Duration(call.ReferMs) * time.Millisecond,
+		Objective:     arrivedAt.Add(time.Duration(call.ObjectiveMs) * time.Millisecond),
+		Deadline:      arrivedAt.Add(time.Duration(call.LeftMs) * time.Millisecond),
+	}
+}
+
 // admit waits for a slot.
 func (s *Server) admit(ctx context.Context, job *dispatch.Job) error {
 	decided := make(chan error, 1)
@@ -140,7 +144,7 @@
 	header.Set(names.DeadlineMs, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	header.Set(names.ServerID, call.ServerId)
 	header.Set(names.CallerService, call.CallerService)
-	// An entry node of an older build forwards what its caller has sent.
+	// An entry node of an older build forwards the team headers of its caller.
 	delete(header, names.TeamKey)
 	delete(header, names.Team)
 	if call.NameTeam {
--- a/node/process/sidecar/era_test.go
+++ b/node/process/sidecar/era_test.go
@@ -209,7 +209,7 @@
 	})
 }
 
-// Guards against a loop of calls, and against calls for the era on a calm day.
+// Guards against a loop of calls, and against calls because of the era while it does not change.
 func TestCallsAfterAChangeOfTheEraAreBounded(t *testing.T) {
 	runWithStore(t, func(_ *Node, store *eraStore) {
 		reads, polls, fleets := store.calls()
