--- a/node/process/sidecar/era.go
+++ b/node/process/sidecar/era.go
@@ -8,8 +8,8 @@
 	"github.com/radishstand/radishstand/node/version/freshness"
 )
 
-// eras tracks the era of the store. It rises when the store comes back from an older copy, and then everything that this node has read
-// from it or written to it is in doubt. Only the store's own responses set the era; one that another node reports makes this node ask the
+// eras tracks the era of the store. It rises when the store comes back from an older copy, and then the store may have lost anything that
+// this node has read from it or written to it. Only the store's own responses set the era; an era that another node reports makes this node ask the
 // store. It is safe for concurrent use.
 type eras struct {
 	mu    sync.Mutex
@@ -102,7 +102,7 @@
 	return e.changes
 }
 
-// untilChange returns a context that ends with ctx and when the era has changed more often than the given number of times. The cancel
+// untilChange returns a context that ends with ctx, or when the number of changes of the era differs from the given one. The cancel
 // function must be called.
 func (e *eras) untilChange(ctx context.Context, changes uint64) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// waitForMembers waits until the members are to be read again: as scheduled, or when the store's era has changed since they were read,
-// which was after the given number of changes. The wait is short while other nodes may be writing their entries.
+// waitForMembers waits until the members are to be read again: as scheduled, or when the number of changes of the store's era is no longer
+// the one given, which was current when they were read. The wait is short while other nodes may be writing their entries.
 func (n *Node) waitForMembers(ctx context.Context, schedule *membersSchedule, changes uint64, short bool) {
 	unchanged, cancel := n.eras.untilChange(ctx, changes)
 	defer cancel()
@@ -82,7 +82,7 @@
 
 // syncMembers adds the nodes in the store to the peers and ensures that this node's entry is in the store. The first time,
 // the entry is written before the others are read: of two nodes that start together, at least one then reads the other's
-// entry. While the nodes restore their entries, a node that is not listed is kept.
+// entry. While the nodes restore their entries, a node that is not listed remains a peer.
 func (n *Node) syncMembers(ctx context.Context, registered, restoring bool) error {
 	if !registered {
 		existing, err := n.store.AddMember(ctx, n.self())
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -82,11 +82,11 @@
 	n.egress = n.newEgress()
 	n.server = n.newServer(memory)
 	n.registerMetrics()
-	evacuations := link.EvacuationExchange{Current: n.currentEvacuations, Received: n.receiveEvacuations}
+	exchange := link.EvacuationExchange{Current: n.currentEvacuations, Received: n.receiveEvacuations}
 	n.links = link.NewServer(n, memory)
-	n.links.ExchangeEvacuations(evacuations)
+	n.links.ExchangeEvacuations(exchange)
 	n.links.SendThrough(n.egress)
-	n.peers = n.newPeers(memory, evacuations)
+	n.peers = n.newPeers(memory, exchange)
 	n.quotas.init(n)
 	n.front = n.newFront(memory)
 	return n
@@ -121,7 +121,7 @@
 }
 
 // newPeers returns the node's connections to the other nodes.
-func (n *Node) newPeers(memory *membudget.Budget, evacuations link.EvacuationExchange) *peers.Set {
+func (n *Node) newPeers(memory *membudget.Budget, exchange link.EvacuationExchange) *peers.Set {
 	c := n.config.Load()
 	var dial func(ctx context.Context, address string) (net.Conn, error)
 	if dialer, ok := n.adapter.(PeerDialer); ok {
@@ -133,7 +133,7 @@
 		LocalVersion: n.routing.Number, Memory: memory, Log: n.log,
 		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
 		Proof:       n.freshness.addProof,
-		Evacuations: evacuations, StoreEra: n.peerReportedEra, Egress: n.egress,
+		Evacuations: exchange, StoreEra: n.peerReportedEra, Egress: n.egress,
 		Leaving:    n.newLeaving(),
 		QuotaReply: func(peer string, r *linkpb.QuotaReply) { n.quotas.borrower.HandleReply(peer, r) },
 	})
--- a/node/version/freshness/fleet_test.go
+++ b/node/version/freshness/fleet_test.go
@@ -46,7 +46,7 @@
 	lease    *Lease
 	current  uint64
 	seen     uint64 // version that the feed has brought last
-	source   int    // node that passed on the youngest proof, or -1
+	source   int    // node that passed on the newest proof, or -1
 	sourceAt time.Duration
 	booted   time.Duration
 	// suspendedUntil is the time until which the host does nothing; its boot clock goes on.
@@ -257,10 +257,10 @@
 	}
 }
 
-// leased reports whether a node takes keys now.
+// leased reports whether a node accepts keys now.
 func (n *testNode) leased() bool { return n.lease.ValidFor(n.current, n.clock(), testWithin) }
 
-// Guards against a node that takes keys which were revoked longer ago than allowed, with links that are cut in one or both
+// Guards against a node that accepts keys which were revoked longer ago than allowed, with links that are cut in one or both
 // directions, slow messages, polls that see changes late, hosts that are suspended and processes that restart.
 func TestNoNodeTakesKeysThatWereRevokedLongAgo(t *testing.T) {
 	const seeds, count = 30, 5
