--- a/node/process/dispatch/cold.go
+++ b/node/process/dispatch/cold.go
@@ -46,8 +46,8 @@
 
 // ColdLimit is the configuration of a service whose servers handle few requests after their start.
 type ColdLimit struct {
-	// Start is the time for which a server is cold after its start. It is assumed for a server that has not stated the time.
-	Start time.Duration
+	// Duration is the time for which a server is cold after its start. It is assumed for a server that has not stated the time.
+	Duration time.Duration
 	// PerSecond is the number of requests per second that a cold server handles; 0 if cold servers are not limited.
 	PerSecond float64
 	// Provisional is set while the configuration is not known. The limit then applies only to a server that has stated that it is
@@ -199,7 +199,7 @@
 	if c.cold(now) {
 		return c.until.Sub(now)
 	}
-	return c.limit.Start
+	return c.limit.Duration
 }
 
 // warm reports whether calls may start without regard to the limit.
--- a/node/process/dispatch/cold_fleet_test.go
+++ b/node/process/dispatch/cold_fleet_test.go
@@ -290,7 +290,7 @@
 // is cold.
 func TestFleetRecoversFromALossOfPower(t *testing.T) {
 	for seed := range uint64(2) {
-		limited := runFleet(seed, dispatch.ColdLimit{Start: testColdStart, PerSecond: testColdPerSecond}, func(*fleet) {})
+		limited := runFleet(seed, dispatch.ColdLimit{Duration: testColdStart, PerSecond: testColdPerSecond}, func(*fleet) {})
 		crashes, mostCold := limited.crashes()
 		assert.Zero(t, crashes)
 		assert.LessOrEqual(t, mostCold, int(testColdBound))
@@ -306,7 +306,7 @@
 // Guards against servers that crash when they turn cold under load, unannounced and without a broken connection.
 func TestFleetSurvivesServersThatTurnColdUnderLoad(t *testing.T) {
 	for seed := range uint64(2) {
-		f := runFleet(seed, dispatch.ColdLimit{Start: testColdStart, PerSecond: testColdPerSecond}, func(f *fleet) {
+		f := runFleet(seed, dispatch.ColdLimit{Duration: testColdStart, PerSecond: testColdPerSecond}, func(f *fleet) {
 			for _, s := range f.servers[:fleetServers/2] {
 				s.coldUntil = f.now.Add(testColdStart)
 			}
--- a/node/process/dispatch/cold_test.go
+++ b/node/process/dispatch/cold_test.go
@@ -37,7 +37,7 @@
 	t := newTimeline()
 	s := &coldServer{timeline: t, Dispatcher: dispatch.New(t.Now, nil), started: map[int]int{}}
 	s.LimitCold(dispatch.ColdControl{
-		Limit:   func() dispatch.ColdLimit { return dispatch.ColdLimit{Start: testColdStart, PerSecond: perSecond} },
+		Limit:   func() dispatch.ColdLimit { return dispatch.ColdLimit{Duration: testColdStart, PerSecond: perSecond} },
 		Check:   s.check,
 		Changed: func(c dispatch.ColdChange) { s.changes = append(s.changes, c) },
 	})
@@ -203,7 +203,7 @@
 	s.run(100, time.Second)
 	assert.LessOrEqual(t, mostInASecond(s.arrivals, event), 11)
 	assert.Zero(t, s.checks)
-	limit = dispatch.ColdLimit{Start: testColdStart, PerSecond: testColdPerSecond}
+	limit = dispatch.ColdLimit{Duration: testColdStart, PerSecond: testColdPerSecond}
 	s.run(100, time.Second)
 	assert.EqualValues(t, testColdPerSecond, s.ColdLimit(), "what the server has stated still counts")
 }
--- a/node/process/localserver/cold_test.go
+++ b/node/process/localserver/cold_test.go
@@ -80,7 +80,7 @@
 		HealthPath: func(string) string { return "/health" }, Names: coldNames, Memory: membudget.New(1 << 20), Now: time.Now,
 		Boottime: boottime.Now, AnnounceInterval: func() time.Duration { return announceInterval }, Changed: func(localserver.Status) {},
 		ColdLimit: func(string) dispatch.ColdLimit {
-			return dispatch.ColdLimit{Start: 3 * time.Second, PerSecond: coldPerSecond}
+			return dispatch.ColdLimit{Duration: 3 * time.Second, PerSecond: coldPerSecond}
 		},
 		ColdChanged: func(c dispatch.ColdChange) { changes <- c },
 	})
--- a/node/process/sidecar/cold.go
+++ b/node/process/sidecar/cold.go
@@ -13,7 +13,7 @@
 		return dispatch.ColdLimit{PerSecond: provisionalColdPerSecond, Provisional: true}
 	}
 	s := v.Services[service]
-	return dispatch.ColdLimit{Start: s.ColdStart, PerSecond: s.ColdPerSecond}
+	return dispatch.ColdLimit{Duration: s.ColdStart, PerSecond: s.ColdPerSecond}
 }
 
 // coldChanged logs that the limit for a cold server begins or ends to apply, and reports it to the other nodes.
