--- a/node/process/dispatch/cold_test.go
+++ b/node/process/dispatch/cold_test.go
@@ -37,7 +37,7 @@
 	t := newTimeline()
 	s := &coldServer{timeline: t, Dispatcher: dispatch.New(t.Now, nil), started: map[int]int{}}
 	s.LimitCold(dispatch.ColdControl{
-		Limit:   func() dispatch.ColdLimit { return dispatch.ColdLimit{Start: testColdStart, PerSecond: perSecond} },
+		Limit:   func() dispatch.ColdLimit { return dispatch.ColdLimit{Duration: testColdStart, PerSecond: perSecond} },
 		Check:   s.check,
 		Changed: func(c dispatch.ColdChange) { s.changes = append(s.changes, c) },
 	})
@@ -107,7 +107,7 @@
 	return most
 }
 
-// Guards against a server that gets more than it bears while it is cold, in the cases in which the node has not been told.
+// Guards against a server that gets more than it handles while it is cold, in the cases in which the node has not been told.
 func TestColdServerGetsNoMoreThanTheBound(t *testing.T) {
 	warm := func(s *coldServer) { s.run(60, 2*time.Second) }
 	fresh := func(*coldServer) {}
@@ -203,14 +203,14 @@
 	s.run(100, time.Second)
 	assert.LessOrEqual(t, mostInASecond(s.arrivals, event), 11)
 	assert.Zero(t, s.checks)
-	limit = dispatch.ColdLimit{Start: testColdStart, PerSecond: testColdPerSecond}
+	limit = dispatch.ColdLimit{Duration: testColdStart, PerSecond: testColdPerSecond}
 	s.run(100, time.Second)
 	assert.EqualValues(t, testColdPerSecond, s.ColdLimit(), "what the server has stated still counts")
 }
 
 // Guards against a call that starts before a health check has shown the state of a server that was silent or has broken a
 // connection, also when an announcement arrives that was made before, and against such delays at a busy server.
-func TestCallWaitsForTheHealthCheckAfterADoubt(t *testing.T) {
+func TestCallWaitsForTheHealthCheckWhenTheServerMayBeCold(t *testing.T) {
 	warm := func(s *coldServer) { s.run(20, time.Second) }
 	cases := map[string]struct {
 		event func(s *coldServer)
--- a/node/process/sidecar/era.go
+++ b/node/process/sidecar/era.go
@@ -4,13 +4,12 @@
 	"context"
 	"sync"
 	"time"
-)
 
-// settleTime is the time after an era of the store was first seen in which operators may not have written again what the store lost.
-const settleTime = time.Second
+	"github.com/radishstand/radishstand/node/version/freshness"
+)
 
-// eras tracks the era of the store. It rises when the store comes back from an older copy, and then everything that this node has read
-// from it or written to it is in doubt. Only the store's own responses set the era; one that another node reports makes this node ask the
+// eras tracks the era of the store. It rises when the store comes back from an older copy, and then the store may have lost anything that
+// this node has read from it or written to it. Only the store's own responses set the era; an era that another node reports makes this node ask the
 // store. It is safe for concurrent use.
 type eras struct {
 	mu    sync.Mutex
@@ -72,7 +71,8 @@
 	return r.Era < e.current || e.reported > max(e.current, e.checked)
 }
 
-// beginRead returns a function to be called after a successful read of the whole, which answers the reports up to now.
+// beginRead returns a function to be called after a successful read of the operators' whole state. It marks the eras that were reported
+// before the read as checked.
 func (e *eras) beginRead() (succeeded func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -84,15 +84,15 @@
 	}
 }
 
-// settles returns the time from which on a read shows what operators wrote again in an era. It is zero for era 0, in which the
+// settledFrom returns the time from which on a read shows what operators wrote again in an era. It is zero for era 0, in which the
 // store has lost nothing.
-func (e *eras) settles(era uint64) time.Time {
+func (e *eras) settledFrom(era uint64) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if era == 0 {
 		return time.Time{}
 	}
-	return e.firstSeen.Add(settleTime)
+	return e.firstSeen.Add(freshness.EraDelay)
 }
 
 // count returns how often the era has changed.
@@ -102,7 +102,7 @@
 	return e.changes
 }
 
-// untilChange returns a context that ends with ctx and when the era has changed more often than the given number of times. The cancel
+// untilChange returns a context that ends with ctx, or when the number of changes of the era differs from the given one. The cancel
 // function must be called.
 func (e *eras) untilChange(ctx context.Context, changes uint64) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -136,7 +136,7 @@
 	n.log.Warn("store came back from an older copy", "era", era)
 	n.eraChanges.Inc(1)
 	n.poll.end()
-	if n.peers.InSubset(frequentPollers) { // nodes whose own poll is lost hear it from these
+	if n.peers.InSubset(frequentPollers) { // tells the nodes whose own poll is lost
 		go n.broadcastState()
 	}
 }
--- a/node/process/sidecar/routing.go
+++ b/node/process/sidecar/routing.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/node/internal/boottime"
+	"github.com/radishstand/radishstand/node/version/freshness"
 )
 
 const (
@@ -25,10 +26,8 @@
 	// pollersChangeDelay is the time in which several links and states may change before the frequent pollers are determined
 	// again.
 	pollersChangeDelay = 50 * time.Millisecond
-	// feedDelay is the longest time for which the response to a poll may miss a change.
-	feedDelay = 1200 * time.Millisecond
-	// readSpacing is the least time between two reads of the whole by a node that has a routing version, and the time over which the
-	// nodes spread such a read.
+	// readSpacing is the minimum time between two reads of the whole state by a node that has a routing version, and the time over
+	// which the nodes spread such a read.
 	readSpacing = 250 * time.Millisecond
 )
 
@@ -40,9 +39,9 @@
 	state OperatorState
 	// sentAt is the time before the request was sent.
 	sentAt time.Time
-	// began is that time by the boot clock.
+	// began is sentAt by the boot clock.
 	began time.Duration
-	// direct is set when the rows were read, and not the feed of changes.
+	// direct is set when the whole state was read, and not the feed of changes.
 	direct bool
 }
 
@@ -51,12 +50,12 @@
 	if r.direct {
 		return !r.sentAt.Before(changesBefore)
 	}
-	return !r.sentAt.Add(-feedDelay).Before(changesBefore)
+	return !r.sentAt.Add(-freshness.FeedLag).Before(changesBefore)
 }
 
 // watchRouting applies new routing versions and evacuations from the store until ctx ends.
 func (n *Node) watchRouting(ctx context.Context) {
-	var last *OperatorState // nil when the whole must be read
+	var last *OperatorState // nil when the whole state must be read
 	retryBackoff := newBackoff()
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
@@ -95,9 +94,9 @@
 	}
 }
 
-// applyRead applies what a successful read of the store has brought.
+// applyRead applies the result of a successful read of the store.
 func (n *Node) applyRead(read *operatorsRead) {
-	n.readEvacuations(read.state, read.shows(n.eras.settles(read.state.Revision.Era)))
+	n.readEvacuations(read.state, read.shows(n.eras.settledFrom(read.state.Revision.Era)))
 	if read.state.Document == nil {
 		return
 	}
@@ -108,21 +107,21 @@
 	}
 }
 
-// pollRouting reads the whole when last is nil or must not be used any more, and otherwise waits for a change after it. The error is
-// errPollEnded when another request must be sent at once.
+// pollRouting reads the operators' whole state when last is nil or must not be used any more, and otherwise waits for a change after it.
+// The error is errPollEnded when another request must be sent at once.
 func (n *Node) pollRouting(ctx context.Context, last *OperatorState) (*operatorsRead, error) {
 	if last.revision().Row == 0 || n.eras.outdated(last.Revision) || n.evacuationsDue(last.Revision.Era) {
 		return n.readOperators(ctx)
 	}
 	ctx = n.poll.begin(ctx, last.Revision)
 	defer n.poll.finish()
-	// From here on, whatever makes a read of the whole necessary ends the poll.
+	// From here on, whatever requires a read of the whole state ends the poll. This checks for what came before.
 	if n.eras.outdated(last.Revision) {
 		return nil, errPollEnded
 	}
 	wait := pollWait(n.peers.InSubset(frequentPollers), n.storeFailing.Load())
 	if n.evacuations.holder.NeedsRead() {
-		wait = min(wait, max(time.Until(n.eras.settles(last.Revision.Era)), time.Millisecond))
+		wait = min(wait, max(time.Until(n.eras.settledFrom(last.Revision.Era)), time.Millisecond))
 	}
 	n.poll.setWait(wait)
 	sentAt, began := time.Now(), boottime.Now()
@@ -138,10 +137,11 @@
 
 // evacuationsDue reports whether the evacuated places must be read again and operators have had the time to write them in an era.
 func (n *Node) evacuationsDue(era uint64) bool {
-	return n.evacuations.holder.NeedsRead() && !time.Now().Before(n.eras.settles(era))
+	return n.evacuations.holder.NeedsRead() && !time.Now().Before(n.eras.settledFrom(era))
 }
 
-// readOperators reads the whole of the operators' state. After the first time, nodes spread these reads.
+// readOperators reads the operators' whole state. Once a node has a routing version, it delays the read, so that nodes do not read all at
+// once.
 func (n *Node) readOperators(ctx context.Context) (*operatorsRead, error) {
 	if n.routing.Current() != nil {
 		sleep(ctx, max(time.Until(n.lastRead.Add(readSpacing)), rand.N(readSpacing)))
