--- a/node/request/front/averages.go
+++ b/node/request/front/averages.go
@@ -15,8 +15,9 @@
 	// bytes is the size of a call and its answer together, and answerBytes that of the answer.
 	bytes       int
 	answerBytes int
-	// service has answered the route's last call. download is set for a route with large answers.
-	service  string
+	// service is the one that answered the route's last call.
+	service string
+	// download is set for a route with large answers.
 	download bool
 }
 
@@ -51,8 +52,8 @@
 	a.routes[route] = mean
 }
 
-// largestAnswer returns the average size of an answer on the route with large answers of a service that has the largest ones; 0 if none has
-// been answered.
+// largestAnswer returns the largest average answer size among the download routes of a service, or 0 if none of their calls has been
+// answered.
 func (a *routeAverages) largestAnswer(service string) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -59,7 +59,7 @@
 	lateRefusals int
 	// hasDownloads is set if transfer times count in the choice of a server.
 	hasDownloads bool
-	// room is when the servers that refused the call expect room.
+	// room is the basis of the Retry-After time.
 	room expectedRoom
 	// mayHaveRun is set when an attempt ended without confirmation that it has not run.
 	mayHaveRun bool
@@ -81,7 +81,7 @@
 	return c
 }
 
-// prepareCall returns the call of a request without its service, its body and the memory for that.
+// prepareCall returns the call of a request, without the service, the body and the memory of the body.
 func (h *Handler) prepareCall(r *http.Request, a accepted, arrived arrival) *call {
 	c := &call{
 		handler: h, team: a.team, route: a.route, arrived: arrived.at,
@@ -100,7 +100,7 @@
 	return c
 }
 
-// parent returns the call in progress at the backend server at this host for which that makes the call with an ID.
+// parent returns the call in progress at the local backend server on behalf of which that server makes the call with the given ID.
 func (h *Handler) parent(id string) (localserver.Parent, bool) {
 	parent, ok := h.config.Names.ParentID(id)
 	if !ok {
@@ -144,8 +144,8 @@
 	}
 }
 
-// pick chooses the server of the next attempt. Once a server has refused to queue the call, a few others are asked if their load reports
-// show room and enough time is left.
+// pick chooses the server of the next attempt. Once a server has refused to queue the call, it chooses only servers whose load reports
+// show room, at most maxFurtherServers of them, while enough time is left.
 func (c *call) pick() (peers.PickResult, error) {
 	if c.lateRefusals > 0 {
 		if !c.mayAskFurther() {
@@ -162,7 +162,7 @@
 	return c.lateRefusals <= maxFurtherServers && c.hasTimeForAttempt()
 }
 
-// causeWithoutServer returns why a call is refused for which no server is left.
+// causeWithoutServer returns the cause of the refusal of a call when no server is left for it.
 func (c *call) causeWithoutServer() string {
 	if c.lateRefusals > 0 {
 		return "no capacity in time"
@@ -179,7 +179,7 @@
 	}
 }
 
-// transfer returns what is known of the transfer of an answer with the expected size; nothing if the routing has no downloads.
+// transfer returns the properties of the transfer of an answer of the expected size; the zero value if the routing has no downloads.
 func (c *call) transfer(answerBytes int) choice.Transfer {
 	if !c.hasDownloads {
 		return choice.Transfer{}
--- a/node/request/front/dependency.go
+++ b/node/request/front/dependency.go
@@ -8,7 +8,8 @@
 
 const (
 	// dependencyMemoryShare is the share of the Retry-After time of a refusal for which further calls of the route and team are refused
-	// without being sent. It grows with the refused share, so that few calls are refused that would have been admitted.
+	// without being sent. Since the Retry-After time grows with the refused share of the calls, few calls are refused here that the
+	// server's node would have admitted.
 	dependencyMemoryShare = 0.2
 	// maxDependencyMemory bounds that time.
 	maxDependencyMemory = 100 * time.Millisecond
@@ -16,13 +17,13 @@
 	maxRememberedDependencies = 1024
 )
 
-// causeDependency is the cause of a call that is refused since the nested calls of its route would be refused.
+// causeDependency is the cause of a call that is refused because the nested calls of its route would be refused.
 const causeDependency = "nested calls refused"
 
 // dependencyKey identifies the calls that a refusal is remembered for.
 type dependencyKey struct{ route, team string }
 
-// dependencyRefusal is a refusal of a server's node.
+// dependencyRefusal is a refusal by a server's node.
 type dependencyRefusal struct {
 	until      time.Time
 	retryAfter time.Duration
@@ -69,8 +70,8 @@
 	return c.refusal(causeDependency)
 }
 
-// rememberedDependency returns the Retry-After time of a refusal that is remembered for the call. The calls that no node refuses are
-// spared.
+// rememberedDependency returns the Retry-After time of a refusal that is remembered for the call. Nested calls and
+// calls of rank 0 are exempt, as they are at the servers' nodes.
 func (c *call) rememberedDependency(now time.Time) (time.Duration, bool) {
 	if c.message.Nested || c.message.Rank == 0 {
 		return 0, false
@@ -78,7 +79,7 @@
 	return c.handler.dependencies.refused(c.dependencyKey(), now)
 }
 
-// refusedForDependency returns the result of a call that a server's node has refused since its nested calls would be refused. Other
+// refusedForDependency returns the result of a call that a server's node has refused because its nested calls would be refused. Other
 // servers of the service would refuse it too.
 func (c *call) refusedForDependency(after time.Duration) *result {
 	c.handler.dependencies.remember(c.dependencyKey(), after, time.Now())
@@ -86,8 +87,9 @@
 	return c.refusal(causeDependency)
 }
 
-// reportNested tells the server's part of the node how a call ended that the server made for another one. Only a call that no server
-// was given counts as refused: servers that refuse by themselves do so at any load, and fewer calls would not help.
+// reportNested reports how a nested call ended to the part of the node that admits calls to the local backend server. Only a call that
+// was passed to no backend server counts as refused: a server that itself refuses calls does so at any load, so admitting fewer calls
+// would not help.
 func (c *call) reportNested(r *result) {
 	if !c.message.Nested || c.handler.config.NestedEnded == nil {
 		return
--- a/node/request/front/explain.go
+++ b/node/request/front/explain.go
@@ -17,7 +17,7 @@
 // explainedID is the request id of a request that is explained. It names no parent.
 const explainedID = "explain"
 
-// ErrInvalidExplanation means that a request cannot be explained, since it is not a complete one.
+// ErrInvalidExplanation reports a request that cannot be explained because it is incomplete, contradictory or names an unknown team.
 var ErrInvalidExplanation = errors.New("invalid request")
 
 // explanation is the state of one explanation.
@@ -28,8 +28,8 @@
 	call    *call
 }
 
-// Explain returns what would happen to a request now. It decides with the code of real requests, but sends, takes and counts nothing. The
-// error wraps ErrInvalidExplanation.
+// Explain returns what would happen to a request now. It uses the code of real requests, but sends no frame, takes no token and changes
+// no counter. The error wraps ErrInvalidExplanation.
 func (h *Handler) Explain(q explain.Request) (*explain.Answer, error) {
 	e := &explanation{handler: h, now: time.Now(), answer: &explain.Answer{Version: h.config.Routing.Number()}}
 	claimed, err := h.explainedClaim(q)
@@ -81,6 +81,7 @@
 	return claim{team: team, keys: 1}, nil
 }
 
+// identity records the decision about the caller's team.
 func (e *explanation) identity(q explain.Request, a accepted, failed *problem) {
 	i := &e.answer.Identity
 	switch {
@@ -111,10 +112,12 @@
 	e.unknown("the variation of estimates", "they vary at random, so that nodes with the same reports choose different servers")
 }
 
+// unknown lists something that the node cannot know.
 func (e *explanation) unknown(what, why string) {
 	e.answer.Unknown = append(e.answer.Unknown, explain.Unknown{What: what, Why: why})
 }
 
+// route records the route with its averages and its split.
 func (e *explanation) route(a accepted) {
 	r, average := a.route, e.handler.averages.get(a.route.Name)
 	e.answer.Route = &explain.Route{
@@ -134,7 +137,7 @@
 	}
 }
 
-// quota decides whether a request of a team would get a token.
+// quota records whether a request of a team would get a token.
 func (e *explanation) quota(team *routing.Team) {
 	if team == nil || e.handler.config.Quota == nil || !team.Quota.Limited() {
 		return
@@ -166,7 +169,7 @@
 	}
 	preview, err := e.handler.config.Peers.PreviewPick(c.service, c.choice(), nil, nil)
 	if err != nil {
-		e.refuse(&problem{status: http.StatusServiceUnavailable, cause: c.causeWithoutServer(), retryAfter: minRetryAfter})
+		e.refuse(c.problemWithoutServer())
 		return
 	}
 	e.send(preview)
@@ -180,9 +183,12 @@
 			return
 		}
 	}
-	e.refuseAs(explain.ResultLikelyRefused, &problem{
-		status: http.StatusServiceUnavailable, cause: c.causeWithoutServer(), retryAfter: minRetryAfter,
-	})
+	e.refuseAs(explain.ResultLikelyRefused, c.problemWithoutServer())
+}
+
+// problemWithoutServer returns the refusal of a call when no server is left for it.
+func (c *call) problemWithoutServer() *problem {
+	return &problem{status: http.StatusServiceUnavailable, cause: c.causeWithoutServer(), retryAfter: minRetryAfter}
 }
 
 // send records the server that would get the call.
@@ -234,11 +240,12 @@
 	e.answer.Queue = q
 }
 
-// refuse records the refusal of the request, if there is one and no earlier check has refused it.
+// refuse records the refusal of the request. It does nothing if p is nil or an earlier check has refused the request.
 func (e *explanation) refuse(p *problem) {
 	e.refuseAs(explain.ResultRefused, p)
 }
 
+// refuseAs is like refuse with the given result.
 func (e *explanation) refuseAs(result string, p *problem) {
 	if p == nil || e.answer.Outcome.Result == explain.ResultRefused {
 		return
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -58,14 +58,14 @@
 	Service func() string
 	// Parent returns the call with an ID that is in progress at the backend server at this host.
 	Parent func(id string) (localserver.Parent, bool)
-	// NestedEnded is told when a call ends that the backend server at this host made for a call in progress there, and whether it was
-	// refused for lack of capacity. It may be nil.
+	// NestedEnded is called at the end of a call that the backend server at this host made for a call in progress there (parent).
+	// refused reports whether the call was refused for lack of capacity. It may be nil.
 	NestedEnded func(parent string, refused bool)
-	// Freshness shows whether a key that is not known here may still be valid, and whether one that is known may have been revoked.
+	// Freshness shows whether an unknown key may be valid in a newer routing version, and whether a known key may have been revoked.
 	Freshness Freshness
 	// Quota limits the requests of teams; nil if they are not limited.
 	Quota Quota
-	// Egress is what the links of this host have in common; nil if the transfer times of answers are not considered.
+	// Egress counts the bytes that wait to be sent by this host; nil if the transfer times of answers are not considered.
 	Egress *link.Egress
 	// Memory bounds the bytes of the bodies that are held.
 	Memory   *membudget.Budget
@@ -78,7 +78,7 @@
 	config   Config
 	averages *routeAverages
 	open     *openRequests
-	// dependencies holds the routes whose calls have just been refused since their nested calls would be.
+	// dependencies holds the routes whose calls have just been refused because their nested calls would be refused.
 	dependencies dependencies
 	// stoppedAt is the Unix time of the signal to stop in nanoseconds; 0 before it.
 	stoppedAt atomic.Int64
@@ -98,9 +98,9 @@
 		}
 	}()
 	if response = h.respond(r, memory); response != nil {
-		sent := h.config.Egress.Hold(len(response.Body))
+		releaseEgress := h.config.Egress.Hold(len(response.Body))
 		response.Release = func() {
-			sent()
+			releaseEgress()
 			memory.Release()
 		}
 	}
@@ -178,10 +178,10 @@
 	return h.decideHead(r, now, h.authenticate)
 }
 
-// decideHead is like acceptHead, with the given decision about the team. When the request is not accepted, the result has what was
-// determined before.
+// decideHead is like acceptHead, but calls teamOf for the team of the request. For a request that is not accepted, the result has the
+// fields that were set before the failed check.
 func (h *Handler) decideHead(
-	r *http.Request, now time.Time, team func(http.Header, *routing.Version, *routing.Route) (*routing.Team, *problem),
+	r *http.Request, now time.Time, teamOf func(http.Header, *routing.Version, *routing.Route) (*routing.Team, *problem),
 ) (accepted, *problem) {
 	var a accepted
 	if stopped := h.stoppedAt.Load(); stopped != 0 && now.Sub(time.Unix(0, stopped)) > rejectAfterStop {
@@ -202,7 +202,7 @@
 		return a, &problem{status: http.StatusNotFound, cause: "no route"}
 	}
 	var failed *problem
-	if a.team, failed = team(r.Header, a.version, a.route); failed != nil {
+	if a.team, failed = teamOf(r.Header, a.version, a.route); failed != nil {
 		return a, failed
 	}
 	if !utf8.ValidString(a.id + a.target.Raw + r.Host) { // nodes could not send it to each other
--- a/node/request/front/quota.go
+++ b/node/request/front/quota.go
@@ -45,7 +45,7 @@
 	return p
 }
 
-// returnToken gives the token of a request back that no server has got.
+// returnToken returns the token of a request that no backend server has received.
 func (c *call) returnToken(token *quota.Token, r *result) {
 	if r.answer == nil && c.attempts == 0 && !c.mayHaveRun {
 		token.Return()
--- a/node/request/front/retryafter.go
+++ b/node/request/front/retryafter.go
@@ -11,13 +11,13 @@
 	// maxRetryAfterShare is the largest share of the time left until the deadline that a Retry-After time takes. Callers ignore a
 	// longer one.
 	maxRetryAfterShare = 1.0 / 3
-	// shortestRetryAfter is the smallest time that the header shows.
-	shortestRetryAfter = time.Millisecond
+	// retryAfterResolution is the smallest time that the header can state: it has three decimals of a second.
+	retryAfterResolution = time.Millisecond
 )
 
-// expectedRoom is when the servers that refused a call expect room for it.
+// expectedRoom holds the earliest time after which a server that refused the call expects to have room for it.
 type expectedRoom struct {
-	// earliest is the smallest time that a server has named; 0 if none has.
+	// earliest is 0 if no server has named a time.
 	earliest time.Duration
 }
 
@@ -28,17 +28,18 @@
 	}
 }
 
-// retryAfter returns the Retry-After time of a call for which the given time is left, and none after its deadline. The random number
-// in [0, 1) spreads it: upwards from the expected time, or downwards from the bound when the expected time does not fit below it.
+// retryAfter returns the Retry-After time of a call, given the time left until its deadline and a random number in [0, 1) for the spread.
+// The spread is added to the expected time. If the sum would exceed maxRetryAfterShare of the time left, the spread ends at that bound.
+// After the deadline there is no bound.
 func (e *expectedRoom) retryAfter(left time.Duration, random float64) time.Duration {
 	after := max(e.earliest, minRetryAfter)
 	spread := time.Duration(retryAfterSpread * float64(after))
-	if left <= 0 { // the caller's patience is not known
+	if left <= 0 { // how long the caller waits before a retry is unknown
 		return after + time.Duration(random*float64(spread))
 	}
 	if bound := time.Duration(maxRetryAfterShare * float64(left)); after+spread > bound {
 		spread = min(spread, time.Duration(retryAfterSpread*float64(bound)))
 		after = bound - spread
 	}
-	return max(after+time.Duration(random*float64(spread)), shortestRetryAfter)
+	return max(after+time.Duration(random*float64(spread)), retryAfterResolution)
 }
--- a/node/request/front/retryafter_test.go
+++ b/node/request/front/retryafter_test.go
@@ -22,11 +22,11 @@
 		}
 		left := time.Duration(rapid.IntRange(1, 10_000).Draw(t, "left")) * time.Millisecond
 		low, high := room.retryAfter(left, 0), room.retryAfter(left, 0.999)
-		assert.LessOrEqual(t, high, max(left/3, shortestRetryAfter))
+		assert.LessOrEqual(t, high, max(left/3, retryAfterResolution))
 		if want := max(earliest, minRetryAfter); want+want/2 <= left/3 {
 			assert.Equal(t, want, low)
 		}
-		if low > shortestRetryAfter { // the header shows whole milliseconds
+		if low > retryAfterResolution { // the header shows whole milliseconds
 			assert.Greater(t, high, low+low/3, "the spread grows with the time")
 		}
 	})
--- a/node/request/front/team.go
+++ b/node/request/front/team.go
@@ -22,18 +22,17 @@
 	Leased(version uint64) bool
 }
 
-// authenticate returns the team whose key a request has. It returns no team on a public route and in a version without teams. A
-// response with status 401 is final for callers, so that it is sent only when no newer version may hold the key.
+// authenticate returns the team whose key a request has. It returns no team on a public route and in a version without teams. Callers
+// do not retry after status 401, so it is sent only when no newer version is known that may hold the key.
 func (h *Handler) authenticate(header http.Header, v *routing.Version, r *routing.Route) (*routing.Team, *problem) {
 	return h.decideTeam(v, r, h.claimOf(header, v))
 }
 
-// claim is the team that a request claims to be of.
+// claim is what the keys of a request say about its team.
 type claim struct {
-	// team is nil if it is not known.
+	// team is nil unless there is exactly one key and it is known.
 	team *routing.Team
-	// keys is the number of keys.
-	keys int
+	keys int // number of keys in the request
 }
 
 // claimOf returns the claim of the keys in a header.
@@ -46,7 +45,7 @@
 	return c
 }
 
-// decideTeam returns the team of a request with a claim.
+// decideTeam returns the team of a request with a claim, or the response that refuses it.
 func (h *Handler) decideTeam(v *routing.Version, r *routing.Route, claimed claim) (*routing.Team, *problem) {
 	if r.Public || !v.HasTeams() {
 		return nil, nil
