--- a/node/connection/link/chunk.go
+++ b/node/connection/link/chunk.go
@@ -18,7 +18,7 @@
 const (
 	// chunkBytes is the length of an encoded frame above which it is sent in pieces, and the length of the pieces.
 	chunkBytes = 16 << 10
-	// maxInterleaved bounds the large frames of a link of which some pieces are sent and some not.
+	// maxInterleaved bounds the large frames that are partly sent on a link at the same time.
 	maxInterleaved = 32
 	// frameChunkField and the chunk fields are field numbers in link.proto.
 	frameChunkField = 21
@@ -27,7 +27,7 @@
 	chunkTotalField = 3
 )
 
-// errStopped reports a frame of which the sender has not sent all pieces, since nobody waits for it. The link stays open.
+// errStopped reports a frame that was not sent, or not all of its pieces, because nobody waits for it. The link stays open.
 var errStopped = errors.New("sending stopped")
 
 // largeFrame is an encoded frame: the concatenation of head and body. The body is that of the message and not copied.
@@ -61,8 +61,8 @@
 	return nil, 0, 0
 }
 
-// encodeLarge encodes a frame with a large body without copying that: the message follows in two parts, of which the second one
-// holds the body only. Decoders merge the parts.
+// encodeLarge encodes a frame with a large body without copying the body. It encodes the message field twice, first without the body and
+// then with the body only; protobuf decoders merge the two.
 func encodeLarge(f *linkpb.Frame) (*largeFrame, error) {
 	body, bodyField, messageField := bodyOf(f)
 	rest := &linkpb.Frame{Stream: f.Stream, Version: f.Version, SentMs: f.SentMs, ProofAgeMs: f.ProofAgeMs}
@@ -96,12 +96,12 @@
 	return copied.Interface().(M)
 }
 
-// pieceOrder orders the pieces of the large frames of a connection. The frames share it in turn, and those of the same stream follow
-// each other. It is safe for concurrent use.
+// pieceOrder orders the pieces of the large frames of a connection. Frames of different streams send pieces in turn; frames of the same
+// stream are sent one after the other. It is safe for concurrent use.
 type pieceOrder struct {
-	// turn is held while a piece is written. Waiting senders of a channel receive it in their order.
+	// turn is held while a piece is written. It is a channel because waiting senders proceed in the order of their arrival.
 	turn chan struct{}
-	// admitted holds an element for each frame of which pieces are sent.
+	// admitted holds an element for each frame that is partly sent. Its capacity bounds their number.
 	admitted chan struct{}
 
 	mu      sync.Mutex
@@ -161,30 +161,39 @@
 	c.pieces.begin(l.stream)
 	defer c.pieces.end(l.stream)
 	for left > 0 {
-		from := l.size() - left
-		length := min(left, chunkBytes)
-		stopped := stop != nil && stop()
-		if stopped && from == 0 {
-			return errStopped
-		}
-		if stopped {
-			length = 0
-		}
-		if err := c.writePiece(l, from, length, stopped || length == left); err != nil {
-			if length < left && !errors.Is(err, ErrClosed) {
-				err = fmt.Errorf("%w: %w", ErrClosed, err)
-			}
+		sent, err := c.writeNextPiece(l, left, stop != nil && stop())
+		if err != nil {
 			return err
 		}
-		if stopped {
-			return errStopped
-		}
-		left -= length
-		c.egress.waiting.Add(-int64(length))
+		left -= sent
+		c.egress.waiting.Add(-int64(sent))
 	}
 	return nil
 }
 
+// writeNextPiece sends the next piece of a frame of which the given number of bytes is left, and returns the length of the piece. If the
+// frame is stopped, it sends an empty last piece, unless none was sent before, and returns errStopped.
+func (c *framedConn) writeNextPiece(l *largeFrame, left int, stopped bool) (int, error) {
+	from := l.size() - left
+	length := min(left, chunkBytes)
+	if stopped && from == 0 {
+		return 0, errStopped
+	}
+	if stopped {
+		length = 0
+	}
+	if err := c.writePiece(l, from, length, stopped || length == left); err != nil {
+		if length < left && !errors.Is(err, ErrClosed) {
+			err = fmt.Errorf("%w: %w", ErrClosed, err)
+		}
+		return 0, err
+	}
+	if stopped {
+		return 0, errStopped
+	}
+	return length, nil
+}
+
 // writePiece sends a piece of a frame when it is the turn of that frame. The last piece of a frame that is not complete makes the
 // other node drop it.
 func (c *framedConn) writePiece(l *largeFrame, from, length int, last bool) error {
@@ -209,8 +218,8 @@
 	c.wholeWaiting.Add(-1)
 }
 
-// lockForPiece locks the connection for a piece, after the frames that wait to be sent whole. A mutex alone could be locked again before
-// they wake up.
+// lockForPiece locks the connection for a piece, after the frames that wait to be sent whole. With the
+// mutex alone, the writer of pieces could lock it again before they wake up.
 func (c *framedConn) lockForPiece() {
 	c.mu.Lock()
 	for c.wholeWaiting.Load() > 0 {
--- a/node/connection/link/chunk_test.go
+++ b/node/connection/link/chunk_test.go
@@ -161,8 +161,8 @@
 		frames []*linkpb.Frame
 		want   error
 	}{
-		"a piece without a first one":     {[]*linkpb.Frame{later(1, false)}, errChunkUnlimited},
-		"two first pieces":                {[]*linkpb.Frame{first(1, 100), first(1, 100)}, errChunkUnlimited},
+		"a piece without a first one":     {[]*linkpb.Frame{later(1, false)}, errChunkTotal},
+		"two first pieces":                {[]*linkpb.Frame{first(1, 100), first(1, 100)}, errChunkTotal},
 		"more bytes than announced":       {[]*linkpb.Frame{first(1, 3), later(1, true)}, errChunkOverrun},
 		"too many frames at once":         {tooMany, errTooManyFrames},
 		"no memory for the link's frames": {[]*linkpb.Frame{first(0, testBudget+1)}, membudget.ErrExhausted},
--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -61,7 +61,7 @@
 	lastReceived atomic.Int64
 	pingSent     atomic.Int64
 	done         chan struct{}
-	asked        questions
+	pings        pendingPings
 }
 
 // dial opens a link to the node of a session and sends hello.
@@ -135,9 +135,9 @@
 	}
 }
 
-// ping sends a ping.
+// ping sends a ping unless too many are unanswered.
 func (c *Client) ping() {
-	if c.asked.push(boottime.Now()) {
+	if c.pings.push(boottime.Now()) {
 		c.conn.writeOrClose(&linkpb.Frame{Body: &linkpb.Frame_Ping{Ping: &linkpb.Ping{}}})
 	}
 }
@@ -182,9 +182,9 @@
 	case *linkpb.Frame_Routing:
 		c.events.Routing(body.Routing.Document)
 	case *linkpb.Frame_Pong:
-		if asked, ok := c.asked.pop(); ok {
-			c.session.roundTrip.observe(boottime.Now() - asked)
-			c.events.handleProof(f.Frame, asked)
+		if sentAt, ok := c.pings.pop(); ok {
+			c.session.roundTrip.observe(boottime.Now() - sentAt)
+			c.events.handleProof(f.Frame, sentAt)
 		}
 	case *linkpb.Frame_Evacuations:
 		if reply := c.events.Evacuations.receive(c.session.address, body.Evacuations); reply != nil {
--- a/node/connection/link/drain.go
+++ b/node/connection/link/drain.go
@@ -10,7 +10,7 @@
 
 // Shutdown ends the links to this node without losing what was sent on them: it sends nothing more and waits until the other nodes have
 // read everything and closed the links, or ctx ends. Closing a connection at once would drop bytes in the buffers of the kernel when the
-// other node has sent something that was not read. It reports the number of links on which that did not happen.
+// other node has sent something that was not read. It returns the number of links that were not closed before ctx ended.
 func (s *Server) Shutdown(ctx context.Context) (undelivered int) {
 	links := s.openLinks()
 	var mu sync.Mutex
@@ -33,7 +33,7 @@
 	return undelivered
 }
 
-// endWriting sends the end of the connection behind what was written. It reports false if that is not possible.
+// endWriting closes the connection for writing; what was written is still sent. It reports false if that is not possible.
 func (c *framedConn) endWriting() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/connection/link/egress.go
+++ b/node/connection/link/egress.go
@@ -37,14 +37,15 @@
 	Log           Log
 }
 
-// Egress is what the links of this host have in common when they send. A nil Egress sends all frames whole. It is safe for concurrent
+// Egress is shared by the links of this host. It decides whether large frames are sent in pieces and counts the bytes that wait to be
+// written. A nil Egress sends all frames whole. It is safe for concurrent
 // use.
 type Egress struct {
 	config  EgressConfig
 	waiting atomic.Int64
-	// frames is the number of frames of which pieces were sent, and stopped that of those that were not sent whole.
+	// frames is the number of frames that were sent in pieces, and stopped the number of those whose sending ended before the last piece.
 	frames, stopped atomic.Int64
-	// logFailure logs the first socket option that fails, since the same option fails for each link.
+	// logFailure limits the log to the first socket option that fails, since the same option fails for each link.
 	logFailure sync.Once
 }
 
@@ -59,8 +60,8 @@
 	return max(e.waiting.Load(), 0)
 }
 
-// FramesInPieces returns the number of frames of which pieces were sent, and that of those which were not sent whole because nobody
-// waited for them any more or the link broke.
+// FramesInPieces returns the number of frames that were sent in pieces, and the number of those whose sending ended before the last
+// piece because nobody waited for them any more or the link broke.
 func (e *Egress) FramesInPieces() (frames, stopped int64) { return e.frames.Load(), e.stopped.Load() }
 
 // BytesPerSecond returns the speed of the host's link; 0 if unknown.
@@ -71,8 +72,8 @@
 	return e.config.BitsPerSecond() / 8
 }
 
-// Hold counts bytes that are sent on another connection than a link among those that wait, until release is called. Small frames and
-// those of a configuration without downloads are not counted.
+// Hold adds the bytes of a response to a caller to WaitingBytes until release is called. It does nothing for bytes of at most chunkBytes
+// or if large frames are sent whole.
 func (e *Egress) Hold(bytes int) (release func()) {
 	if bytes <= chunkBytes || !e.sendsChunks() {
 		return func() {}
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -83,7 +83,7 @@
 
 	// ending is set when nothing more is written.
 	ending atomic.Bool
-	// wholeWaiting is the number of frames that wait to be sent whole. They precede the pieces of others.
+	// wholeWaiting is the number of frames that wait to be sent whole. They are sent before the next piece.
 	wholeWaiting atomic.Int32
 
 	mu     sync.Mutex
@@ -123,7 +123,7 @@
 	return c.writeLarge(large, stop)
 }
 
-// writeWhole sends a frame at once. It returns one that must be sent in pieces instead.
+// writeWhole sends a frame whole. If the encoded frame must be sent in pieces, it sends nothing and returns it.
 func (c *framedConn) writeWhole(f *linkpb.Frame) (*largeFrame, error) {
 	c.lockForWhole()
 	defer c.mu.Unlock()
@@ -167,7 +167,7 @@
 
 func (e *noMemoryError) Error() string { return "no memory for a frame" }
 
-// read returns the next frame and the reservation of its memory; one that is sent in pieces when all have arrived. It fails on a frame
+// read returns the next frame and the reservation of its memory. A frame in pieces is returned when all have arrived. It fails on a frame
 // that is longer than maxFrameBytes or cannot be decoded, and with a *noMemoryError on one that finds no memory.
 func (c *framedConn) read() (*linkpb.Frame, *membudget.Reservation, error) {
 	f, memory, err := c.readWhole()
--- a/node/connection/link/proof_test.go
+++ b/node/connection/link/proof_test.go
@@ -51,7 +51,7 @@
 }
 
 // Guards against proofs that are taken for younger than they are because the time in the network does not count, and against answers
-// that are attributed to later questions.
+// that are attributed to later pings.
 func TestProofAgesCountFromTheQuestion(t *testing.T) {
 	const delay, age = 100 * time.Millisecond, 50 * time.Millisecond
 	type proof struct {
--- a/node/connection/link/reassembly.go
+++ b/node/connection/link/reassembly.go
@@ -8,16 +8,16 @@
 	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
-// maxInitialBytes is the length up to which the buffer of an arriving frame has its final size at once. The length of a longer one is
-// only a claim of the other node.
+// maxInitialBytes is the length up to which the buffer of an arriving frame has its final size at once. The buffer of a
+// longer one grows with the data, so the other node cannot cause a large allocation by stating a length.
 const maxInitialBytes = 1 << 20
 
 // Violations of the protocol, which end the link.
 var (
-	errTooManyFrames  = fmt.Errorf("more than %d frames in pieces at once", maxInterleaved)
-	errChunkUnlimited = errors.New("first piece without the length of the frame, or a later one with it")
-	errChunkOverrun   = errors.New("pieces are longer than the frame")
-	errChunkContent   = errors.New("frame in pieces is itself a piece or has another stream")
+	errTooManyFrames = fmt.Errorf("more than %d frames in pieces at once", maxInterleaved)
+	errChunkTotal    = errors.New("first piece without the length of the frame, or a later one with it")
+	errChunkOverrun  = errors.New("pieces are longer than the frame")
+	errChunkContent  = errors.New("frame in pieces is itself a piece or has another stream")
 )
 
 // reassembly joins the pieces of the frames that arrive on a connection. It is not safe for concurrent use.
@@ -32,7 +32,7 @@
 	received int
 	encoded  []byte
 	memory   *membudget.Reservation
-	// dropped is set if there was no memory for the frame.
+	// dropped is set if there was no memory for the frame. Its further pieces are counted and discarded.
 	dropped bool
 }
 
@@ -41,7 +41,7 @@
 func (r *reassembly) add(stream uint64, piece *linkpb.Chunk) (*linkpb.Frame, *membudget.Reservation, error) {
 	p := r.frames[stream]
 	if (p == nil) != (piece.TotalBytes > 0) {
-		return nil, nil, errChunkUnlimited
+		return nil, nil, errChunkTotal
 	}
 	if p == nil {
 		var err error
@@ -96,7 +96,7 @@
 	return p, nil
 }
 
-// release returns the memory of the frames that are not complete.
+// release drops the incomplete frames and releases their memory.
 func (r *reassembly) release() {
 	for _, p := range r.frames {
 		p.memory.Release()
--- a/node/connection/link/roundtrip.go
+++ b/node/connection/link/roundtrip.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// roundTripRise is the part by which the estimate of a round trip approaches a longer one.
+// roundTripRise is the weight of a measured round trip that is longer than the estimate.
 const roundTripRise = 0.05
 
-// roundTrip estimates the round-trip time of a link without queues: it follows shorter times at once and longer ones slowly. It is safe
+// roundTrip estimates the round-trip time of a link without the time in queues: it follows shorter times at once and longer ones slowly. It is safe
 // for concurrent use.
 type roundTrip struct {
 	mu       sync.Mutex
--- a/node/connection/link/server.go
+++ b/node/connection/link/server.go
@@ -313,7 +313,7 @@
 func (l *serverLink) withVersion(f *linkpb.Frame) *linkpb.Frame {
 	version := l.server.handler.LocalVersion()
 	stamped := &linkpb.Frame{Stream: f.Stream, Version: version, Body: f.Body}
-	if answersQuestion(f) {
+	if isReply(f) {
 		stamped.ProofAgeMs = l.server.handler.ProofAge(version)
 	}
 	return stamped
--- a/node/connection/link/session.go
+++ b/node/connection/link/session.go
@@ -201,7 +201,7 @@
 }
 
 // cancel cancels a call whose context has ended. If the call is not idempotent and its deadline has passed, it waits for the other node to
-// refuse the call, and returns the refusal. An answer is as late as none.
+// refuse the call, and returns the refusal. An answer that arrives now is dropped, since it is too late.
 func (s *Session) cancel(ctx context.Context, stream uint64, c *call, message *linkpb.Call) (*Result, error) {
 	s.sendCancel(stream)
 	if message.Idempotent || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
