--- a/api/explain/explain.go
+++ b/api/explain/explain.go
@@ -1,5 +1,5 @@
-// Package explain defines the JSON types of GET and POST /explain on the metrics address of a node of the users' platform: where a
-// request would go now, and why.
+// Package explain defines the JSON types of GET and POST /explain on the metrics address of a node of the users' platform. The answer
+// says where a request would go now, and why.
 package explain
 
 // Path is the path on the node's metrics address.
@@ -57,7 +57,7 @@
 	Cause  string `json:"cause,omitempty"`
 	// RetryAfterMs is the smallest Retry-After time of the refusal, before jitter; 0 if there is none.
 	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
-	// Service, Server and Place are those of the server that would get the request, and Away whether that is another place.
+	// Service, Server and Place are those of the server that would get the request. Away is set if it is in another place than the node.
 	Service string `json:"service,omitempty"`
 	Server  string `json:"server,omitempty"`
 	Place   string `json:"place,omitempty"`
@@ -70,17 +70,17 @@
 	Required bool   `json:"required"`
 	Given    string `json:"given"`
 	Team     string `json:"team,omitempty"`
-	// Status and Cause are those of a refusal for the identity; 0 without one.
+	// Status and Cause are those of a refusal because of the team or key; Status is 0 without one.
 	Status int    `json:"status,omitempty"`
 	Cause  string `json:"cause,omitempty"`
 }
 
 // Lease is the proof that the version is the newest one.
 type Lease struct {
-	// Required is set if the node fails closed.
+	// Required is set if the node refuses keys without a recent proof (the setting failClosed).
 	Required bool `json:"required"`
 	Held     bool `json:"held"`
-	// AgeMs is the age of the newest proof, or -1 without one; LimitMs is the time from which a key that was taken away must not work.
+	// AgeMs is the age of the newest proof, or -1 without one. LimitMs is the time within which a revoked key must stop working.
 	AgeMs   int64 `json:"ageMs"`
 	LimitMs int64 `json:"limitMs,omitempty"`
 }
@@ -128,7 +128,7 @@
 const (
 	// RulePenalty prefers the place while its best estimate meets the objective, or exceeds the best one by at most the transfer penalty.
 	RulePenalty = "this place, while its estimate meets the objective or exceeds the best one by at most the transfer penalty"
-	// RuleShare draws the calls that leave at random.
+	// RuleShare selects the calls that leave the place at random, in the proportion of the shares.
 	RuleShare = "this place, except for the share of the calls that leaves it"
 )
 
@@ -137,8 +137,8 @@
 	Rule string `json:"rule"`
 	// TransferPenaltyMs is that of RulePenalty.
 	TransferPenaltyMs float64 `json:"transferPenaltyMs,omitempty"`
-	// LeavingShares is the share of such calls that leaves for each other place, with RuleShare. The explanation assumes that a call leaves
-	// if more than half of them do.
+	// LeavingShares is the share of calls like this one that leaves for each other place, with RuleShare. The explanation assumes that a
+	// call leaves if more than half of them do.
 	LeavingShares map[string]float64 `json:"leavingShares,omitempty"`
 }
 
@@ -150,7 +150,7 @@
 	Chosen bool   `json:"chosen,omitempty"`
 	// Unusable says why the server is no candidate; the following fields are then empty.
 	Unusable string `json:"unusable,omitempty"`
-	// Evacuated, Suspect and ColdMs are flags of the server; ColdMs is the rest of the time for which it is cold.
+	// Evacuated and Suspect are flags of the server. ColdMs is the time for which it stays cold; 0 if it is not cold.
 	Evacuated bool    `json:"evacuated,omitempty"`
 	Suspect   bool    `json:"suspect,omitempty"`
 	ColdMs    int64   `json:"coldMs,omitempty"`
--- a/ctl/explain/explain.go
+++ b/ctl/explain/explain.go
@@ -99,8 +99,8 @@
 	return key, nil
 }
 
-// endpointOf returns the URL of the explanation. The metrics address has no TLS, so that a key leaves the host only if the address
-// states http.
+// endpointOf returns the URL of the explanation. The metrics address has no TLS, so a key is sent to another host only if the address
+// explicitly starts with http://.
 func endpointOf(env *cli.Env, withKey bool) (string, error) {
 	address := env.Node
 	if !strings.Contains(address, "://") && !withKey {
@@ -117,7 +117,7 @@
 	return endpoint + api.Path, nil
 }
 
-// ask sends the request and returns the explanation.
+// ask sends the request and returns the explanation as JSON.
 func ask(ctx context.Context, env *cli.Env, endpoint string, r api.Request) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
--- a/ctl/explain/explain_test.go
+++ b/ctl/explain/explain_test.go
@@ -75,7 +75,7 @@
 		code      int
 		want      string
 	}{
-		"text":                     {address, "", []string{"--host", "h", "--path", "/p"}, cli.ExitOK, "sent away: to server i-1 of service quotes in place south"},
+		"text":                     {address, "", []string{"--host", "h", "--path", "/p"}, cli.ExitOK, "sent to another place: to server i-1 of service quotes in place south"},
 		"candidates":               {address, "", []string{"--host", "h", "--path", "/p"}, cli.ExitOK, "unusable: leaving"},
 		"terms":                    {address, "", []string{"--host", "h", "--path", "/p"}, cli.ExitOK, "work 7, wait 2.5, no room"},
 		"json":                     {address, "", []string{"--host", "h", "--path", "/p", "--json"}, cli.ExitOK, `"result": "sent"`},
--- a/ctl/explain/print.go
+++ b/ctl/explain/print.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,7 +16,7 @@
 func Print(env *cli.Env, a *api.Answer) error {
 	env.Printlnf("%s", outcomeText(a.Outcome))
 	if a.Outcome.Result == api.ResultRefused && a.Route != nil {
-		env.Printlnf("what follows the refusal is what would happen to the request without it")
+		env.Printlnf("the following shows what would happen to the request without the refusal")
 	}
 	env.Printlnf("node %s in place %s, routing version %d", a.Node, a.Place, a.Version)
 	env.Printlnf("identity: %s", identityText(a.Identity))
@@ -44,6 +45,7 @@
 	return nil
 }
 
+// printCandidates writes the servers as a table; the chosen one is marked.
 func printCandidates(env *cli.Env, candidates []api.Candidate) error {
 	var rows [][]string
 	for _, c := range candidates {
@@ -56,8 +58,8 @@
 			rows = append(rows, append(row, "-", "-", "-", "unusable: "+c.Unusable))
 			continue
 		}
-		rows = append(rows, append(row, fmt.Sprintf("%g ms", c.EstimateMs), fmt.Sprintf("%d+%d of %d, queued %d", c.InProgress, c.SentSince, c.Limit, c.Queued),
-			ageText(c.ReportAgeMs), termsText(c)))
+		busy := fmt.Sprintf("%d+%d of %d, queued %d", c.InProgress, c.SentSince, c.Limit, c.Queued)
+		rows = append(rows, append(row, fmt.Sprintf("%g ms", c.EstimateMs), busy, ageText(c.ReportAgeMs), termsText(c)))
 	}
 	if len(rows) == 0 {
 		return nil
@@ -69,9 +71,9 @@
 func outcomeText(o api.Outcome) string {
 	switch {
 	case o.Result == api.ResultSent && o.Away:
-		return fmt.Sprintf("sent away: to server %s of service %s in place %s", o.Server, o.Service, o.Place)
+		return fmt.Sprintf("sent to another place: to server %s of service %s in place %s", o.Server, o.Service, o.Place)
 	case o.Result == api.ResultSent:
-		return fmt.Sprintf("served at home: by server %s of service %s in place %s", o.Server, o.Service, o.Place)
+		return fmt.Sprintf("sent within the place: to server %s of service %s in place %s", o.Server, o.Service, o.Place)
 	}
 	text := fmt.Sprintf("%s: %d, %s", o.Result, o.Status, o.Cause)
 	if o.RetryAfterMs > 0 {
@@ -141,13 +143,7 @@
 // termsText returns the parts of an estimate, the largest first, and the flags of the server.
 func termsText(c api.Candidate) string {
 	names := slices.SortedFunc(maps.Keys(c.Terms), func(a, b string) int {
-		if c.Terms[a] != c.Terms[b] {
-			if c.Terms[a] > c.Terms[b] {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a, b)
+		return cmp.Or(cmp.Compare(c.Terms[b], c.Terms[a]), strings.Compare(a, b))
 	})
 	var texts []string
 	for _, name := range names {
@@ -177,15 +173,15 @@
 
 func redirectText(ms float64) string {
 	if ms == 0 {
-		return "not redirected, since there is no other server"
+		return "not redirected, because there is no other server"
 	}
-	return fmt.Sprintf("redirected from a wait of %g ms", ms)
+	return fmt.Sprintf("redirected if the wait exceeds %g ms", ms)
 }
 
 // rankBits is the number of bits of each part of a rank.
 const rankBits = 16
 
-// rankText returns a rank, with the team's part before the route's if there is one.
+// rankText returns a rank. With a team, the rank of the team precedes that of the route.
 func rankText(rank uint32, i api.Identity) string {
 	team, route := rank>>rankBits, rank&(1<<rankBits-1)
 	if team == 0 && i.Team == "" {
