--- a/node/connection/link/chunk_test.go
+++ b/node/connection/link/chunk_test.go
@@ -314,7 +314,7 @@
 	}
 }
 
-// discardConn is a connection whose writes cost nothing.
+// discardConn is a connection that discards what is written.
 type discardConn struct{ net.Conn }
 
 func (discardConn) Write(p []byte) (int, error)      { return len(p), nil }
--- a/node/connection/link/evacuations_test.go
+++ b/node/connection/link/evacuations_test.go
@@ -23,8 +23,8 @@
 	}, received
 }
 
-// Guards against a node that does not hear of an evacuation, whichever node opens the link, against frames from a node that holds no
-// set, and against two nodes that answer each other without end.
+// Guards against a node that does not receive an evacuation, whichever node opens the link, against frames from a node that has no
+// set, and against two nodes that reply to each other without end.
 func TestBothEndsOfANewLinkSendTheirEvacuations(t *testing.T) {
 	older, newer := &linkpb.Evacuations{Revision: 1, Places: []string{"north"}}, &linkpb.Evacuations{Revision: 2}
 	cases := map[string]struct {
--- a/node/connection/link/link_test.go
+++ b/node/connection/link/link_test.go
@@ -161,8 +161,8 @@
 	<-h.cancelled
 }
 
-// Guards against a call that reached no server and whose caller is told that it may have run, and against callers that are held for
-// longer than the confirmation may take, or for a call that they may repeat.
+// Guards against a response that says a call may have run although it reached no server, and against callers that wait for longer than
+// ConfirmationTimeout, or wait for a call that they may repeat.
 func TestCancelledCallIsConfirmedAfterItsDeadline(t *testing.T) {
 	_, _, client, _ := start(t)
 	do := func(call *linkpb.Call) (*link.Result, time.Duration, error) {
--- a/node/connection/link/proof_test.go
+++ b/node/connection/link/proof_test.go
@@ -50,9 +50,9 @@
 	}
 }
 
-// Guards against proofs that are taken for younger than they are because the time in the network does not count, and against answers
+// Guards against proofs that are considered younger than they are because the time in the network is not counted, and against answers
 // that are attributed to later pings.
-func TestProofAgesCountFromTheQuestion(t *testing.T) {
+func TestProofAgesCountFromThePing(t *testing.T) {
 	const delay, age = 100 * time.Millisecond, 50 * time.Millisecond
 	type proof struct {
 		version uint64
--- a/node/request/front/drain_test.go
+++ b/node/request/front/drain_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// Guards against requests that end without a response because the process ends, and against ended requests that look as if their callers
-// had left, so that nobody confirms that they have not started.
+// Guards against requests that end without a response because the process ends, and against ended requests that are handled like those
+// whose callers have left, for which no confirmation is awaited.
 func TestEndedRequestsLookLateAndNotAbandoned(t *testing.T) {
 	o := newOpenRequests()
 	caller, leave := context.WithCancel(t.Context())
--- a/node/request/front/quota_test.go
+++ b/node/request/front/quota_test.go
@@ -29,8 +29,8 @@
 	return nil, q.err
 }
 
-// Guards against a request below the quota that is told that it is above it, against callers that return at the same time, and against tokens
-// that are taken for public routes and nested calls.
+// Guards against status 429 for a request below the quota, against callers that retry at the same time, and against tokens that are taken
+// for public routes and nested calls.
 func TestQuotaDecidesTheStatusOfARequest(t *testing.T) {
 	team := &routing.Team{Name: "a"}
 	const wait = 700 * time.Millisecond
--- a/node/request/front/retryafter_test.go
+++ b/node/request/front/retryafter_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against callers that return before there is room or together, and against times that callers ignore.
+// Guards against callers that retry before there is room or together, and against times that callers ignore.
 func TestRetryAfterIsTheEarliestRoomSpreadWithinAThirdOfTheTimeLeft(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var room expectedRoom
--- a/node/request/front/team_test.go
+++ b/node/request/front/team_test.go
@@ -15,16 +15,16 @@
 	"github.com/radishstand/radishstand/node/version/routing"
 )
 
-// knowledge is a Freshness with fixed results.
-type knowledge struct{ newer, leased bool }
+// fixedFreshness is a Freshness with fixed results.
+type fixedFreshness struct{ newer, leased bool }
 
 // NewerKnown returns the fixed result.
-func (k knowledge) NewerKnown(uint64) bool { return k.newer }
+func (k fixedFreshness) NewerKnown(uint64) bool { return k.newer }
 
 // Leased returns the fixed result.
-func (k knowledge) Leased(uint64) bool { return k.leased }
+func (k fixedFreshness) Leased(uint64) bool { return k.leased }
 
-func newTeamHandler(t *testing.T, known knowledge) *Handler {
+func newTeamHandler(t *testing.T, known fixedFreshness) *Handler {
 	t.Helper()
 	split, err := routing.NewSplit(routing.Part{Service: "quotes", Weight: 1})
 	require.NoError(t, err)
@@ -62,9 +62,9 @@
 // Guards against a final 401 for a key that a newer version may hold, against a revoked key that a node without a lease takes, and
 // against pipelined requests without a key that are handled as repeatable.
 func TestKeysAreDecidedOnlyByACurrentVersion(t *testing.T) {
-	current, newer, unleased := knowledge{leased: true}, knowledge{leased: true, newer: true}, knowledge{}
+	current, newer, unleased := fixedFreshness{leased: true}, fixedFreshness{leased: true, newer: true}, fixedFreshness{}
 	cases := map[string]struct {
-		known  knowledge
+		known  fixedFreshness
 		path   string
 		lines  []string
 		status int // 0 if the request is accepted
@@ -101,7 +101,7 @@
 // Guards against nested calls without the team and rank of their parent, against outer calls that get them, and against keys in a
 // call's frame.
 func TestCallsCarryTheirTeamOrThatOfTheirParent(t *testing.T) {
-	h := newTeamHandler(t, knowledge{leased: true})
+	h := newTeamHandler(t, fixedFreshness{leased: true})
 	message := func(path, id string, lines ...string) *call {
 		a, failed := h.acceptHead(parse(t, path, id, lines...), time.Now())
 		require.Nil(t, failed)
