--- a/node/connection/backend/client.go
+++ b/node/connection/backend/client.go
@@ -95,21 +95,15 @@
 		return nil, &attempt.Broken{Kind: attempt.KindFromContext(ctx), Cause: err}
 	}
 	if !validStatus(response.StatusCode) {
-		tracker.close()
-		_ = response.Body.Close()
-		return nil, &attempt.Broken{Kind: attempt.KindBroken, Cause: ErrStatus}
+		return nil, reject(response, tracker, attempt.KindBroken, ErrStatus)
 	}
 	if unframed(request.Method, response) {
-		tracker.close()
-		_ = response.Body.Close()
-		return nil, &attempt.Broken{Kind: attempt.KindTruncated, Cause: ErrUnframed}
+		return nil, reject(response, tracker, attempt.KindTruncated, ErrUnframed)
 	}
 	id := response.Header.Get(contract.HeaderContext)
 	anonymousFailure := id == "" && response.StatusCode >= http.StatusBadRequest
 	if id != "" && id != r.AttemptID || anonymousFailure && tracker.recordAnonymousFailure() {
-		tracker.close()
-		_ = response.Body.Close()
-		return nil, &attempt.Broken{Kind: attempt.KindBroken, Cause: ErrForeignAnswer}
+		return nil, reject(response, tracker, attempt.KindBroken, ErrForeignAnswer)
 	}
 	response.Header.Del(contract.HeaderContext)
 	rest := response.Body
@@ -124,6 +118,13 @@
 	}, nil
 }
 
+// reject closes the connection of an invalid answer and returns the error for it.
+func reject(response *http.Response, tracker *connTracker, kind attempt.Kind, cause error) *attempt.Broken {
+	tracker.close()
+	_ = response.Body.Close()
+	return &attempt.Broken{Kind: kind, Cause: cause}
+}
+
 // lastBody is the body of the last answer on its connection, which is closed with it.
 type lastBody struct {
 	io.ReadCloser
--- a/node/connection/ingress/connection.go
+++ b/node/connection/ingress/connection.go
@@ -378,7 +378,8 @@
 	return c.closeSent && !c.broken
 }
 
-// linger announces the end of the connection and discards what the caller still sends, until the responses have arrived.
+// linger closes the connection for writing and discards what the caller still sends, until the caller's host has acknowledged the
+// responses, the connection ends, or maxDeliveryTime or maxDiscardedBytes is reached.
 func (c *connection) linger() {
 	_ = c.conn.CloseWrite()
 	for started := time.Now(); time.Since(started) < maxDeliveryTime; {
