--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -59,6 +59,9 @@
 	lateRefusals int
 	// hasDownloads is set if transfer times count in the choice of a server.
 	hasDownloads bool
+	// seeksRoom is set if further servers are asked after one has refused to queue the call, and if Retry-After stays within what callers
+	// wait for. Without teams and downloads both cost more calls their objective than they save.
+	seeksRoom bool
 	// room is the basis of the Retry-After time.
 	room expectedRoom
 	// mayHaveRun is set when an attempt ended without confirmation that it has not run.
@@ -87,6 +90,7 @@
 		handler: h, team: a.team, route: a.route, arrived: arrived.at,
 		objective: arrived.at.Add(a.route.Objective), deadline: arrived.at.Add(a.timeout),
 		timeout: a.timeout, arrivedBoot: arrived.boot, hasDownloads: a.version.HasDownloads(),
+		seeksRoom: a.version.HasTeams() || a.version.HasDownloads(),
 		message: &linkpb.Call{
 			Method: r.Method, Target: a.target.Raw, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header),
 			Rank: a.version.RankOf(a.route, a.team), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
@@ -159,7 +163,7 @@
 
 // mayAskFurther reports whether another server may be asked after servers have refused to queue the call.
 func (c *call) mayAskFurther() bool {
-	return c.lateRefusals <= maxFurtherServers && c.hasTimeForAttempt()
+	return c.seeksRoom && c.lateRefusals <= maxFurtherServers && c.hasTimeForAttempt()
 }
 
 // causeWithoutServer returns the cause of the refusal of a call when no server is left for it.
@@ -223,10 +227,19 @@
 		return &result{status: http.StatusBadGateway, cause: cause}
 	}
 	return &result{
-		status: http.StatusServiceUnavailable, cause: cause, retryAfter: c.room.retryAfter(time.Until(c.deadline), rand.Float64()),
+		status: http.StatusServiceUnavailable, cause: cause, retryAfter: c.retryAfter(),
 	}
 }
 
+// retryAfter returns the Retry-After time of a refused call.
+func (c *call) retryAfter() time.Duration {
+	left := time.Duration(0)
+	if c.seeksRoom {
+		left = time.Until(c.deadline)
+	}
+	return c.room.retryAfter(left, rand.Float64())
+}
+
 // timedOut returns the result of a call at its deadline: 503 if each attempt is known not to have run.
 func (c *call) timedOut(server *peers.Server) *result {
 	if !c.mayHaveRun {
