--- a/node/process/sidecar/freshness.go
+++ b/node/process/sidecar/freshness.go
@@ -155,6 +155,9 @@
 		sleep(ctx, step.Wait)
 	}
 	f.running.Store(false)
+	if ctx.Err() != nil {
+		return
+	}
 	f.start(ctx) // the configuration may have changed in between
 }
 
--- a/node/process/sidecar/freshness_test.go
+++ b/node/process/sidecar/freshness_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"errors"
 	"math"
 	"strconv"
@@ -94,3 +95,16 @@
 	assert.Zero(t, f.proofAge(2))
 	assert.True(t, f.Leased(2))
 }
+
+// Guards against a loop that starts itself again without end after the node has ended.
+func TestLoopForProofsEndsWithTheNode(t *testing.T) {
+	f := newLease(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	f.running.Store(true)
+	f.run(ctx)
+	for range 1000 {
+		assert.False(t, f.running.Load())
+		time.Sleep(10 * time.Microsecond)
+	}
+}
