exchange: refuse an answer without a length whose connection was reset

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: a socket reports its error to one system call only. A body above 32 KiB is written by a goroutine of its own. When its write took the reset (ECONNRESET), the read that followed returned 0 bytes, which stands for the end of the stream, and for an answer that only the end of the connection delimits that was taken for the orderly end.

Change: when an answer without a length has ended, the connection, which is not used again, is closed and the result of the write is awaited. An error that the write has taken makes the answer broken. net.ErrClosed means that the write was still in progress, so it took no error; EPIPE that the reset came behind the end of the stream.

TestAnswerWithoutLengthMayEndBeforeTheBodyIsRead holds that an orderly end still counts.

--- a/node/connection/backend/client_test.go
+++ b/node/connection/backend/client_test.go
@@ -24,6 +24,17 @@
 // startRaw starts a server that answers the n-th request of each connection, beginning with 1, with reply, until
 // that returns an error. It returns the server's address.
 func startRaw(t *testing.T, reply func(n int, r *http.Request, conn net.Conn) error) string {
+	t.Helper()
+	return startUnread(t, func(n int, r *http.Request, conn net.Conn) error {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return err
+		}
+		return reply(n, r, conn)
+	})
+}
+
+// startUnread is like startRaw, but does not read the bodies of requests.
+func startUnread(t *testing.T, reply func(n int, r *http.Request, conn net.Conn) error) string {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -42,7 +53,7 @@
 					if err != nil {
 						return
 					}
-					if _, err := io.Copy(io.Discard, r.Body); err != nil || reply(n, r, conn) != nil {
+					if reply(n, r, conn) != nil {
 						return
 					}
 				}
@@ -206,6 +217,26 @@
 	}
 }
 
+// Guards against a part of an answer that is taken for the whole one: the answer has no length, and the server resets the connection
+// while the body of the request is still being written.
+func TestAnswerWithoutLengthOnAResetConnectionIsBroken(t *testing.T) {
+	address := startUnread(t, func(_ int, _ *http.Request, conn net.Conn) error {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: a\r\n\r\npart of the bo", contract.HeaderContext)
+		time.Sleep(5 * time.Millisecond) // the client has read the part
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return io.EOF
+	})
+	client := backend.New(address, 1)
+	t.Cleanup(client.Close)
+	for range 10 {
+		upload := request("a")
+		upload.Body = make([]byte, 8<<20)
+		_, err := client.Send(t.Context(), upload)
+		var broken *attempt.Broken
+		require.ErrorAs(t, err, &broken)
+	}
+}
+
 // Guards against a status line that is no valid answer reaching a caller as one: net/http takes 000 for the status 0 and 600 for a
 // status, although neither is in the range of HTTP.
 func TestInvalidStatusIsBroken(t *testing.T) {
--- a/node/connection/exchange/answer.go
+++ b/node/connection/exchange/answer.go
@@ -39,6 +39,8 @@
 	body   []byte
 	// mustClose is set when the connection cannot be used for another request.
 	mustClose bool
+	// endsWithConnection is set when only the end of the connection marks that of the body.
+	endsWithConnection bool
 	// idleTimeout is the time for which the connection may be kept unused.
 	idleTimeout time.Duration
 	// memory holds the share of the body in the memory budget.
@@ -134,7 +136,7 @@
 	case len(lengths) == 1:
 		return a.readLength(c, lengths[0])
 	default:
-		a.mustClose = true
+		a.mustClose, a.endsWithConnection = true, true
 		return a.readAll(c, c.reader)
 	}
 }
--- a/node/connection/exchange/exchange.go
+++ b/node/connection/exchange/exchange.go
@@ -186,15 +186,36 @@
 	} else {
 		go func() { written <- writeAll(conn, head, r.Body) }()
 	}
-	response, reusable, err = c.readMatchingAnswer(conn, r)
+	a, reusable, err := c.readMatchingAnswer(conn, r)
+	if err != nil {
+		return nil, false, err
+	}
+	if a.endsWithConnection {
+		if err := closeAndCheckEnd(conn, written); err != nil {
+			a.memory.Release()
+			return nil, false, err
+		}
+	}
+	response = &Response{Status: a.status, Header: a.header, Body: a.body, memory: a.memory}
 	select {
 	case writeErr := <-written:
-		return response, reusable && writeErr == nil, err
+		return response, reusable && writeErr == nil, nil
 	default:
 		// The server answered before it had read the whole body. The connection must be closed, or the server could parse the
 		// rest of the body as the next request.
-		return response, false, err
+		return response, false, nil
+	}
+}
+
+// closeAndCheckEnd closes a connection on which the end of the stream was read, and returns an error unless the server had ended it in
+// an orderly way. A socket reports its error only once: a write that takes it lets the read see the end of the stream.
+func closeAndCheckEnd(conn net.Conn, written <-chan error) error {
+	_ = conn.Close() // ends a write in progress with net.ErrClosed
+	err := <-written
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EPIPE) { // EPIPE: a reset after the orderly end
+		return nil
 	}
+	return err
 }
 
 func writeAll(conn net.Conn, parts ...[]byte) error {
@@ -229,7 +250,7 @@
 }
 
 // readMatchingAnswer reads answers until the one to the request and reports whether the connection can be reused.
-func (c *Client) readMatchingAnswer(conn *conn, r *Request) (*Response, bool, error) {
+func (c *Client) readMatchingAnswer(conn *conn, r *Request) (*answer, bool, error) {
 	for range maxAnswersRead {
 		a, err := readAnswer(conn, r.Method, c.memory)
 		if err != nil {
@@ -241,8 +262,7 @@
 			if r.ID != "" && a.status >= http.StatusMultipleChoices {
 				conn.addFailed(r.ID)
 			}
-			response := &Response{Status: a.status, Header: a.header, Body: a.body, memory: a.memory}
-			return response, !a.mustClose && conn.reader.Buffered() == 0, nil
+			return a, !a.mustClose && conn.reader.Buffered() == 0, nil
 		}
 		a.memory.Release()
 		if err != nil {
--- a/node/connection/exchange/exchange_test.go
+++ b/node/connection/exchange/exchange_test.go
@@ -78,6 +78,13 @@
 	return &exchange.Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{idHeader: {id}}, ID: id}
 }
 
+// longUpload returns a request whose body does not fit in the buffers of the sockets.
+func longUpload(id string) *exchange.Request {
+	upload := get(id)
+	upload.Method, upload.Body = http.MethodPost, make([]byte, 8<<20)
+	return upload
+}
+
 // status returns a complete answer with the given text for its status.
 func status(text string) string {
 	return "HTTP/1.1 " + text + " OK\r\nX-Id: a\r\nContent-Length: 1\r\n\r\nx"
@@ -220,9 +227,7 @@
 		return r.ContentLength == 0
 	})
 	client := s.client()
-	long := get("a")
-	long.Method, long.Body = http.MethodPost, make([]byte, 16<<20)
-	response, err := client.Do(context.Background(), long)
+	response, err := client.Do(context.Background(), longUpload("a"))
 	require.NoError(t, err)
 	assert.Equal(t, "early", string(response.Body))
 	_, err = client.Do(context.Background(), get("b"))
@@ -230,6 +235,50 @@
 	assert.EqualValues(t, 2, s.connections.Load())
 }
 
+// Guards against a part of an answer that is returned as the whole one: the answer has no length, and the server resets the connection
+// while the body of the request is still being written. The write then takes the error of the socket, and the read sees an orderly end.
+func TestAnswerWithoutLengthOnAResetConnectionIsBroken(t *testing.T) {
+	const attempts = 20 // either the write or the read takes the error
+	s := startRaw(t, func(_ int32, r *http.Request, conn net.Conn) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart of the bo", idHeader, r.Header.Get(idHeader))
+		time.Sleep(5 * time.Millisecond) // the client has read the part
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	client, upload := s.client(), longUpload("a")
+	for range attempts {
+		_, err := client.Do(context.Background(), upload)
+		var broken *exchange.BrokenError
+		require.ErrorAs(t, err, &broken)
+	}
+}
+
+// Guards against an answer that is refused although the server ended it in an orderly way before it had read the request's body.
+func TestAnswerWithoutLengthMayEndBeforeTheBodyIsRead(t *testing.T) {
+	for name, end := range map[string]func(conn *net.TCPConn){
+		"the rest is not read": func(*net.TCPConn) {},
+		"a reset follows":      func(conn *net.TCPConn) { _ = conn.SetLinger(0); _ = conn.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			upload := longUpload("a")
+			for range 10 {
+				answered := make(chan struct{})
+				s := startRaw(t, func(_ int32, r *http.Request, conn net.Conn) bool {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nbody", idHeader, r.Header.Get(idHeader))
+					_ = conn.(*net.TCPConn).CloseWrite()
+					end(conn.(*net.TCPConn))
+					<-answered
+					return false
+				})
+				response, err := s.client().Do(context.Background(), upload)
+				close(answered)
+				require.NoError(t, err)
+				assert.Equal(t, "body", string(response.Body))
+			}
+		})
+	}
+}
+
 // refused returns a server's refusal, with an id unless it is empty.
 func refused(id string) string {
 	line := ""
