exchange, backend: refuse an answer with a header name that is no token

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank or a control byte. The caller got it as an answer, with that line passed on, or with a body that was not the server's (MIXED).

Cause: both programs read heads with net/textproto (the product's through net/http), which takes blanks in names and keeps such a name as it stands. "Content-Length : 1" or "Transfer-Encoding : chunked" then does not count, so the body is read to another end. A line that begins with a blank or a tab is joined to the one before it.

Ruled out: control bytes, tabs and DEL within a name, empty names and control bytes in values are refused by net/textproto; their cases pass on the code before, in both programs. Requests of callers are checked already (ingress.checkHead).

Change: exchange reads header lines itself, also those of interim answers and trailers, and takes only names that are tokens and valid values. Folded lines are refused, as RFC 9112 (5.2) lets a gateway do. backend checks the names that net/http has read and closes the connection.

--- a/node/connection/backend/client.go
+++ b/node/connection/backend/client.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/radishstand/radishstand/api/contract"
 	"github.com/radishstand/radishstand/node/request/attempt"
 )
@@ -39,6 +41,9 @@
 // ErrStatus reports an answer whose status is outside the range of HTTP. net/http takes any three digits, 000 too.
 var ErrStatus = errors.New("backend: status is not between 100 and 599")
 
+// ErrHeaderName reports an answer with a header name that is no token. net/http takes blanks in names.
+var ErrHeaderName = errors.New("backend: invalid header name")
+
 // maxStatus is the highest status of HTTP.
 const maxStatus = 599
 
@@ -97,6 +102,9 @@
 	if !validStatus(response.StatusCode) {
 		return nil, reject(response, tracker, attempt.KindBroken, ErrStatus)
 	}
+	if !validNames(response.Header) {
+		return nil, reject(response, tracker, attempt.KindBroken, ErrHeaderName)
+	}
 	if unframed(request.Method, response) {
 		return nil, reject(response, tracker, attempt.KindTruncated, ErrUnframed)
 	}
@@ -184,6 +192,16 @@
 // validStatus reports whether a status is in the range of HTTP.
 func validStatus(status int) bool { return status >= http.StatusContinue && status <= maxStatus }
 
+// validNames reports whether all names of a header are tokens.
+func validNames(header http.Header) bool {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+	}
+	return true
+}
+
 // unframed reports whether the end of the answer is marked only by the close of the connection.
 func unframed(method string, r *http.Response) bool {
 	if method == http.MethodHead || r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified {
--- a/node/connection/backend/client_test.go
+++ b/node/connection/backend/client_test.go
@@ -254,3 +254,24 @@
 		})
 	}
 }
+
+// Guards against an answer with a header name that holds a blank or a control byte. net/http takes blanks in names, so that a length or
+// an encoding under such a name does not count and the body is not that of the server.
+func TestInvalidHeaderNameIsBroken(t *testing.T) {
+	for _, line := range []string{
+		"X Note: 1", "X-Note : 1", "X-Note\t: 1", "X\x01Note: 1", "X-Note\x00: 1", "X\x7fNote: 1", ": 1", "X-Note",
+		"Transfer-Encoding : chunked", "Transfer- Encoding: chunked",
+	} {
+		t.Run(strconv.Quote(line), func(t *testing.T) {
+			address := startRaw(t, func(_ int, _ *http.Request, conn net.Conn) error {
+				_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: a\r\n%s\r\nContent-Length: 2\r\n\r\nok", contract.HeaderContext, line)
+				return err
+			})
+			client := backend.New(address, 1)
+			t.Cleanup(client.Close)
+			_, err := client.Send(t.Context(), request("a"))
+			var broken *attempt.Broken
+			require.ErrorAs(t, err, &broken)
+		})
+	}
+}
--- a/node/connection/exchange/answer.go
+++ b/node/connection/exchange/answer.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
@@ -28,6 +30,7 @@
 // Errors of an answer that cannot be read. Their texts are sent to the entry node as the cause of a broken call.
 var (
 	errStatusLine = errors.New("malformed status line")
+	errHeaderLine = errors.New("malformed header line")
 	errFraming    = errors.New("ambiguous length of the body")
 	errTooLong    = errors.New("headers or trailer are longer than allowed")
 )
@@ -77,15 +80,34 @@
 	if err := a.parseStatus(line); err != nil {
 		return nil, err
 	}
-	header, err := reader.ReadMIMEHeader()
-	if err != nil {
+	if a.header, err = readHeader(reader); err != nil {
 		return nil, err
 	}
-	a.header = http.Header(header)
 	a.parseConnection()
 	return a, nil
 }
 
+// readHeader reads header lines and the empty line that ends them. Unlike ReadMIMEHeader, it refuses names that hold blanks, which other
+// recipients may take for names without them, and folded lines, which may be lines whose name begins with a blank.
+func readHeader(r *textproto.Reader) (http.Header, error) {
+	header := http.Header{}
+	for {
+		line, err := r.ReadLine()
+		if err != nil {
+			return nil, err
+		}
+		if line == "" {
+			return header, nil
+		}
+		name, value, found := strings.Cut(line, ":")
+		value = strings.Trim(value, " \t")
+		if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+			return nil, errHeaderLine
+		}
+		header.Add(name, value)
+	}
+}
+
 func (a *answer) parseStatus(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
 	major, minor, ok := http.ParseHTTPVersion(version)
@@ -162,7 +184,7 @@
 		return err
 	}
 	c.allowed = maxHeadBytes
-	_, err := textproto.NewReader(c.reader).ReadMIMEHeader() // the trailer and the empty line that ends it
+	_, err := readHeader(textproto.NewReader(c.reader)) // the trailer
 	return err
 }
 
--- a/node/connection/exchange/exchange_test.go
+++ b/node/connection/exchange/exchange_test.go
@@ -90,6 +90,11 @@
 	return "HTTP/1.1 " + text + " OK\r\nX-Id: a\r\nContent-Length: 1\r\n\r\nx"
 }
 
+// withLine returns a complete answer with another line in its head.
+func withLine(line string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: a\r\n" + line + "\r\nContent-Length: 1\r\n\r\nx"
+}
+
 // Guards against an incomplete or ambiguous answer, or one to another request, that is returned as a success.
 func TestIncompleteOrForeignAnswerIsBroken(t *testing.T) {
 	cases := map[string]string{
@@ -111,6 +116,24 @@
 		"a status behind two spaces":                     status(" 20"),
 		"no status":                                      status(""),
 		"the connection ends within the header":          "HTTP/1.1 200 OK\r\nX-Id: a\r\n",
+		"a blank within a name":                          withLine("X Note: 1"),
+		"a blank before the colon":                       withLine("X-Note : 1"),
+		"a blank before the name":                        withLine("X-Other: 1\r\n X-Note: 1"),
+		"a tab within a name":                            withLine("X\tNote: 1"),
+		"a tab before the colon":                         withLine("X-Note\t: 1"),
+		"a tab before the name":                          withLine("X-Other: 1\r\n\tX-Note: 1"),
+		"a control byte within a name":                   withLine("X\x01Note: 1"),
+		"a NUL before the colon":                         withLine("X-Note\x00: 1"),
+		"a bare CR within a name":                        withLine("X\rNote: 1"),
+		"a DEL within a name":                            withLine("X\x7fNote: 1"),
+		"a name of no characters":                        withLine(": 1"),
+		"a line without a colon":                         withLine("X-Note"),
+		"a control byte within a value":                  withLine("X-Note: \x01"),
+		"a length whose name ends with a blank":          "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length : 1\r\n\r\nxy",
+		"chunks whose header name ends with a blank":     "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding : chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+		"chunks whose header name holds a blank":         "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer- Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n",
+		"a blank in a name of an interim answer":         "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + ok("a", "x"),
+		"a blank in a name of the trailer":               "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Note: 1\r\n\r\n",
 		"a chunk whose size is not a hexadecimal number": "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
 	}
 	for name, bytes := range cases {
@@ -132,6 +155,7 @@
 		"a length":                           ok("a", "body"),
 		"chunks with a trailer":              "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\nT: 1\r\n\r\n",
 		"the orderly end of the connection":  "HTTP/1.0 200 OK\r\nX-Id: a\r\n\r\nbody",
+		"unusual names and values":           strings.Replace(ok("a", "body"), "\r\n", "\r\nx!#$%&'*+-.^_`|~9:\t caf\xe9 \t\r\nX-Empty:\r\n", 1),
 		"an interim answer before":           "HTTP/1.1 103 Early Hints\r\n\r\n" + ok("a", "body"),
 		"a late answer to another request":   ok("z", "late") + ok("a", "body"),
 		"bytes after the end of the answer":  ok("a", "body") + ok("a", "second"),
