measure: a health check with an invalid status fails

What happened: the product's program took a server whose health check was answered with the status 000 or 099 for a healthy one, and kept sending calls to it.

Cause: net/http takes any three digits for a status, and the check was passed by each status below 500. The body of such an answer could even state that the server is healthy.

The health check of the users' platform uses exchange and is not affected.

Change: package httpstatus says which statuses end a request, 200 to 599. A probe with another one returns an error, as one without an answer does.

--- a/node/process/measure/measure.go
+++ b/node/process/measure/measure.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/radishstand/radishstand/api/settings"
+	"github.com/radishstand/radishstand/node/internal/httpstatus"
 )
 
 const (
@@ -28,6 +29,9 @@
 // ErrBudget means that the budget does not allow a request now.
 var ErrBudget = errors.New("measure: request budget exhausted")
 
+// errStatus reports an answer whose status is none of HTTP.
+var errStatus = errors.New("measure: status is not between 200 and 599")
+
 // Report is the health and load that a server reports. It is only a hint, because a report may be late or wrong.
 type Report struct {
 	Healthy    bool      `json:"healthy"`
@@ -105,6 +109,9 @@
 		return Report{}, err
 	}
 	defer response.Body.Close()
+	if !httpstatus.IsFinal(response.StatusCode) {
+		return Report{}, errStatus
+	}
 	report := Report{Healthy: response.StatusCode < http.StatusInternalServerError, At: m.now()}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err == nil {
