backend, exchange: refuse an answer with the status 101

What callers saw: a server that answered with "101 Switching Protocols", which no request asks for. The product's program passed it on as the answer, and its caller was to take what follows for another protocol. exchange skipped it like other interim answers and read the bytes behind it as HTTP, although 101 ends HTTP on the connection.

Change: both use package httpstatus: 200 to 599 is final, 100 to 199 without 101 is interim, all else is broken.

Result, before and after: the case 101 of TestInvalidStatusIsBroken and "a switch to another protocol" of TestIncompleteOrForeignAnswerIsBroken failed and pass, and the other cases of both pass.

--- a/node/connection/backend/client.go
+++ b/node/connection/backend/client.go
@@ -18,6 +18,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"github.com/radishstand/radishstand/api/contract"
+	"github.com/radishstand/radishstand/node/internal/httpstatus"
 	"github.com/radishstand/radishstand/node/request/attempt"
 )
 
@@ -38,15 +39,12 @@
 // the same connection, or that it may be such a copy since neither of two failures on the connection carries an id.
 var ErrForeignAnswer = errors.New("backend: answer to another attempt")
 
-// ErrStatus reports an answer whose status is outside the range of HTTP. net/http takes any three digits, 000 too.
-var ErrStatus = errors.New("backend: status is not between 100 and 599")
+// ErrStatus reports an answer whose status is not one of a final answer. net/http takes any three digits, 000 too, and passes on 101.
+var ErrStatus = errors.New("backend: status is not between 200 and 599")
 
 // ErrHeaderName reports an answer with a header name that is no token. net/http takes blanks in names.
 var ErrHeaderName = errors.New("backend: invalid header name")
 
-// maxStatus is the highest status of HTTP.
-const maxStatus = 599
-
 // Client sends calls to one backend server. It is safe for concurrent use.
 type Client struct {
 	address   string
@@ -99,7 +97,7 @@
 		}
 		return nil, &attempt.Broken{Kind: attempt.KindFromContext(ctx), Cause: err}
 	}
-	if !validStatus(response.StatusCode) {
+	if !httpstatus.IsFinal(response.StatusCode) {
 		return nil, reject(response, tracker, attempt.KindBroken, ErrStatus)
 	}
 	if !validNames(response.Header) {
@@ -189,9 +187,6 @@
 	return request.WithContext(ctx), nil
 }
 
-// validStatus reports whether a status is in the range of HTTP.
-func validStatus(status int) bool { return status >= http.StatusContinue && status <= maxStatus }
-
 // validNames reports whether all names of a header are tokens.
 func validNames(header http.Header) bool {
 	for name := range header {
--- a/node/connection/backend/client_test.go
+++ b/node/connection/backend/client_test.go
@@ -240,7 +240,7 @@
 // Guards against a status line that is no valid answer reaching a caller as one: net/http takes 000 for the status 0 and 600 for a
 // status, although neither is in the range of HTTP.
 func TestInvalidStatusIsBroken(t *testing.T) {
-	for _, status := range []string{"000", "099", "600", "999", "1000", "+20", "-20", " 20", "20", "2OO", ""} {
+	for _, status := range []string{"000", "099", "101", "600", "999", "1000", "+20", "-20", " 20", "20", "2OO", ""} {
 		t.Run("status "+strconv.Quote(status), func(t *testing.T) {
 			address := startRaw(t, func(_ int, r *http.Request, conn net.Conn) error {
 				_, err := fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\n%s: a1\r\nContent-Length: 2\r\n\r\nok", status, contract.HeaderContext)
--- a/node/connection/exchange/answer.go
+++ b/node/connection/exchange/answer.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/radishstand/radishstand/node/internal/httpstatus"
 	"github.com/radishstand/radishstand/node/internal/membudget"
 )
 
@@ -23,8 +24,6 @@
 	maxBodyBytes = 64 << 20
 	// maxHeadBytes bounds the heads of an answer and of the interim answers before it together, and its trailer.
 	maxHeadBytes = 64 << 10
-	// maxStatus is the highest status of HTTP.
-	maxStatus = 599
 )
 
 // Errors of an answer that cannot be read. Their texts are sent to the entry node as the cause of a broken call.
@@ -58,7 +57,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if a.status < http.StatusOK {
+		if httpstatus.IsInterim(a.status) {
 			continue
 		}
 		a.memory = memory.Reserve()
@@ -117,10 +116,10 @@
 	a.mustClose = minor == 0
 	code, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(code, 10, 16) // refuses signs
-	if err != nil || len(code) != 3 || status < http.StatusContinue || status > maxStatus {
+	a.status = int(status)
+	if err != nil || len(code) != 3 || !httpstatus.IsFinal(a.status) && !httpstatus.IsInterim(a.status) {
 		return fmt.Errorf("%w: %q", errStatusLine, line)
 	}
-	a.status = int(status)
 	return nil
 }
 
--- a/node/connection/exchange/exchange_test.go
+++ b/node/connection/exchange/exchange_test.go
@@ -110,6 +110,7 @@
 		"no byte before the end of the connection":       "",
 		"the status 000":                                 status("000"),
 		"a status below those of HTTP":                   status("099"),
+		"a switch to another protocol":                   "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok("a", "x"),
 		"a status above those of HTTP":                   status("600"),
 		"a status of four digits":                        status("1000"),
 		"a status with a sign":                           status("+20"),
