front: a stopping node refuses a request whose body arrives too late

What callers saw: in a planned stop of one host, in calm, a request whose body arrived 4 s after the signal to stop was passed on to a server and broken off there with a 504, and one whose body arrived 0.5 s before the end of the grace period ended without an answer, although it may not be repeated (LOST).

Cause: requests are refused from 2.5 s after the signal on, but this was looked at only when the head had arrived. The requests in progress are ended 0.6 s before the end of the grace period; one whose body is still arriving is not among them, and was started after that.

Ruled out: requests whose head arrives late (TestLateRequestToAStoppingNodeIsRejected), load during a stop (TestPlannedStopUnderLoadAnswersEveryRequest), and requests that outlast the grace period (TestRequestThatOutlastsAPlannedStopGetsAResponse) pass before and after.

Change: the same check again when the body has arrived. The answer is 503, which is true since nothing was sent.

--- a/node/request/front/drain.go
+++ b/node/request/front/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,14 @@
 // StartDrain refuses new requests after rejectAfterStop.
 func (h *Handler) StartDrain() { h.stoppedAt.Store(time.Now().UnixNano()) }
 
+// checkStopping returns the refusal of a request that a stopping node does not accept any more, and nil otherwise.
+func (h *Handler) checkStopping(now time.Time) *problem {
+	if stopped := h.stoppedAt.Load(); stopped == 0 || now.Sub(time.Unix(0, stopped)) <= rejectAfterStop {
+		return nil
+	}
+	return &problem{status: http.StatusServiceUnavailable, cause: "stopping", retryAfter: stoppingRetryAfter}
+}
+
 // EndRequests ends the requests in progress as if their deadlines had passed, and returns their number. Their callers get a response: 503
 // if it is confirmed that the request has not started, otherwise 504.
 func (h *Handler) EndRequests() int { return h.open.end() }
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -184,8 +184,8 @@
 	r *http.Request, now time.Time, teamOf func(http.Header, *routing.Version, *routing.Route) (*routing.Team, *problem),
 ) (accepted, *problem) {
 	var a accepted
-	if stopped := h.stoppedAt.Load(); stopped != 0 && now.Sub(time.Unix(0, stopped)) > rejectAfterStop {
-		return a, &problem{status: http.StatusServiceUnavailable, cause: "stopping", retryAfter: stoppingRetryAfter}
+	if failed := h.checkStopping(now); failed != nil {
+		return a, failed
 	}
 	if a.version = h.config.Routing.Current(); a.version == nil {
 		return a, &problem{status: http.StatusServiceUnavailable, cause: "no routing", retryAfter: noRoutingRetryAfter}
@@ -229,6 +229,9 @@
 	if failed != nil {
 		return nil, failed
 	}
+	if failed := h.checkStopping(time.Now()); failed != nil { // the body may have taken long to arrive
+		return nil, failed
+	}
 	return h.newCall(r, a, body, memory, arrived), nil
 }
 
