measure: bound the head of the answer to a health check

What happened: a server that sent a status line or headers without end made one health check of the product's program allocate 52 to 172 MB, where a node has some tens of MB; other operators reported hosts that ran out of memory so.

Cause: net/http reads up to 10 MB of a head unless told otherwise, and the header map multiplies that.

Ruled out: heads and bodies of answers to calls are bounded in both programs, and so is the body of a health check (its case passes before).

Change: at most 64 KiB of the head, as for calls.

--- a/node/process/measure/measure.go
+++ b/node/process/measure/measure.go
@@ -23,6 +23,8 @@
 	requestBytes = 300
 	// maxAnswerBytes limits the bytes read of an answer body. They are charged to the budget in advance.
 	maxAnswerBytes = 512
+	// maxHeaderBytes limits the status line and headers of an answer.
+	maxHeaderBytes = 64 << 10
 	requestTimeout = time.Second
 )
 
@@ -65,9 +67,10 @@
 	m.client = &http.Client{
 		Timeout: requestTimeout,
 		Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: requestTimeout}).DialContext,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			DialContext:            (&net.Dialer{Timeout: requestTimeout}).DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
