--- a/node/connection/backend/client.go
+++ b/node/connection/backend/client.go
@@ -39,7 +39,7 @@
 // the same connection, or that it may be such a copy since neither of two failures on the connection carries an id.
 var ErrForeignAnswer = errors.New("backend: answer to another attempt")
 
-// ErrStatus reports an answer whose status is not one of a final answer. net/http takes any three digits, 000 too, and passes on 101.
+// ErrStatus reports an answer whose status does not end a request. net/http takes any three digits, 000 too, and returns 101 as final.
 var ErrStatus = errors.New("backend: status is not between 200 and 599")
 
 // ErrHeaderName reports an answer with a header name that is no token. net/http takes blanks in names.
--- a/node/process/measure/measure.go
+++ b/node/process/measure/measure.go
@@ -31,7 +31,7 @@
 // ErrBudget means that the budget does not allow a request now.
 var ErrBudget = errors.New("measure: request budget exhausted")
 
-// errStatus reports an answer whose status is none of HTTP.
+// errStatus reports an answer whose status does not end a request, such as 000.
 var errStatus = errors.New("measure: status is not between 200 and 599")
 
 // Report is the health and load that a server reports. It is only a hint, because a report may be late or wrong.
