ingress: the test of a slowly read response has both requests started before the stop

Cause: in the test. It called Drain when one of its two pipelined requests had started. A draining server handles no further request behind another one; the response ahead announces the end of the connection, and the caller sends the request again. So the second request ran only if the server had read it before Drain.

Change: the test waits until both requests have started before it calls Drain. What it asserts is unchanged.

--- a/node/connection/ingress/ingress_test.go
+++ b/node/connection/ingress/ingress_test.go
@@ -277,6 +277,7 @@
 	require.NoError(t, f.conn.SetReadBuffer(256<<10))
 	f.send(t, "GET /hold/1", "GET /written")
 	receive(t, f.started)
+	receive(t, f.started) // a request that the server reads after Drain is not handled behind another one
 	f.server.Drain()
 	stopped := make(chan struct{})
 	go func() {
@@ -286,7 +287,6 @@
 		f.server.Shutdown(ctx)
 	}()
 	f.release("/hold/1")
-	receive(t, f.started)
 	require.Eventually(t, func() bool { requests, _ := f.server.InProgress(); return requests == 0 }, waitLimit, time.Millisecond)
 	select {
 	case <-stopped:
