peers, sidecar, front: logs tell which version decided and since when a newer one is known

Cause: a version that is late may be missing for three reasons that the logs did not tell apart: the node has not heard of it, it has heard and asked over a link that is dead, or it was never asked. Lines of requests did not name the version that decided. Change: 'routing version applied' names the version that it replaces and for how long a newer one was known; 'routing version requested' names the node that is asked and how long it has been silent; refused and failed calls name their version; metrics routing.version and routing.behind_ms. No line is added per answered request.

--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -111,6 +111,9 @@
 	return pingSent != 0 && time.Since(time.Unix(0, pingSent)) > suspectTimeout
 }
 
+// SilentFor returns the time since the other node has sent a frame.
+func (c *Client) SilentFor() time.Duration { return time.Since(time.Unix(0, c.lastReceived.Load())) }
+
 // RequestRouting requests the current routing document of the node. The answer is passed to Events.Routing.
 func (c *Client) RequestRouting() {
 	c.conn.writeOrClose(&linkpb.Frame{Body: &linkpb.Frame_RoutingRequest{RoutingRequest: &linkpb.RoutingRequest{}}})
@@ -119,10 +122,10 @@
 // probe sends a ping to a node that has sent no frame for suspectTimeout, and closes the link when a ping has been
 // unanswered for longer than pongTimeout.
 func (c *Client) probe() {
-	now := time.Now()
-	if now.Sub(time.Unix(0, c.lastReceived.Load())) < suspectTimeout {
+	if c.SilentFor() < suspectTimeout {
 		return
 	}
+	now := time.Now()
 	pingSent := c.pingSent.Load()
 	if pingSent != 0 {
 		if now.Sub(time.Unix(0, pingSent)) > pongTimeout {
--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -66,12 +66,11 @@
 
 // Set is the set of nodes that this node knows. It is safe for concurrent use.
 type Set struct {
-	config   Config
-	ctx      context.Context
-	local    *Server
-	versions versionSources
-	// newestVersion is the highest routing version number that any node has reported.
-	newestVersion atomic.Uint64
+	config        Config
+	ctx           context.Context
+	local         *Server
+	versions      versionSources
+	newestVersion newestVersion
 	// evacuated holds the evacuated places; nil if there has been none.
 	evacuated atomic.Pointer[map[string]bool]
 
--- a/node/process/peers/versions.go
+++ b/node/process/peers/versions.go
@@ -62,10 +62,11 @@
 
 // ObserveVersion handles the number of the routing version of the node at an address.
 func (p *Set) ObserveVersion(address string, number uint64) {
-	if number <= p.config.LocalVersion() { // the usual case needs no lock
+	current := p.config.LocalVersion()
+	if number <= current { // the usual case needs no lock
 		return
 	}
-	p.recordVersion(number)
+	p.newestVersion.record(number, current, time.Now())
 	p.mu.RLock()
 	known := p.peers[address]
 	p.mu.RUnlock()
@@ -81,7 +82,7 @@
 	if number <= current {
 		return
 	}
-	p.recordVersion(number)
+	p.newestVersion.record(number, current, time.Now())
 	if !p.versions.add(s, number) {
 		return
 	}
@@ -89,20 +90,6 @@
 	time.AfterFunc(routingRequestDelay, p.requestRouting)
 }
 
-// NewestVersion returns the highest routing version number above the local one that any node has reported so far, or a
-// number not above the local one if there is none.
-func (p *Set) NewestVersion() uint64 { return p.newestVersion.Load() }
-
-// recordVersion records a routing version number that a node has reported.
-func (p *Set) recordVersion(number uint64) {
-	for {
-		newest := p.newestVersion.Load()
-		if number <= newest || p.newestVersion.CompareAndSwap(newest, number) {
-			return
-		}
-	}
-}
-
 // requestRouting requests the routing version from the next linked node that has a newer one. A node without a link is passed
 // over: when it is linked again it reports its version.
 func (p *Set) requestRouting() {
@@ -112,6 +99,8 @@
 			return
 		}
 		if client := s.currentClient(); client != nil {
+			p.config.Log.Info("routing version requested", "peer", s.address, "silentMs", client.SilentFor().Milliseconds(),
+				"behindMs", p.BehindBy().Milliseconds())
 			client.RequestRouting()
 			time.AfterFunc(routingRequestDelay, p.requestRouting)
 			return
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -108,7 +108,7 @@
 	})
 }
 
-// registerMetrics registers the metrics of the server, of back pressure and of the store's state.
+// registerMetrics registers the metrics of the server, of back pressure, of the routing version and of the store's state.
 func (n *Node) registerMetrics() {
 	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
 	n.metrics.Register("server.cold_limit", metrics.NewFunctionalGaugeFloat64(n.server.ColdLimit))
@@ -116,6 +116,8 @@
 	n.metrics.Register("backpressure.refused", metrics.NewFunctionalGauge(n.refusedByBackPressure))
 	n.metrics.Register("backpressure.admitted", metrics.NewFunctionalGaugeFloat64(n.leastAdmitted))
 	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
+	n.metrics.Register("routing.version", metrics.NewFunctionalGauge(func() int64 { return int64(n.routing.Number()) }))
+	n.metrics.Register("routing.behind_ms", metrics.NewFunctionalGauge(func() int64 { return n.peers.BehindBy().Milliseconds() }))
 	n.evacuated = metrics.NewRegisteredGauge("evacuated.places", n.metrics)
 	n.eraChanges = metrics.NewRegisteredCounter("store.era_changes", n.metrics)
 }
@@ -241,9 +243,11 @@
 		return false
 	}
 	v.Document = document
+	replaced, behind := n.routing.Number(), n.peers.BehindBy()
 	applied := n.routing.Offer(v)
 	if applied {
-		n.log.Info("routing version applied", "version", v.Number, "source", source, "poll", n.poll.String())
+		n.log.Info("routing version applied", "version", v.Number, "replaced", replaced, "source", source,
+			"behindMs", behind.Milliseconds(), "poll", n.poll.String())
 		n.applyLimits()
 		n.quotas.start(n)
 	}
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -34,6 +34,7 @@
 // call is the state of one request of a caller.
 type call struct {
 	handler   *Handler
+	version   uint64        // number of the routing version that decided about the request
 	team      *routing.Team // nil if the request has none
 	route     *routing.Route
 	service   string
@@ -87,7 +88,7 @@
 // prepareCall returns the call of a request, without the service, the body and the memory of the body.
 func (h *Handler) prepareCall(r *http.Request, a accepted, arrived arrival) *call {
 	c := &call{
-		handler: h, team: a.team, route: a.route, arrived: arrived.at,
+		handler: h, version: a.version.Number, team: a.team, route: a.route, arrived: arrived.at,
 		objective: arrived.at.Add(a.route.Objective), deadline: arrived.at.Add(a.timeout),
 		timeout: a.timeout, arrivedBoot: arrived.boot, hasDownloads: a.version.HasDownloads(),
 		seeksRoom: a.version.HasTeams() || a.version.HasDownloads(),
@@ -272,6 +273,6 @@
 	if server != nil {
 		address = server.Address()
 	}
-	fields := append([]any{"id", c.message.Id, "route", c.route.Name, "service", c.service, "team", c.message.Team, "server", c.message.ServerId, "peer", address}, keyvals...)
+	fields := append([]any{"id", c.message.Id, "route", c.route.Name, "version", c.version, "service", c.service, "team", c.message.Team, "server", c.message.ServerId, "peer", address}, keyvals...)
 	c.handler.config.Log.Info(message, fields...)
 }
--- a/node/request/front/front.go
+++ b/node/request/front/front.go
@@ -123,6 +123,7 @@
 		h.config.Counters.Count("caller.left")
 		return nil
 	default:
+		problem.version = c.version
 		return h.refuse(r, problem)
 	}
 	result := c.run(ctx)
@@ -137,7 +138,8 @@
 
 // refuse returns the response to a request that is not sent to any server.
 func (h *Handler) refuse(r *http.Request, p *problem) *ingress.Response {
-	h.config.Log.Info("request refused", "id", r.Header.Get(h.config.Names.ID), "status", p.status, "cause", p.cause)
+	h.config.Log.Info("request refused", "id", r.Header.Get(h.config.Names.ID), "status", p.status, "cause", p.cause,
+		"version", p.version)
 	h.config.Counters.Count("refused." + p.cause)
 	return p.response(http.Header{})
 }
@@ -153,6 +155,8 @@
 	status     int
 	cause      string
 	retryAfter time.Duration
+	// version is the number of the routing version that decided; 0 if none did.
+	version uint64
 }
 
 // arrival is the time at which the head of a request had arrived, by the clock of the process and by the one that also runs while the
@@ -223,6 +227,9 @@
 func (h *Handler) accept(r *http.Request, arrived arrival, memory *membudget.Reservation) (*call, *problem) {
 	a, failed := h.acceptHead(r, arrived.at)
 	if failed != nil {
+		if a.version != nil {
+			failed.version = a.version.Number
+		}
 		return nil, failed
 	}
 	body, failed := readBody(r, a.version.Limits.MaxBodyBytes, memory)
