--- a/node/connection/link/client.go
+++ b/node/connection/link/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/radishstand/radishstand/api/linkpb"
+	"github.com/radishstand/radishstand/node/connection/tcp"
 	"github.com/radishstand/radishstand/node/internal/boottime"
 )
 
@@ -18,10 +19,13 @@
 	suspectTimeout = 250 * time.Millisecond
 	// pongTimeout is the time without an answer to a ping after which a link is closed.
 	pongTimeout = 2 * time.Second
+	// unacknowledgedTimeout is the time after which a link fails whose sent data is not acknowledged. It must be longer than a few
+	// retransmissions, since links may lose packets.
+	unacknowledgedTimeout = 1500 * time.Millisecond
 )
 
-// keepAlive detects dead connections on idle links. The kernel sends the probes; no frames are exchanged.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 3 * time.Second, Interval: time.Second, Count: 2}
+// liveness determines when a link to a silent host fails. The kernel sends the probes; no frames are exchanged.
+var liveness = tcp.Liveness{Unacknowledged: unacknowledgedTimeout, Idle: 3 * time.Second, Interval: time.Second, Probes: 2}
 
 // NotSentError reports that a call was not sent to the other node.
 type NotSentError struct{ Cause error }
@@ -92,8 +96,7 @@
 
 // dialTCP opens a TCP connection.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: setSocketOptions, KeepAliveConfig: keepAlive}
-	return dialer.DialContext(ctx, "tcp4", address)
+	return liveness.Dialer().DialContext(ctx, "tcp4", address)
 }
 
 // sentMs returns the time for Frame.SentMs.
--- a/node/connection/link/frame.go
+++ b/node/connection/link/frame.go
@@ -16,7 +16,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 	"unicode/utf8"
 
@@ -39,11 +38,6 @@
 	writeTimeout = 2 * time.Second
 	// skipTimeout bounds the time until the first bytes of a frame that finds no memory.
 	skipTimeout = 500 * time.Millisecond
-	// userTimeout is the time after which the kernel closes a connection whose sent data is not acknowledged. It must be
-	// longer than a few retransmissions, since links may lose packets.
-	userTimeout = 1500 * time.Millisecond
-	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
-	tcpUserTimeout = 0x12
 )
 
 // ErrClosed reports that the link is closed.
@@ -251,12 +245,3 @@
 		c.err = ErrClosed
 	}
 }
-
-// setSocketOptions sets the TCP user timeout of a socket before it is connected.
-func setSocketOptions(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, optErr)
-}
--- a/node/connection/link/served.go
+++ b/node/connection/link/served.go
@@ -18,7 +18,7 @@
 	sessionLifetime = 30 * time.Second
 	// resultRetention is the time for which the result of a call is kept after it was sent. It must exceed the time after
 	// which a silent link is closed, since the result may be lost on it.
-	resultRetention = pongTimeout + userTimeout
+	resultRetention = pongTimeout + unacknowledgedTimeout
 	// maxRetainedBytes bounds the retained results of a session.
 	maxRetainedBytes = 256 << 10
 	// deadlineMargin is the time after a call's deadline for which it is known, for the way of the call to this node.
