peers, sidecar: a node that lacks a version it has heard of asks the store again

Cause: another node names its version on the link that it has opened; the document is requested on the link in the other direction, which may be dead, and only once. The node's own poll, which should have brought the version, was left in progress. A poll that began later is kept, so each delay costs one call.

--- a/node/process/peers/versions.go
+++ b/node/process/peers/versions.go
@@ -91,8 +91,13 @@
 }
 
 // requestRouting requests the routing version from the next linked node that has a newer one. A node without a link is passed
-// over: when it is linked again it reports its version.
+// over: when it is linked again it reports its version. The link to the node may be dead although the node has reported its version on
+// another one, so VersionMissing is called too.
 func (p *Set) requestRouting() {
+	since := p.newestVersion.behindSince(p.config.LocalVersion())
+	if !since.IsZero() && p.config.VersionMissing != nil {
+		p.config.VersionMissing(since)
+	}
 	for {
 		s := p.versions.next(p.config.LocalVersion(), p.config.Hello.Place)
 		if s == nil {
--- a/node/process/sidecar/poll.go
+++ b/node/process/sidecar/poll.go
@@ -64,6 +64,15 @@
 	}
 }
 
+// endIfOlder ends the request in progress if it began before a time.
+func (p *routingPoll) endIfOlder(than time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil && p.began.Before(than) {
+		p.cancel(errPollEnded)
+	}
+}
+
 // endAfter ends the request that is in progress now if it still is after a delay.
 func (p *routingPoll) endAfter(delay time.Duration) {
 	p.mu.Lock()
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -133,7 +133,7 @@
 		Dial:  dial,
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
 		LocalVersion: n.routing.Number, Memory: memory, Log: n.log,
-		Routing: n.applyPeerRouting, PollersChanged: n.signalPollersChanged,
+		Routing: n.applyPeerRouting, VersionMissing: n.poll.endIfOlder, PollersChanged: n.signalPollersChanged,
 		Proof:       n.freshness.addProof,
 		Evacuations: exchange, StoreEra: n.peerReportedEra, Egress: n.egress,
 		Leaving:    n.newLeaving(),
