faulttest: each test process uses a block of ports of its own, and a process that ends by itself is reported with its log

Cause, as far as it can be shown now: two test processes at the same time chose the same ports, since each probed a port, closed it and let a node open it later, from a start that differs by their process ids only. Change: a test process claims a block of 200 ports for its life. A process that ends without having been told to fails the test, with the end of its log; after a failure the end of every log is printed.

--- a/ctl/faulttest/fleet_test.go
+++ b/ctl/faulttest/fleet_test.go
@@ -21,6 +21,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/radishstand/radishstand/api/operator"
@@ -62,6 +63,7 @@
 	if output, failed := build.CombinedOutput(); err != nil || failed != nil {
 		panic(fmt.Sprintf("build radishnode: %v, %v\n%s", err, failed, output))
 	}
+	claimPorts()
 	code := m.Run()
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
@@ -77,6 +79,8 @@
 	process                                                              atomic.Pointer[exec.Cmd]
 	exited                                                               chan error
 	paused                                                               bool
+	// ending is set once the process was told to end.
+	ending atomic.Bool
 	// disturbed is odd while the process is down, paused or stopping.
 	disturbed atomic.Int64
 	// lastVersion is the last settings version that a process at this address reported. restarted is set from the start of
@@ -95,29 +99,16 @@
 	// accepted is the highest settings version that was reported to an operator as accepted; storeFaults is odd while the
 	// store has a fault.
 	accepted, storeFaults atomic.Int64
-	monitors              sync.WaitGroup
+	monitors, processes   sync.WaitGroup
 	ended                 chan struct{}
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// exits describes the processes that ended without having been told to.
+	exits []string
 	calls []*call
 	keys  map[string][]*call
 }
 
-// lastPort is the last port tried. It stays below the ephemeral range, so that no other connection uses the ports of a
-// process while it is replaced.
-var lastPort = 20000 + os.Getpid()%10000
-
-func freeAddress() string {
-	for {
-		lastPort = 20000 + (lastPort+1)%10000
-		address := fmt.Sprintf("127.0.0.1:%d", lastPort)
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
-		}
-	}
-}
-
 // newFleet starts nodes in the three places in turn: the first three serve crews, the next three quotes, the rest crews.
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{
@@ -176,12 +167,17 @@
 	n.restarted.Store(true)
 	require.NoError(n.fleet.t, cmd.Start())
 	n.process.Store(cmd)
-	n.exited = make(chan error, 1)
-	go func(exited chan error) {
+	n.ending.Store(false)
+	exited := make(chan error, 1)
+	n.exited = exited
+	n.fleet.processes.Go(func() {
 		err := cmd.Wait()
+		if !n.ending.Load() {
+			n.fleet.recordExit(n, err)
+		}
 		_ = listener.Close()
 		exited <- err
-	}(n.exited)
+	})
 	go n.fleet.network.serve(listener, n.place, n.peerAddr)
 	n.fleet.await(n.String()+" registers its server", func() bool { return n.backend.Announce(n.serverAddr, false) == nil })
 	n.disturbed.Add(1)
@@ -194,6 +190,9 @@
 	if s != syscall.SIGCONT {
 		n.disturbed.Add(1)
 	}
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		n.ending.Store(true)
+	}
 	_ = n.process.Load().Process.Signal(s)
 	n.paused = s == syscall.SIGSTOP
 	if s == syscall.SIGCONT {
@@ -291,14 +290,38 @@
 	close(f.ended)
 	f.monitors.Wait()
 	for _, n := range f.nodes {
-		if cmd := n.process.Load(); cmd != nil {
-			_ = cmd.Process.Kill()
+		if n.process.Load() != nil {
+			n.signal(syscall.SIGKILL)
 		}
+	}
+	f.processes.Wait()
+	assert.Empty(f.t, f.exits, "processes that ended by themselves")
+	for _, n := range f.nodes {
 		n.backend.Close()
 		log, _ := os.ReadFile(n.log.Name())
+		if f.t.Failed() {
+			f.t.Logf("end of the log of %s:\n%s", n, lastLines(log))
+		}
 		require.NotRegexp(f.t, "DATA RACE|panic: |fatal error: |handler panicked", string(log), n)
 		_ = n.log.Close()
 	}
 	f.network.set(nil)
 	f.store.Stop()
 }
+
+// recordExit records that a process has ended without having been told to, with the end of its log.
+func (f *fleet) recordExit(n *node, err error) {
+	log, _ := os.ReadFile(n.log.Name())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.exits = append(f.exits, fmt.Sprintf("%s at %s: %v\n%s", n, time.Now().Format(time.RFC3339Nano), err, lastLines(log)))
+}
+
+// maxLogLines is the number of lines of a process's log that are printed after a failure.
+const maxLogLines = 40
+
+// lastLines returns the last lines of a log.
+func lastLines(log []byte) string {
+	lines := strings.Split(strings.TrimSpace(string(log)), "\n")
+	return strings.Join(lines[max(0, len(lines)-maxLogLines):], "\n")
+}
