--- a/node/connection/tcp/tcp.go
+++ b/node/connection/tcp/tcp.go
@@ -13,7 +13,8 @@
 
 // Liveness determines when a connection to a silent host fails. The times of probes have a resolution of one second.
 type Liveness struct {
-	// Unacknowledged is the time after which the connection fails if data that was sent is not acknowledged.
+	// Unacknowledged is the time after which the connection fails if data that was sent is not acknowledged. Linux also ends the probes
+	// of an idle connection when this time is over.
 	Unacknowledged time.Duration
 	// Idle is the time without received data after which the first probe is sent, and Interval the time between two probes. The
 	// connection fails one Interval after the last of Probes unanswered ones.
