sidecar, link, routing: a call names the version that decided about it, and its server's node logs replaced ones

The log line of a call at its server's node said nothing about the version, so nobody could see how old it was there, nor whether that node knew the newer one. When a node had written its own entry in the store, and how many links it had by then, was not logged either. A node logs "registered in the store". No decision changes.

--- a/node/connection/link/age.go
+++ b/node/connection/link/age.go
@@ -27,14 +27,15 @@
 	return delta - a.minDelta
 }
 
-// takeOff reduces the time that is left for a call by the age of its frame. A call whose deadline has passed is refused by the
-// dispatcher.
+// takeOff reduces the time that is left for a call by the age of its frame, and adds the age to the time for which the call has waited. A
+// call whose deadline has passed is refused by the dispatcher.
 func takeOff(call *linkpb.Call, age time.Duration) {
 	if age < minFrameAge {
 		return
 	}
 	call.LeftMs = subtractMs(call.LeftMs, age)
 	call.ObjectiveMs = subtractMs(call.ObjectiveMs, age)
+	call.WaitedMs += uint32(age.Milliseconds())
 }
 
 func subtractMs(ms uint32, age time.Duration) uint32 {
--- a/node/process/sidecar/config.go
+++ b/node/process/sidecar/config.go
@@ -32,6 +32,9 @@
 	// RevokeWithin is the longest time for which a revoked key may still work at any node, also while the store is unavailable; 0 if
 	// there is no bound and nodes continue to accept keys without the store.
 	RevokeWithin time.Duration
+	// ApplyWithin is the time within which a routing version that the store has acknowledged must be in force at all nodes that reach the
+	// store; 0 if there is no bound.
+	ApplyWithin time.Duration
 	// CPUShare is the share of a core that the process has; 0 if unknown.
 	CPUShare float64
 	// LinkBitsPerSecond is the speed of the host's link; 0 if unknown.
--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -39,6 +39,7 @@
 // the store's era it does both at once, and ensures that the knee of its server is there.
 func (n *Node) maintainMembership(ctx context.Context) {
 	retryBackoff := newBackoff()
+	started := time.Now()
 	registered, restored := false, n.eras.count()
 	schedule := newMembersSchedule(func() bool { return n.peers.AnyUnlinkedFor(unlinkedTimeout) })
 	for ctx.Err() == nil {
@@ -57,6 +58,10 @@
 		n.logStoreRecovery("members")
 		retryBackoff = newBackoff()
 		restored = changes
+		if !registered {
+			known, linked := n.peers.Linked()
+			n.log.Info("registered in the store", "afterMs", time.Since(started).Milliseconds(), "known", known, "linked", linked)
+		}
 		n.waitForMembers(ctx, schedule, changes, !registered || restoring)
 		registered = true
 	}
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -39,6 +39,7 @@
 	log     Log
 
 	routing *routing.Holder
+	history routing.History
 	server  *localserver.Server
 	links   *link.Server
 	egress  *link.Egress
@@ -246,6 +247,7 @@
 	replaced, behind := n.routing.Number(), n.peers.BehindBy()
 	applied := n.routing.Offer(v)
 	if applied {
+		n.history.Add(v.Number, time.Now())
 		n.log.Info("routing version applied", "version", v.Number, "replaced", replaced, "source", source,
 			"behindMs", behind.Milliseconds(), "poll", n.poll.String())
 		n.applyLimits()
@@ -278,6 +280,9 @@
 func (n *Node) Serve(ctx context.Context, call *linkpb.Call, reply func(*linkpb.Frame)) {
 	n.activeCalls.Add(1)
 	defer n.activeCalls.Add(-1)
+	if n.isOutdated(call) {
+		n.reportOutdated(call)
+	}
 	n.server.Serve(ctx, call, reply)
 }
 
--- a/node/request/front/attempts.go
+++ b/node/request/front/attempts.go
@@ -25,6 +25,7 @@
 	c.message.Stay = picked.Others == 0 || len(c.refused) >= maxRedirects || c.lateRefusals > 0
 	c.message.ReferMs = uint32(c.redirectThreshold(picked).Milliseconds())
 	c.message.LeftMs = uint32(max(left.Milliseconds(), 1))
+	c.message.WaitedMs = uint32(max((c.timeout - left).Milliseconds(), 0))
 	c.message.ObjectiveMs = uint32(max(c.objective.Sub(now).Milliseconds(), 0))
 	if c.hasDownloads {
 		server.ExpectAnswer(c.handler.averages.get(c.route.Name).answerBytes)
--- a/node/request/front/call.go
+++ b/node/request/front/call.go
@@ -95,6 +95,7 @@
 		message: &linkpb.Call{
 			Method: r.Method, Target: a.target.Raw, Host: r.Host, Id: a.id, Header: h.forwardedHeader(r.Header),
 			Rank: a.version.RankOf(a.route, a.team), Idempotent: a.route.Idempotent, CallerService: h.config.Service(), Route: a.route.Name,
+			RoutingVersion: a.version.Number,
 		},
 	}
 	if a.team != nil { // the backend server's own calls have no key
