sidecar, front: the node beside a server refuses calls that an outdated routing version decided about

The node that takes a request decides with the version that it has. While it is cut off it cannot know how old that is, and from the moment at which it is linked until the newer version has arrived (0.4 s and more) it has requests run by it. Nothing checked the decision where it takes effect, beside the server, although that node had the newer version for long. Class of fault: a decision by a stale copy that is not checked at the point of its effect. Change: a call that a version decided about which had been replaced, at the node beside the server, for more than half of configApplyS at the request's arrival is refused (REASON_OUTDATED) and has not run; the caller gets 503 with Retry-After 0.3 s. A request that arrived before the change and has waited since is not refused. Without configApplyS nothing changes. Why this works: the check needs nothing of the node that is behind, only the version that its call names; the same refusal shows it the newer one.

--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -276,12 +276,13 @@
 	}
 }
 
-// Serve runs a call at the backend server and passes the frame that ends it to reply.
+// Serve runs a call at the backend server, unless an outdated version decided about it, and passes the frame that ends it to reply.
 func (n *Node) Serve(ctx context.Context, call *linkpb.Call, reply func(*linkpb.Frame)) {
 	n.activeCalls.Add(1)
 	defer n.activeCalls.Add(-1)
-	if n.isOutdated(call) {
-		n.reportOutdated(call)
+	if refusal := n.refuseOutdated(call); refusal != nil {
+		reply(refusal)
+		return
 	}
 	n.server.Serve(ctx, call, reply)
 }
--- a/node/request/front/attempts.go
+++ b/node/request/front/attempts.go
@@ -14,6 +14,9 @@
 	"github.com/radishstand/radishstand/node/process/peers"
 )
 
+// causeOutdated is the cause of a refusal at the node of a server that has had a newer routing version for long.
+const causeOutdated = "decided by a replaced routing version"
+
 // attempt sends the call to a server. It returns nil when another attempt should be made.
 func (c *call) attempt(ctx context.Context, picked peers.PickResult) *result {
 	now := time.Now()
@@ -110,6 +113,9 @@
 	case linkpb.Refusal_REASON_DEPENDENCY:
 		c.returnBudget(isRetry)
 		return c.refusedForDependency(time.Duration(refusal.RetryAfterMs) * time.Millisecond)
+	case linkpb.Refusal_REASON_OUTDATED:
+		c.returnBudget(isRetry)
+		return c.refusedAsOutdated(server)
 	default:
 		c.excluded = append(c.excluded, server)
 	}
@@ -117,6 +123,16 @@
 	return nil
 }
 
+// refusedAsOutdated returns the result of a call that a server's node has refused because a newer routing version may decide otherwise. The
+// caller is told to return when that version has arrived here.
+func (c *call) refusedAsOutdated(server *peers.Server) *result {
+	c.handler.config.Counters.Count("refused.outdated")
+	if c.failure != nil || c.mayHaveRun {
+		return c.refusal(causeOutdated)
+	}
+	return &result{status: http.StatusServiceUnavailable, cause: causeOutdated, retryAfter: staleRetryAfter, server: server}
+}
+
 // returnBudget returns the retry that an attempt took from the budget, if it was a retry.
 func (c *call) returnBudget(isRetry bool) {
 	if isRetry {
