sidecar: a node is linked to the others before the store has written its own entry

It wrote its own entry before it read the others', a write takes nearly twice as long as a read there and waits for all slow ones before it, and a failed write meant no read. So nobody could tell the node of a newer version either. Class of fault: what a node learns from others depended on a write of its own. Change: while the entry is not written after 0.3 s and no other node is known, the members are read without it. The nodes that are linked to learn the address from the link. The entry is written and the members are read again as before.

--- a/node/process/sidecar/loops.go
+++ b/node/process/sidecar/loops.go
@@ -40,12 +40,13 @@
 func (n *Node) maintainMembership(ctx context.Context) {
 	retryBackoff := newBackoff()
 	started := time.Now()
-	registered, restored := false, n.eras.count()
+	restored := n.eras.count()
 	schedule := newMembersSchedule(func() bool { return n.peers.AnyUnlinkedFor(unlinkedTimeout) })
 	for ctx.Err() == nil {
 		changes := n.eras.count()
 		kind, knee := n.knownKnee()
 		restoring := changes != restored
+		registered := n.registered.Load()
 		err := n.syncMembers(ctx, registered, restoring)
 		if err == nil && restoring {
 			err = n.restoreKnee(ctx, kind, knee)
@@ -58,12 +59,11 @@
 		n.logStoreRecovery("members")
 		retryBackoff = newBackoff()
 		restored = changes
-		if !registered {
+		if !n.registered.Swap(true) {
 			known, linked := n.peers.Linked()
 			n.log.Info("registered in the store", "afterMs", time.Since(started).Milliseconds(), "known", known, "linked", linked)
 		}
 		n.waitForMembers(ctx, schedule, changes, !registered || restoring)
-		registered = true
 	}
 }
 
@@ -108,11 +108,7 @@
 	if n.invalidRows.Swap(int64(fleet.InvalidRows)) != int64(fleet.InvalidRows) {
 		n.log.Warn("store has invalid rows beside the members", "rows", fleet.InvalidRows)
 	}
-	addresses := make([]string, 0, len(fleet.Members))
-	for address := range fleet.Members {
-		addresses = append(addresses, address)
-		n.peers.Add(address)
-	}
+	addresses := n.addMembers(fleet)
 	if !restoring {
 		n.peers.Retain(addresses, readAt)
 	}
--- a/node/process/sidecar/run.go
+++ b/node/process/sidecar/run.go
@@ -55,6 +55,7 @@
 	go n.watchRouting(ctx)
 	go n.watchPollers(ctx)
 	go n.maintainMembership(ctx)
+	go n.linkUnregistered(ctx)
 	go n.superviseServer(ctx)
 	n.freshness.start(ctx)
 	n.log.Info("started", "node", n.config.Load().Name, "place", n.config.Load().Place, "service", n.config.Load().Service)
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -64,6 +64,7 @@
 	callers        atomic.Pointer[ingress.Server] // nil before the node listens
 	closers        []func()                       // close the listeners; set by listen
 
+	registered     atomic.Bool // this node's entry is in the store, and the others were read after that
 	stopping       atomic.Bool // readiness is withdrawn
 	stoppedServing atomic.Bool // this node accepts no more calls for the backend server
 	localState     sync.Mutex  // held while this node's state is set in its peer set
