peers, sidecar: a node asks for a version that it knows to be missing until it has it

Cause: a node that hears of a newer version asked each node that had named it once, in its own place first, on links that had been silent for up to 11 s, and sent its own poll to the store again once. After that it waited: for the answer of that poll, up to 31 s, or for another frame. Change: nodes that have the version are asked in turn, every 0.4 s, until it is here; those first that were asked least, then those that have sent a frame within 1 s, then those of the place. While it is missing, the store is read beside a poll that has lasted for 1 s; without a linked node that has the version this ends after 15 s. The write of a request no longer holds up the next one.

--- a/node/process/peers/peers.go
+++ b/node/process/peers/peers.go
@@ -47,8 +47,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// QuotaReply handles a quota reply from the node at an address; nil if no quota requests are sent.
 	QuotaReply func(peer string, r *linkpb.QuotaReply)
-	// VersionMissing is called when a newer version, which another node has reported, has not arrived within routingRequestDelay; since is
-	// when the first such version was reported. It must not block. It may be nil.
+	// VersionMissing is called when a newer version, which another node has reported, has not arrived within routingRequestDelay, and after
+	// each further such time; since is when the first such version was reported. It must not block. It may be nil.
 	VersionMissing func(since time.Time)
 	// PollersChanged is called when the result of InSubset may have changed. It must not block.
 	PollersChanged func()
--- a/node/process/peers/versions.go
+++ b/node/process/peers/versions.go
@@ -1,9 +1,12 @@
 package peers
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/radishstand/radishstand/node/connection/link"
 )
 
 const (
@@ -12,12 +15,18 @@
 	routingRequestDelay = 400 * time.Millisecond
 	// maxVersionSources bounds the nodes that are asked for a version.
 	maxVersionSources = 8
+	// silentLinkTime is the time without a frame from a node after which nodes that have sent one since are asked first.
+	silentLinkTime = time.Second
+	// pursuitTime bounds the time for which the store is asked for a version that no linked node has. The nodes that had it may have ended.
+	pursuitTime = 15 * time.Second
 )
 
 // versionSource is a node that has reported a newer routing version than this node's.
 type versionSource struct {
 	server *Server
 	number uint64
+	// asked is the number of requests to the node since it was added.
+	asked int
 }
 
 // versionSources holds the nodes from which a newer routing version can be requested. It is safe for concurrent use.
@@ -44,20 +53,46 @@
 	return schedule
 }
 
-// next removes and returns the node to ask for a version above current: one in the given place, if there is one. It returns nil
-// when there is none to ask; no request is scheduled then.
-func (v *versionSources) next(current uint64, place string) *Server {
+// next returns the link to the node to ask for a version above current. Nodes without a link are removed: when they are linked again they
+// report their version.
+func (v *versionSources) next(current uint64, place string) (*Server, *link.Client) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.sources = slices.DeleteFunc(v.sources, func(s versionSource) bool { return s.number <= current })
+	v.sources = slices.DeleteFunc(v.sources, func(s versionSource) bool {
+		return s.number <= current || s.server.currentClient() == nil
+	})
 	if len(v.sources) == 0 {
-		v.pending = false
-		return nil
+		return nil, nil
+	}
+	best := slices.MinFunc(v.sources, func(a, b versionSource) int { return compareSources(a, b, place) })
+	i := slices.IndexFunc(v.sources, func(s versionSource) bool { return s.server == best.server })
+	v.sources[i].asked++
+	return best.server, best.server.currentClient()
+}
+
+// compareSources orders nodes by the requests so far; then those come first from which a frame has arrived lately, and then those in the
+// given place.
+func compareSources(a, b versionSource, place string) int {
+	if a.asked != b.asked {
+		return cmp.Compare(a.asked, b.asked)
 	}
-	i := max(slices.IndexFunc(v.sources, func(s versionSource) bool { return s.server.place() == place }), 0)
-	s := v.sources[i].server
-	v.sources = slices.Delete(v.sources, i, i+1)
-	return s
+	if order := boolFirst(a.server.heardLately(), b.server.heardLately()); order != 0 {
+		return order
+	}
+	return boolFirst(a.server.place() == place, b.server.place() == place)
+}
+
+// stop records that no request is scheduled any more and forgets the nodes.
+func (v *versionSources) stop() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.pending, v.sources = false, nil
+}
+
+// heardLately reports whether the node is linked and has sent a frame within silentLinkTime.
+func (s *Server) heardLately() bool {
+	client := s.currentClient()
+	return client != nil && client.SilentFor() < silentLinkTime
 }
 
 // ObserveVersion handles the number of the routing version of the node at an address.
@@ -90,27 +125,24 @@
 	time.AfterFunc(routingRequestDelay, p.requestRouting)
 }
 
-// requestRouting requests the routing version from the next linked node that has a newer one. A node without a link is passed
-// over: when it is linked again it reports its version. The link to the node may be dead although the node has reported its version on
-// another one, so VersionMissing is called too.
+// requestRouting requests the routing version from a linked node that has a newer one, and does so again until a newer one is here. The
+// links to all these nodes may be dead although they have reported their versions on others, so VersionMissing is called each time.
 func (p *Set) requestRouting() {
 	since := p.newestVersion.behindSince(p.config.LocalVersion())
-	if !since.IsZero() && p.config.VersionMissing != nil {
+	s, client := p.versions.next(p.config.LocalVersion(), p.config.Hello.Place)
+	if since.IsZero() || client == nil && time.Since(since) > pursuitTime {
+		p.versions.stop()
+		return
+	}
+	if p.config.VersionMissing != nil {
 		p.config.VersionMissing(since)
 	}
-	for {
-		s := p.versions.next(p.config.LocalVersion(), p.config.Hello.Place)
-		if s == nil {
-			return
-		}
-		if client := s.currentClient(); client != nil {
-			p.config.Log.Info("routing version requested", "peer", s.address, "silentMs", client.SilentFor().Milliseconds(),
-				"behindMs", p.BehindBy().Milliseconds())
-			client.RequestRouting()
-			time.AfterFunc(routingRequestDelay, p.requestRouting)
-			return
-		}
+	if client != nil {
+		p.config.Log.Info("routing version requested", "peer", s.address, "silentMs", client.SilentFor().Milliseconds(),
+			"behindMs", p.BehindBy().Milliseconds())
+		go client.RequestRouting() // the write waits while the other node does not read
 	}
+	time.AfterFunc(routingRequestDelay, p.requestRouting)
 }
 
 // place returns the place of the server's node, or "" while it is not known.
--- a/node/process/sidecar/freshness.go
+++ b/node/process/sidecar/freshness.go
@@ -22,7 +22,7 @@
 	lease freshness.Lease
 	// running is set while the loop runs that asks for proofs.
 	running atomic.Bool
-	// reading is set while the loop's read of the store is in progress.
+	// reading is set while a read of the store is in progress.
 	reading atomic.Bool
 
 	mu sync.Mutex
@@ -144,8 +144,8 @@
 			break
 		}
 		step := schedule.Next(boottime.Now(), f.age(), within, f.node.peers.InSubset(frequentPollers))
-		if step.Read && f.reading.CompareAndSwap(false, true) {
-			go f.readStore(ctx)
+		if step.Read {
+			f.tryRead(ctx)
 		}
 		if step.Ask {
 			f.count("asked")
@@ -173,6 +173,13 @@
 	return now
 }
 
+// tryRead reads the configuration from the store in the background, unless such a read is in progress.
+func (f *freshnessLease) tryRead(ctx context.Context) {
+	if f.reading.CompareAndSwap(false, true) {
+		go f.readStore(ctx)
+	}
+}
+
 // readStore reads the configuration from the store, applies it and records the proof.
 func (f *freshnessLease) readStore(ctx context.Context) {
 	defer f.reading.Store(false)
--- a/node/process/sidecar/poll.go
+++ b/node/process/sidecar/poll.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// lastsFor reports whether the request in progress has lasted for a time.
+func (p *routingPoll) lastsFor(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cancel != nil && time.Since(p.began) >= d
+}
+
 // endAfter ends the request that is in progress now if it still is after a delay.
 func (p *routingPoll) endAfter(delay time.Duration) {
 	p.mu.Lock()
--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -135,7 +135,7 @@
 		Dial:  dial,
 		Hello: &linkpb.Hello{Node: c.Name, Address: c.Listen.Peers, Place: c.Place}, Serve: n.Serve,
 		LocalVersion: n.routing.Number, Memory: memory, Log: n.log,
-		Routing: n.applyPeerRouting, VersionMissing: n.poll.endIfOlder, PollersChanged: n.signalPollersChanged,
+		Routing: n.applyPeerRouting, VersionMissing: n.versionMissing, PollersChanged: n.signalPollersChanged,
 		Proof:       n.freshness.addProof,
 		Evacuations: exchange, StoreEra: n.peerReportedEra, Egress: n.egress,
 		Leaving:    n.newLeaving(),
@@ -236,6 +236,15 @@
 	}
 }
 
+// versionMissing asks the store for a newer version, which another node has reported first at a time. A poll that began before may be lost.
+// A later one may be, too, or the store may answer it late, so after lostPollDelay the store is read beside it.
+func (n *Node) versionMissing(since time.Time) {
+	n.poll.endIfOlder(since)
+	if n.poll.lastsFor(lostPollDelay) {
+		n.freshness.tryRead(n.ctx)
+	}
+}
+
 // applyRouting applies the routing version of a document if it is newer than the current one, and reports whether it is. The source
 // is "store" or the address of the node that sent the document.
 func (n *Node) applyRouting(document []byte, source string) bool {
