--- a/node/process/sidecar/join.go
+++ b/node/process/sidecar/join.go
@@ -15,17 +15,25 @@
 	retryBackoff := newBackoff()
 	sleep(ctx, registrationDelay)
 	for ctx.Err() == nil && !n.registered.Load() && !n.knowsOthers() {
-		fleet, err := n.store.Fleet(ctx)
-		if err == nil {
-			n.addMembers(fleet)
-			n.log.Info("members read before registration", "members", len(fleet.Members))
-		} else {
+		if err := n.readMembers(ctx); err != nil {
 			n.logStoreFailure(ctx, "members before registration", err)
 		}
 		retryBackoff.wait(ctx)
 	}
 }
 
+// readMembers adds the nodes that have entries in the store to the peers.
+func (n *Node) readMembers(ctx context.Context) error {
+	fleet, err := n.store.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	n.logStoreRecovery("members before registration")
+	n.log.Info("members read before registration", "members", len(fleet.Members))
+	n.addMembers(fleet)
+	return nil
+}
+
 // knowsOthers reports whether this node knows any other one.
 func (n *Node) knowsOthers() bool {
 	known, _ := n.peers.Linked()
