sidecar: metrics and the application of routing versions stand in files of their own

Change: registerMetrics and the counters move to metrics.go, what applies a routing version to apply.go. Nothing else changes.

--- a/node/process/sidecar/sidecar.go
+++ b/node/process/sidecar/sidecar.go
@@ -110,20 +110,6 @@
 	})
 }
 
-// registerMetrics registers the metrics of the server, of back pressure, of the routing version and of the store's state.
-func (n *Node) registerMetrics() {
-	n.metrics.Register("server.rate_limit", metrics.NewFunctionalGaugeFloat64(func() float64 { return float64(n.server.Load().RateLimit) }))
-	n.metrics.Register("server.cold_limit", metrics.NewFunctionalGaugeFloat64(n.server.ColdLimit))
-	n.metrics.Register("server.cold_refusals", metrics.NewFunctionalGauge(n.server.ColdRefusals))
-	n.metrics.Register("backpressure.refused", metrics.NewFunctionalGauge(n.refusedByBackPressure))
-	n.metrics.Register("backpressure.admitted", metrics.NewFunctionalGaugeFloat64(n.leastAdmitted))
-	n.metrics.Register("server.requests", metrics.NewFunctionalGauge(n.server.Requests))
-	n.metrics.Register("routing.version", metrics.NewFunctionalGauge(func() int64 { return int64(n.routing.Number()) }))
-	n.metrics.Register("routing.behind_ms", metrics.NewFunctionalGauge(func() int64 { return n.peers.BehindBy().Milliseconds() }))
-	n.evacuated = metrics.NewRegisteredGauge("evacuated.places", n.metrics)
-	n.eraChanges = metrics.NewRegisteredCounter("store.era_changes", n.metrics)
-}
-
 // newPeers returns the node's connections to the other nodes.
 func (n *Node) newPeers(memory *membudget.Budget, exchange link.EvacuationExchange) *peers.Set {
 	c := n.config.Load()
@@ -228,51 +214,6 @@
 	n.peers.SetLocal(n.State())
 }
 
-// applyPeerRouting applies the routing version of a document from another node. If it is new here, the store's response to the
-// poll that is in progress should have brought it.
-func (n *Node) applyPeerRouting(peer string, document []byte) {
-	if n.applyRouting(document, peer) {
-		n.poll.endAfter(lostPollDelay)
-	}
-}
-
-// versionMissing asks the store for a newer version, which another node has reported first at a time. A poll that began before may be lost.
-// A later one may be, too, or the store may answer it late, so after lostPollDelay the store is read beside it.
-func (n *Node) versionMissing(since time.Time) {
-	n.poll.endIfOlder(since)
-	if n.poll.lastsFor(lostPollDelay) {
-		n.freshness.tryRead(n.ctx)
-	}
-}
-
-// applyRouting applies the routing version of a document if it is newer than the current one, and reports whether it is. The source
-// is "store" or the address of the node that sent the document.
-func (n *Node) applyRouting(document []byte, source string) bool {
-	v, err := n.adapter.ParseRouting(document)
-	if err != nil {
-		n.log.Warn("routing document rejected", "source", source, "error", err)
-		return false
-	}
-	v.Document = document
-	replaced, behind := n.routing.Number(), n.peers.BehindBy()
-	applied := n.routing.Offer(v)
-	if applied {
-		n.history.Add(v.Number, time.Now())
-		n.log.Info("routing version applied", "version", v.Number, "replaced", replaced, "source", source,
-			"behindMs", behind.Milliseconds(), "poll", n.poll.String())
-		n.applyLimits()
-		n.quotas.start(n)
-	}
-	return applied
-}
-
-// applyLimits sets the ingress limits for callers to those of the current routing version.
-func (n *Node) applyLimits() {
-	if callers := n.callers.Load(); callers != nil {
-		callers.SetLimits(ingressLimits(n.routing.Current()))
-	}
-}
-
 // State returns the state of this node as it is sent to other nodes.
 func (n *Node) State() *linkpb.State {
 	status := n.server.Status()
@@ -330,18 +271,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-// counters records outcomes and latencies in a metrics registry.
-type counters struct{ registry metrics.Registry }
-
-// Count increments the counter of an outcome.
-func (c counters) Count(name string) { metrics.GetOrRegisterCounter(name, c.registry).Inc(1) }
-
-// Time records a duration in milliseconds.
-func (c counters) Time(name string, took time.Duration) {
-	sample := func() metrics.Histogram { return metrics.NewHistogram(metrics.NewUniformSample(latencySamples)) }
-	c.registry.GetOrRegister(name+".ms", sample).(metrics.Histogram).Update(took.Milliseconds())
-}
-
-// latencySamples is the number of latencies in the sample of a histogram.
-const latencySamples = 512
