--- a/node/process/peers/versions.go
+++ b/node/process/peers/versions.go
@@ -17,8 +17,9 @@
 	maxVersionSources = 8
 	// silentLinkTime is the time without a frame from a node after which nodes that have sent one since are asked first.
 	silentLinkTime = time.Second
-	// pursuitTime bounds the time for which the store is asked for a version that no linked node has. The nodes that had it may have ended.
-	pursuitTime = 15 * time.Second
+	// missingVersionTimeout bounds the time for which the store is asked for a version that no linked node has. The nodes that had it may
+	// have ended.
+	missingVersionTimeout = 15 * time.Second
 )
 
 // versionSource is a node that has reported a newer routing version than this node's.
@@ -82,11 +83,15 @@
 	return boolFirst(a.server.place() == place, b.server.place() == place)
 }
 
-// stop records that no request is scheduled any more and forgets the nodes.
-func (v *versionSources) stop() {
+// finish records that no further request is scheduled. It does nothing and returns false if a node has reported a version above current.
+func (v *versionSources) finish(current uint64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if slices.ContainsFunc(v.sources, func(s versionSource) bool { return s.number > current }) {
+		return false
+	}
 	v.pending, v.sources = false, nil
+	return true
 }
 
 // heardLately reports whether the node is linked and has sent a frame within silentLinkTime.
@@ -130,11 +135,11 @@
 func (p *Set) requestRouting() {
 	since := p.newestVersion.behindSince(p.config.LocalVersion())
 	s, client := p.versions.next(p.config.LocalVersion(), p.config.Hello.Place)
-	if since.IsZero() || client == nil && time.Since(since) > pursuitTime {
-		p.versions.stop()
+	done := since.IsZero() || client == nil && time.Since(since) > missingVersionTimeout
+	if done && p.versions.finish(p.config.LocalVersion()) {
 		return
 	}
-	if p.config.VersionMissing != nil {
+	if !since.IsZero() && p.config.VersionMissing != nil {
 		p.config.VersionMissing(since)
 	}
 	if client != nil {
--- a/node/process/peers/versions_test.go
+++ b/node/process/peers/versions_test.go
@@ -99,6 +99,16 @@
 	requireDocument(t, received)
 }
 
+// Guards against a version that is not requested, since another node has reported it while the requests for the one before ended.
+func TestRequestsGoOnForAVersionThatIsReportedAsTheyEnd(t *testing.T) {
+	sources := &versionSources{}
+	require.True(t, sources.add(&Server{}, 2))
+	require.False(t, sources.add(&Server{}, 3))
+	assert.False(t, sources.finish(2))
+	assert.True(t, sources.finish(3))
+	assert.True(t, sources.add(&Server{}, 4), "a new request must be scheduled")
+}
+
 // Guards against a node that asks those first of whose links it has heard nothing for long.
 func TestNodesThatWereHeardLatelyAreAskedFirst(t *testing.T) {
 	set, _ := startVersionSet(t)
