link: the test of a frame's age covers the time that a call has waited

Cause: takeOff adds the age of a frame to the time for which its call has waited, and no test held it to that. Change: the cases check waited_ms beside left_ms.

--- a/node/connection/link/age_test.go
+++ b/node/connection/link/age_test.go
@@ -20,20 +20,22 @@
 	assert.Equal(t, 4*time.Millisecond, ages.observe(offset+5*time.Second, 5*time.Second+5*time.Millisecond))
 }
 
+// Guards against calls that get the time which they have spent in the network, and against calls that count as decided when they arrive.
 func TestAgeIsTakenOffTheTimeLeft(t *testing.T) {
 	cases := map[string]struct {
-		age  time.Duration
-		want uint32
+		age          time.Duration
+		left, waited uint32
 	}{
-		"a link that works": {minFrameAge - time.Millisecond, 1000},
-		"a short wait":      {200 * time.Millisecond, 800},
-		"past the deadline": {2 * time.Second, 0},
+		"a link that works": {minFrameAge - time.Millisecond, 1000, 30},
+		"a short wait":      {200 * time.Millisecond, 800, 230},
+		"past the deadline": {2 * time.Second, 0, 2030},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			call := &linkpb.Call{LeftMs: 1000}
+			call := &linkpb.Call{LeftMs: 1000, WaitedMs: 30}
 			takeOff(call, c.age)
-			assert.Equal(t, c.want, call.LeftMs)
+			assert.Equal(t, c.left, call.LeftMs)
+			assert.Equal(t, c.waited, call.WaitedMs)
 		})
 	}
 }
