peers: the test of the order of nodes waits for the silence itself

Cause: the test slept for silentLinkTime after both links were open; a first state that arrives some milliseconds later is less than that old then. Found by reading, not by a failed run. Change: it waits until the link counts as silent.

--- a/node/process/peers/versions_test.go
+++ b/node/process/peers/versions_test.go
@@ -121,7 +121,7 @@
 		sources.add(known.server, 2)
 	}
 	silent, heard := sources.sources[0].server, sources.sources[1].server
-	time.Sleep(silentLinkTime)
+	require.Eventually(t, func() bool { return !silent.heardLately() }, 3*silentLinkTime, 10*time.Millisecond)
 	heard.currentClient().Ask()
 	require.Eventually(t, heard.heardLately, time.Second, time.Millisecond)
 	require.False(t, silent.heardLately())
